--- /dev/null
+++ b/daemon/include/chicorydrum/daemon/peer_links.hpp
@@ -0,0 +1,106 @@
+/// \file
+/// The task that owns the links to other entry hosts.
+#pragma once
+
+#include "chicorydrum/decision/messages.hpp"
+#include "chicorydrum/transport/peer_network.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorydrum::daemon
+{
+
+/// Where a peer may be found; only known peers are trusted.
+struct known_peer
+{
+    std::string name;
+    std::string domain;
+    std::string address;
+    int peer_port = 0;
+};
+
+/// Where a peer's operators' interface answers, as it said itself.
+struct peer_address
+{
+    std::string address;
+    int http_port = 0;
+};
+
+struct peer_links_options
+{
+    transport::event_loop& loop;
+    schema::incarnation self;
+    std::string domain;
+    std::string address;
+    int peer_port = 0;
+    int http_port = 0;
+    support::milliseconds redial_interval{300};
+    /// Peers from the settings; the host list adds to them.
+    std::vector<known_peer> configured;
+    std::function<void(decision::event)> on_event;
+};
+
+/// Dials known peers and accepts their links. Of each pair of hosts the one
+/// with the smaller name dials. A link counts once the other side's hello
+/// names a known peer that calls from its known address.
+class peer_links
+{
+public:
+    explicit peer_links(peer_links_options given);
+
+    void send(const std::string& host, const schema::peer_message& message);
+    void drop(const std::string& host);
+    /// Takes over the entry hosts of the platform's list.
+    void update_known(const std::vector<decision::host_listing>& hosts);
+
+    /// The operators' interface of a connected peer, or null.
+    const peer_address* address_of(const std::string& host) const;
+
+    std::int64_t bytes_sent() const
+    {
+        return this->sent_bytes;
+    }
+    std::int64_t bytes_received() const
+    {
+        return this->received_bytes;
+    }
+    std::int64_t frames_rejected() const
+    {
+        return this->rejected_frames;
+    }
+
+private:
+    struct open_link
+    {
+        std::string remote_address;
+        /// Empty until the hello was accepted.
+        std::string host;
+        /// The peer that this side dialled, or empty.
+        std::string dialled;
+        bool is_open = false;
+    };
+
+    void dial_missing();
+    void opened(transport::link_id id, const std::string& remote_address);
+    void received(transport::link_id id, const std::string& frame);
+    void closed(transport::link_id id);
+    bool accept_hello(transport::link_id id, const schema::hello& hello);
+    void reject(transport::link_id id, const std::string& reason);
+
+    peer_links_options options;
+    transport::peer_network network;
+    transport::timer redial;
+    std::map<std::string, known_peer> known;
+    std::unordered_map<transport::link_id, open_link> links;
+    std::map<std::string, transport::link_id> link_of_host;
+    std::map<std::string, peer_address> addresses;
+    std::int64_t sent_bytes = 0;
+    std::int64_t received_bytes = 0;
+    std::int64_t rejected_frames = 0;
+};
+
+} // namespace chicorydrum::daemon
--- /dev/null
+++ b/daemon/lib/endpoint_client.cpp
@@ -0,0 +1,99 @@
+#include "chicorydrum/daemon/endpoint_client.hpp"
+
+#include "chicorydrum/support/ids.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace chicorydrum::daemon
+{
+
+namespace
+{
+
+using decision::attempt_outcome;
+using nlohmann::json;
+
+constexpr const char* not_run_header = "not-run";
+
+bool says_not_run(const transport::http_response& response)
+{
+    for (const transport::http_header& header : response.headers)
+        if (header.name == not_run_header && header.value == "true")
+            return true;
+    return false;
+}
+
+} // namespace
+
+decision::attempt_finished
+read_endpoint_response(decision::attempt_id attempt,
+                       const transport::client_outcome& outcome)
+{
+    decision::attempt_finished ended;
+    ended.attempt = attempt;
+    if (!outcome)
+    {
+        ended.outcome = outcome.error() == transport::client_error::not_sent
+                            ? attempt_outcome::refused
+                            : attempt_outcome::lost;
+        return ended;
+    }
+    if (outcome->status == 503 && says_not_run(*outcome))
+    {
+        ended.outcome = attempt_outcome::refused;
+        return ended;
+    }
+    ended.outcome = attempt_outcome::failed;
+    if (outcome->status != 200)
+        return ended;
+    const json parsed = json::parse(outcome->body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("result") ||
+        !parsed["result"].is_string())
+        return ended;
+    // An answer to another attempt is no answer to this one.
+    if (parsed.contains("attempt") && parsed["attempt"].is_string() &&
+        !parsed["attempt"].get<std::string>().ends_with(
+            "." + std::to_string(attempt)))
+        return ended;
+    ended.outcome = attempt_outcome::succeeded;
+    ended.result = parsed["result"];
+    const auto used = [&parsed](const char* name)
+    {
+        const auto found = parsed.find(name);
+        const bool is_number =
+            found != parsed.end() && found->is_number_integer();
+        return is_number ? found->get<int>() : 0;
+    };
+    ended.used_millicores = used("used_millicores");
+    ended.used_memory_mb = used("used_memory_mb");
+    return ended;
+}
+
+endpoint_client::endpoint_client(endpoint_client_options given)
+    : options(std::move(given)),
+      http({.loop = this->options.loop, .kept_headers = {not_run_header}})
+{
+}
+
+void endpoint_client::start(const decision::start_attempt& attempt)
+{
+    const decision::attempt_id id = attempt.attempt;
+    transport::client_request request;
+    request.address = attempt.address;
+    request.port = attempt.port;
+    request.method = transport::http_method::post;
+    request.path = "/run";
+    request.timeout = support::duration_cast<support::milliseconds>(
+        std::max<support::decision_clock::duration>(attempt.timeout,
+                                                    support::milliseconds(1)));
+    request.body = json{{"attempt", support::to_text(this->options.self) + "." +
+                                        std::to_string(id)},
+                        {"kind", attempt.kind},
+                        {"payload", attempt.payload}}
+                       .dump(-1, ' ', false, json::error_handler_t::replace);
+    this->http.send(
+        std::move(request), [this, id](const transport::client_outcome& outcome)
+        { this->options.on_finished(read_endpoint_response(id, outcome)); });
+}
+
+} // namespace chicorydrum::daemon
--- /dev/null
+++ b/daemon/lib/platform_client.cpp
@@ -0,0 +1,319 @@
+#include "chicorydrum/daemon/platform_client.hpp"
+
+#include "chicorydrum/support/digest.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace chicorydrum::daemon
+{
+
+namespace
+{
+
+using decision::store_outcome;
+using nlohmann::json;
+using support::error_kind;
+using transport::client_error;
+using transport::client_outcome;
+using transport::http_method;
+
+std::string claim_row(const std::string& key)
+{
+    return "claim/" + key;
+}
+
+decision::listing_state parse_state(const json& item)
+{
+    return item.value("state", "live") == "leaving"
+               ? decision::listing_state::leaving
+               : decision::listing_state::live;
+}
+
+decision::endpoint_listing parse_endpoint(const json& item)
+{
+    return {.name = item.at("name"),
+            .domain = item.at("domain"),
+            .rack = item.value("rack", ""),
+            .address = item.at("address"),
+            .port = item.at("port"),
+            .slots = item.value("slots", 8),
+            .connections = item.value("connections", 64),
+            .millicores = item.value("millicores", 16000),
+            .memory_mb = item.value("memory_mb", 65536),
+            .state = parse_state(item)};
+}
+
+decision::host_listing parse_host(const json& item)
+{
+    return {.name = item.at("name"),
+            .domain = item.at("domain"),
+            .address = item.at("address"),
+            .peer_port = item.at("peer_port"),
+            .state = parse_state(item)};
+}
+
+} // namespace
+
+support::result<decision::host_list_read>
+parse_host_list(const std::string& text)
+{
+    try
+    {
+        const json parsed = json::parse(text);
+        decision::host_list_read list;
+        for (const json& item : parsed.at("entry_hosts"))
+            list.hosts.push_back(parse_host(item));
+        for (const json& item : parsed.at("endpoints"))
+            list.endpoints.push_back(parse_endpoint(item));
+        return list;
+    }
+    catch (const json::exception& malformed)
+    {
+        return support::fail(error_kind::bad_request,
+                             std::string("malformed host list: ") +
+                                 malformed.what());
+    }
+}
+
+platform_client::platform_client(platform_client_options given)
+    : options(std::move(given)), http({.loop = this->options.loop}),
+      breaker({.seed = this->options.seed}),
+      poll_timer(this->options.loop.make_timer([this] { this->poll(); }))
+{
+    this->poll_timer.start(support::milliseconds(1));
+}
+
+transport::client_request platform_client::make_request(http_method method,
+                                                        std::string path,
+                                                        std::string body) const
+{
+    return {.address = this->options.address,
+            .port = this->options.port,
+            .method = method,
+            .path = std::move(path),
+            .headers = {},
+            .body = std::move(body),
+            .timeout = this->options.request_timeout};
+}
+
+void platform_client::send(transport::client_request request,
+                           const outcome_hook& done)
+{
+    const support::instant now = transport::event_loop::now();
+    const bool is_read = request.method == http_method::get;
+    const bool in_budget =
+        is_read
+            ? this->read_budget.take(1, this->options.reads_per_second, now)
+            : this->write_budget.take(1, this->options.writes_per_second, now);
+    if (!in_budget || !this->breaker.allow(now))
+    {
+        done(tl::unexpected(client_error::not_sent));
+        return;
+    }
+    ++(is_read ? this->read_count : this->write_count);
+    this->http.send(std::move(request),
+                    [this, done](client_outcome outcome)
+                    {
+                        constexpr int server_error = 500;
+                        if (outcome && outcome->status < server_error)
+                            this->breaker.succeeded();
+                        else
+                            this->breaker.failed(transport::event_loop::now());
+                        done(std::move(outcome));
+                    });
+}
+
+void platform_client::poll()
+{
+    this->poll_timer.start(this->options.poll_interval);
+    this->poll_hosts();
+    this->poll_bundle();
+}
+
+void platform_client::poll_hosts()
+{
+    this->send(
+        this->make_request(http_method::get, "/hosts", ""),
+        [this](const client_outcome& outcome)
+        {
+            if (!outcome || outcome->status != 200)
+            {
+                this->options.on_event(decision::host_list_unavailable{});
+                return;
+            }
+            auto list = parse_host_list(outcome->body);
+            if (!list)
+                this->options.on_event(decision::host_list_unavailable{});
+            else
+                this->options.on_event(std::move(*list));
+        });
+}
+
+void platform_client::poll_bundle()
+{
+    this->read_row(
+        decision::current_bundle_key,
+        [this](const support::result<decision::table_row>& row)
+        {
+            if (!row)
+                return;
+            const auto accepted = decision::parse_accepted_bundle(row->value);
+            if (accepted && accepted->version > this->known_bundle_version)
+                this->fetch_bundle(*accepted);
+        });
+}
+
+void platform_client::fetch_bundle(const decision::accepted_bundle& accepted)
+{
+    if (this->is_fetching_bundle)
+        return;
+    this->is_fetching_bundle = true;
+    this->send(this->make_request(
+                   http_method::get,
+                   "/objects/" + decision::bundle_object_name(accepted.digest),
+                   ""),
+               [this, accepted](const client_outcome& outcome)
+               {
+                   this->is_fetching_bundle = false;
+                   if (!outcome || outcome->status != 200 ||
+                       support::sha256_hex(outcome->body) != accepted.digest)
+                       return;
+                   this->known_bundle_version = accepted.version;
+                   this->options.on_event(decision::bundle_read{
+                       .version = accepted.version, .text = outcome->body});
+               });
+}
+
+void platform_client::read_row(
+    const std::string& key,
+    std::function<void(support::result<decision::table_row>)> done)
+{
+    this->send(
+        this->make_request(http_method::get, "/table/" + key, ""),
+        [done = std::move(done)](const client_outcome& outcome)
+        {
+            if (outcome && outcome->status == 404)
+                return done(decision::table_row{});
+            if (!outcome || outcome->status != 200)
+                return done(support::fail(error_kind::store_unavailable,
+                                          "the platform did not answer"));
+            const json parsed = json::parse(outcome->body, nullptr, false);
+            if (!parsed.is_object())
+                return done(support::fail(error_kind::store_unavailable,
+                                          "the platform's answer is "
+                                          "malformed"));
+            done(decision::table_row{.value = parsed.value("value", ""),
+                                     .version = parsed.value("version", 0)});
+        });
+}
+
+void platform_client::transact(const std::vector<decision::table_write>& writes,
+                               const std::function<void(store_outcome)>& done)
+{
+    json body = {{"writes", json::array()}};
+    for (const decision::table_write& write : writes)
+        body["writes"].push_back(
+            {{"key", write.key},
+             {"value", write.value},
+             {"expected_version", write.expected_version}});
+    this->send(
+        this->make_request(http_method::post, "/table/transact", body.dump()),
+        [done](const client_outcome& outcome)
+        {
+            if (!outcome)
+                done(outcome.error() == client_error::not_sent
+                         ? store_outcome::unavailable
+                         : store_outcome::unknown);
+            else if (outcome->status == 200)
+                done(store_outcome::applied);
+            else if (outcome->status == 409)
+                done(store_outcome::condition_failed);
+            else
+                done(store_outcome::unknown);
+        });
+}
+
+void platform_client::claim(const decision::claim_key& claim)
+{
+    const auto answer =
+        [this, claim](store_outcome outcome, const std::string& value)
+    {
+        this->options.on_event(decision::store_answered{
+            .ticket = claim.ticket, .outcome = outcome, .value = value});
+    };
+    const auto read_owner = [this, claim, answer]
+    {
+        this->read_row(claim_row(claim.key),
+                       [answer](const support::result<decision::table_row>& row)
+                       {
+                           if (row)
+                               answer(store_outcome::condition_failed,
+                                      row->value);
+                           else
+                               answer(store_outcome::unavailable, "");
+                       });
+    };
+    this->transact({{.key = claim_row(claim.key),
+                     .value = claim.value,
+                     .expected_version = 0}},
+                   [answer, read_owner](store_outcome outcome)
+                   {
+                       if (outcome == store_outcome::condition_failed)
+                           read_owner();
+                       else
+                           answer(outcome, "");
+                   });
+}
+
+void platform_client::read(const decision::read_key& read)
+{
+    this->read_row(claim_row(read.key),
+                   [this, read](const support::result<decision::table_row>& row)
+                   {
+                       decision::store_answered answer{
+                           .ticket = read.ticket,
+                           .outcome = store_outcome::unavailable,
+                           .value = ""};
+                       if (row)
+                       {
+                           answer.outcome = store_outcome::applied;
+                           answer.value = row->value;
+                       }
+                       this->options.on_event(answer);
+                   });
+}
+
+decision::bundle_store platform_client::bundle_store()
+{
+    return {
+        .read = [this](const std::string& key, auto done)
+        { this->read_row(key, std::move(done)); },
+        .transact = [this](const std::vector<decision::table_write>& writes,
+                           const auto& done) { this->transact(writes, done); },
+        .put_object =
+            [this](const std::string& name, const std::string& bytes, auto done)
+        {
+            this->send(
+                this->make_request(http_method::put, "/objects/" + name, bytes),
+                [done](const client_outcome& outcome)
+                { done(outcome && outcome->status == 200); });
+        },
+        .get_object =
+            [this](const std::string& name, auto done)
+        {
+            this->send(
+                this->make_request(http_method::get, "/objects/" + name, ""),
+                [done](client_outcome outcome)
+                {
+                    if (outcome && outcome->status == 200)
+                        done(std::move(outcome->body));
+                    else
+                        done(support::fail(error_kind::store_unavailable,
+                                           "the object store did not "
+                                           "answer"));
+                });
+        },
+    };
+}
+
+} // namespace chicorydrum::daemon
--- /dev/null
+++ b/decision/include/chicorydrum/decision/call_relay.hpp
@@ -0,0 +1,79 @@
+/// \file
+/// Calls for submissions of other owners: first the owner is asked, and if it
+/// is gone, its witness.
+#pragma once
+
+#include "chicorydrum/decision/membership.hpp"
+#include "chicorydrum/decision/submission_record.hpp"
+#include "chicorydrum/decision/witness_table.hpp"
+#include "chicorydrum/support/ids.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace chicorydrum::decision
+{
+
+struct call_relay_hooks
+{
+    std::function<void(const waiter&, const schema::answer&)> reply;
+    std::function<void(const std::string& id, support::log_line)> log;
+    /// Asks this host's own witness table.
+    std::function<schema::answer(const support::submission_id& id,
+                                 const std::string& digest,
+                                 const std::string& kind)>
+        ask_own_witness;
+};
+
+/// Relays calls and makes sure that each gets exactly one answer: from the
+/// owner, from its witness, or that its outcome is undetermined.
+class call_relay
+{
+public:
+    call_relay(call_relay_hooks told, const membership& peers, outbox& actions);
+
+    /// Starts a call about \p work, whose id is \p id; \p work has only the
+    /// id unless the purpose is to submit.
+    void start(const waiter& who, call_purpose purpose,
+               const support::submission_id& id, schema::submission work,
+               support::instant now);
+
+    void answered(const std::string& from, const schema::forward_answer& reply);
+    void peer_left(const std::string& host, support::instant now);
+    void tick(support::instant now);
+    /// Ends all calls, since this host stops.
+    void end_all();
+
+    std::size_t open_calls() const
+    {
+        return this->calls.size();
+    }
+
+private:
+    struct relayed_call
+    {
+        waiter who;
+        call_purpose purpose = call_purpose::submit;
+        support::submission_id id;
+        schema::submission work;
+        /// The host that was asked last.
+        std::string asked;
+        bool asked_witness = false;
+        support::instant deadline;
+        support::instant give_up_at;
+    };
+
+    void ask_owner(std::int64_t number, relayed_call& call,
+                   support::instant now);
+    void ask_witness(std::int64_t number, relayed_call& call);
+    void finish(std::int64_t number, const schema::answer& result);
+
+    call_relay_hooks hooks;
+    const membership& members;
+    outbox& out;
+    std::map<std::int64_t, relayed_call> calls;
+    std::int64_t next_call = 1;
+};
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/include/chicorydrum/decision/dispatcher.hpp
@@ -0,0 +1,165 @@
+/// \file
+/// Every decision of one entry host behind one entry point.
+#pragma once
+
+#include "chicorydrum/decision/bundle_view.hpp"
+#include "chicorydrum/decision/call_relay.hpp"
+#include "chicorydrum/decision/home_issuer.hpp"
+#include "chicorydrum/decision/key_claims.hpp"
+#include "chicorydrum/decision/membership.hpp"
+#include "chicorydrum/decision/messages.hpp"
+#include "chicorydrum/decision/story_book.hpp"
+#include "chicorydrum/decision/submission_owner.hpp"
+#include "chicorydrum/decision/witness_table.hpp"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicorydrum::decision
+{
+
+struct dispatcher_options
+{
+    membership_options members;
+    submission_owner_options owner;
+    witness_table_options witnessing;
+    home_issuer_options homes;
+    key_claims_options keys;
+    story_book_options stories;
+    /// Decisions are logged and told by explain only if this is set.
+    bool keeps_logs = true;
+    /// A longer gap between events means that the process was paused: nothing
+    /// starts until the host list was read anew.
+    support::milliseconds pause_threshold{1000};
+    /// How long a stopping host still accepts work, so that the balancer can
+    /// notice first.
+    support::milliseconds lame_duck{1000};
+    support::milliseconds handover_timeout{2000};
+};
+
+/// The state machine of one entry host. Each call of handle() takes one event
+/// and the time; take_actions() gives what is to be done.
+class dispatcher
+{
+public:
+    dispatcher(dispatcher_options given, support::instant now);
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    void handle(const event& happened, support::instant now);
+    std::vector<action> take_actions()
+    {
+        return this->out.take();
+    }
+
+    /// The home to advertise in each answer.
+    const support::home& home() const
+    {
+        return this->homes.current();
+    }
+    /// Whether the balancer should send new callers here.
+    bool is_ready() const;
+    bool is_stopping() const
+    {
+        return this->stop_state != stop_phase::none;
+    }
+
+    const bundle_view& bundle() const
+    {
+        return this->current_bundle;
+    }
+    const membership& members() const
+    {
+        return this->peers;
+    }
+    const submission_owner& owner() const
+    {
+        return this->submissions;
+    }
+    const witness_table& witness() const
+    {
+        return this->witnessed;
+    }
+    std::size_t relayed_calls() const
+    {
+        return this->relay.open_calls();
+    }
+    std::vector<story_line> story(const std::string& id) const
+    {
+        return this->stories.story(id);
+    }
+
+private:
+    enum class stop_phase
+    {
+        none,
+        /// Callers still come until the balancer noticed.
+        lame_duck,
+        /// Unfinished work goes on; new work is refused.
+        draining,
+        /// The table was sent; acknowledgements are due.
+        handing_over,
+        done,
+    };
+
+    void on(const caller_submitted& submitted, support::instant now);
+    void on(const caller_queried& queried, support::instant now);
+    void on(const caller_left& left, support::instant now);
+    void on(const peer_connected& peer, support::instant now);
+    void on(const peer_disconnected& peer, support::instant now);
+    void on(const peer_spoke& spoke, support::instant now);
+    void on(const attempt_finished& ended, support::instant now);
+    void on(const host_list_read& list, support::instant now);
+    void on(const host_list_unavailable& missing, support::instant now);
+    void on(const store_answered& answer, support::instant now);
+    void on(const bundle_read& bundle, support::instant now);
+    void on(const stop_requested& stop, support::instant now);
+    void on(const stop_forced& stop, support::instant now);
+    void on(const ticked& tick, support::instant now);
+
+    void on_message(const std::string& from, const schema::peer_message& said,
+                    support::instant now);
+    void on_heartbeat(const std::string& from, const schema::heartbeat& beat,
+                      support::instant now);
+    void on_witness_query(const std::string& from,
+                          const schema::witness_query& query,
+                          support::instant now);
+
+    void notice_pause(support::instant now);
+    /// Sends a call about \p id to its owner, here or elsewhere.
+    void route(const waiter& who, call_purpose purpose,
+               const support::submission_id& id, schema::submission work,
+               support::instant now);
+    void reply(const waiter& who, const schema::answer& result);
+    schema::answer answer_as_witness(const support::submission_id& id,
+                                     const std::string& digest,
+                                     const std::string& kind);
+    void adopt_bundle(std::int64_t version, const std::string& text,
+                      const std::string& source);
+    void peers_changed(support::instant now);
+    void send_heartbeats(support::instant now);
+    void advance_stop(support::instant now);
+    void log(const std::string& id, support::log_line line);
+    void send(const std::string& host, schema::peer_message message);
+
+    dispatcher_options options;
+    outbox out;
+    support::instant current_time;
+    support::instant last_event;
+    membership peers;
+    bundle_view current_bundle;
+    home_issuer homes;
+    witness_table witnessed;
+    story_book stories;
+    submission_owner submissions;
+    call_relay relay;
+    key_claims keys;
+    support::instant next_heartbeat;
+    support::instant bundle_requested_at;
+    stop_phase stop_state = stop_phase::none;
+    support::instant stop_phase_since;
+    std::set<std::string> handover_receivers;
+};
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/include/chicorydrum/decision/key_claims.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// Bare keys: submissions whose owner is settled by a conditional insert in
+/// the platform's table.
+#pragma once
+
+#include "chicorydrum/decision/messages.hpp"
+#include "chicorydrum/decision/rate_limiter.hpp"
+#include "chicorydrum/decision/submission_record.hpp"
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace chicorydrum::decision
+{
+
+struct key_claims_options
+{
+    int writes_per_second = 50;
+};
+
+struct key_claims_hooks
+{
+    /// The key belongs to the submission id \p full_id: run or forward it.
+    std::function<void(const waiter&, call_purpose, schema::submission,
+                       const std::string& full_id)>
+        on_settled;
+    std::function<void(const waiter&, const schema::answer&)> reply;
+};
+
+/// Claims keys. A claim maps the key to a full submission id, whose home
+/// names its owner; from there on the key is that id. A lost answer is
+/// settled by reading the key back.
+class key_claims
+{
+public:
+    key_claims(key_claims_options given, key_claims_hooks told,
+               outbox& actions);
+
+    /// Settles \p key; \p candidate is the id it gets if it is free.
+    void claim(const waiter& who, schema::submission work,
+               const std::string& key, const std::string& candidate,
+               support::instant now);
+
+    /// Finds the id of \p key without claiming it.
+    void look_up(const waiter& who, call_purpose purpose,
+                 const std::string& key);
+
+    void answered(const store_answered& answer);
+
+    std::size_t pending() const
+    {
+        return this->open.size();
+    }
+
+private:
+    struct pending_claim
+    {
+        waiter who;
+        call_purpose purpose = call_purpose::submit;
+        schema::submission work;
+        std::string key;
+        std::string candidate;
+        bool is_read = false;
+    };
+
+    void settle(const pending_claim& claim, const store_answered& answer);
+
+    key_claims_options options;
+    key_claims_hooks hooks;
+    outbox& out;
+    rate_limiter budget;
+    std::unordered_map<ticket_id, pending_claim> open;
+    ticket_id next_ticket = 1;
+};
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/include/chicorydrum/decision/slot_market.hpp
@@ -0,0 +1,114 @@
+/// \file
+/// Lends idle slots to the entry hosts of the same domain, and borrows theirs.
+#pragma once
+
+#include "chicorydrum/decision/endpoint_pool.hpp"
+#include "chicorydrum/decision/membership.hpp"
+#include "chicorydrum/decision/messages.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicorydrum::decision
+{
+
+struct slot_market_options
+{
+    /// How long a lender waits for the return of slots after it lost the
+    /// borrower; a borrower starts new work in the first half of it.
+    support::milliseconds lease{500};
+    support::milliseconds first_denial_pause{20};
+    support::milliseconds max_denial_pause{320};
+    /// Most slots asked for in one request.
+    int max_request = 16;
+};
+
+/// Slots move by leases. Peers' links are reliable and ordered, so a slot
+/// comes back by the borrower's return; if the link breaks, the lender takes
+/// it back when the lease is over. At most one request is open at a time.
+class slot_market
+{
+public:
+    slot_market(slot_market_options given, endpoint_pool& endpoint_pool,
+                const membership& peers, outbox& actions);
+
+    void set_lease(support::milliseconds lease);
+
+    /// Asks a peer for \p slots, on \p endpoint if that is not empty. True
+    /// if a request is open now; false if nobody can be asked.
+    bool want(int slots, const std::string& endpoint, support::instant now);
+
+    /// Answers a peer's request. \p has_waiting_work denies all but requests
+    /// for one endpoint.
+    void on_request(const std::string& from,
+                    const schema::slot_request& request, bool has_waiting_work,
+                    support::instant now);
+
+    /// Takes a peer's answer; true if it brought slots.
+    bool on_grant(const std::string& from, const schema::slot_grant& grant,
+                  support::instant now);
+    void on_return(const std::string& from,
+                   const schema::slot_return& returned);
+
+    void peer_left(const std::string& host, support::instant now);
+
+    /// Ends leases and returns slots that have no use. With
+    /// \p has_waiting_work, slots are kept for their whole start window.
+    void tick(bool has_waiting_work, support::instant now);
+
+    std::int64_t requests_sent() const
+    {
+        return this->request_count;
+    }
+    std::int64_t requests_denied() const
+    {
+        return this->denial_count;
+    }
+
+private:
+    struct lent_lease
+    {
+        std::string borrower;
+        std::vector<schema::slot_count> slots;
+        /// Set when the borrower's link broke.
+        bool borrower_lost = false;
+        support::instant reclaim_at;
+    };
+
+    struct borrowed_lease
+    {
+        std::string lender;
+        std::int64_t lease = 0;
+        std::vector<schema::slot_count> slots;
+        support::instant start_until;
+        /// No new starts; slots go back as their attempts end.
+        bool closing = false;
+    };
+
+    struct denial
+    {
+        support::instant until;
+        support::milliseconds pause{0};
+    };
+
+    const peer_state* choose_lender(support::instant now) const;
+    std::vector<schema::slot_count> pick_idle(int wanted, int max_total) const;
+    void close(borrowed_lease& lease);
+    bool return_unused(borrowed_lease& lease);
+
+    slot_market_options options;
+    endpoint_pool& pool;
+    const membership& members;
+    outbox& out;
+    std::map<std::int64_t, lent_lease> lent;
+    std::vector<borrowed_lease> borrowed;
+    std::map<std::string, denial> denials;
+    /// The lender that was asked and has not answered, or empty.
+    std::string asked;
+    std::int64_t next_lease = 1;
+    std::int64_t request_count = 0;
+    std::int64_t denial_count = 0;
+};
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/include/chicorydrum/decision/story_book.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// What this host remembers of each submission's course, for `explain`.
+#pragma once
+
+#include "chicorydrum/support/clock.hpp"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorydrum::decision
+{
+
+struct story_book_options
+{
+    std::size_t max_stories = 2000;
+    std::size_t max_lines = 40;
+};
+
+/// One line of a story and when it happened.
+struct story_line
+{
+    support::instant when;
+    std::string text;
+};
+
+/// Keeps the last lines of the latest submissions, within fixed bounds.
+class story_book
+{
+public:
+    explicit story_book(story_book_options given) : options(given)
+    {
+    }
+
+    void add(const std::string& id, support::instant when, std::string text);
+    std::vector<story_line> story(const std::string& id) const;
+
+private:
+    story_book_options options;
+    std::unordered_map<std::string, std::vector<story_line>> stories;
+    // Ids in the order in which their stories began.
+    std::deque<std::string> by_age;
+};
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/dispatcher.cpp
@@ -0,0 +1,565 @@
+#include "chicorydrum/decision/dispatcher.hpp"
+
+#include "chicorydrum/decision/answers.hpp"
+#include "chicorydrum/support/yaml_reader.hpp"
+
+namespace chicorydrum::decision
+{
+
+namespace
+{
+
+using support::error_kind;
+using support::log_line;
+
+/// A bundle is asked for again if none came within this time.
+constexpr support::milliseconds bundle_request_interval{500};
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_options given, support::instant now)
+    : options(std::move(given)), out(this->options.keeps_logs),
+      current_time(now), last_event(now), peers(this->options.members),
+      homes(this->options.homes, now), witnessed(this->options.witnessing),
+      stories(this->options.stories),
+      submissions(
+          this->options.owner,
+          {.reply = [this](const waiter& who, const schema::answer& result)
+           { this->reply(who, result); },
+           .log =
+               [this](const std::string& id, log_line line)
+           {
+               this->log(id, std::move(line));
+           }},
+          this->peers, this->current_bundle, this->out),
+      relay({.reply = [this](const waiter& who, const schema::answer& result)
+             { this->reply(who, result); },
+             .log = [this](const std::string& id, log_line line)
+             { this->log(id, std::move(line)); },
+             .ask_own_witness =
+                 [this](const support::submission_id& id,
+                        const std::string& digest, const std::string& kind)
+             {
+                 return this->answer_as_witness(id, digest, kind);
+             }},
+            this->peers, this->out),
+      keys(this->options.keys,
+           {.on_settled =
+                [this](const waiter& who, call_purpose purpose,
+                       schema::submission work, const std::string& full_id)
+            {
+                const auto id = support::parse_submission_id(full_id);
+                if (!id || !id->where)
+                {
+                    this->reply(who,
+                                status_answer(full_id, error_kind::internal,
+                                              "the platform's table holds a "
+                                              "malformed claim"));
+                    return;
+                }
+                work.id = full_id;
+                this->route(who, purpose, *id, std::move(work),
+                            this->current_time);
+            },
+            .reply =
+                [this](const waiter& who, const schema::answer& result)
+            {
+                this->reply(who, result);
+            }},
+           this->out),
+      next_heartbeat(now), stop_phase_since(now)
+{
+}
+
+void dispatcher::handle(const event& happened, support::instant now)
+{
+    this->current_time = now;
+    this->notice_pause(now);
+    std::visit([this, now](const auto& given) { this->on(given, now); },
+               happened);
+    this->submissions.pump(now);
+}
+
+void dispatcher::notice_pause(support::instant now)
+{
+    const auto gap = now - this->last_event;
+    this->last_event = now;
+    if (gap <= this->options.pause_threshold)
+        return;
+    this->submissions.tasks().hold();
+    this->log("", log_line("paused", support::log_level::warning)
+                      .add("ms", support::whole_ms(gap)));
+}
+
+bool dispatcher::is_ready() const
+{
+    return this->stop_state == stop_phase::none &&
+           this->current_bundle.version() > 0;
+}
+
+void dispatcher::on(const caller_submitted& submitted, support::instant now)
+{
+    const waiter who = local_waiter{submitted.call};
+    const std::string& text = submitted.work.id;
+    if (text.empty())
+    {
+        const schema::kind_rule* const rule =
+            this->current_bundle.kind(submitted.work.kind);
+        if (rule != nullptr && !rule->repeatable)
+        {
+            this->reply(who,
+                        not_run_answer("", error_kind::bad_request,
+                                       "kind '" + rule->name +
+                                           "' may not be repeated: give an "
+                                           "id"));
+            return;
+        }
+        this->submissions.submit_anonymous(who, submitted.work, now);
+        return;
+    }
+    const auto id = support::parse_submission_id(text);
+    if (!id)
+    {
+        this->reply(who, not_run_answer(text, error_kind::bad_request,
+                                        id.error().detail));
+        return;
+    }
+    if (id->where)
+    {
+        this->route(who, call_purpose::submit, *id, submitted.work, now);
+        return;
+    }
+    const support::submission_id candidate{.where = this->homes.current(),
+                                           .key = id->key};
+    this->keys.claim(who, submitted.work, id->key, support::to_text(candidate),
+                     now);
+}
+
+void dispatcher::on(const caller_queried& queried, support::instant now)
+{
+    const waiter who = local_waiter{queried.call};
+    const auto id = support::parse_submission_id(queried.id);
+    if (!id)
+    {
+        this->reply(who, status_answer(queried.id, error_kind::bad_request,
+                                       id.error().detail));
+        return;
+    }
+    const call_purpose purpose =
+        queried.cancel ? call_purpose::cancel : call_purpose::query;
+    if (!id->where)
+    {
+        this->keys.look_up(who, purpose, id->key);
+        return;
+    }
+    schema::submission work;
+    work.id = queried.id;
+    this->route(who, purpose, *id, std::move(work), now);
+}
+
+void dispatcher::on(const caller_left& left, support::instant now)
+{
+    this->submissions.caller_left(left.call, now);
+}
+
+void dispatcher::route(const waiter& who, call_purpose purpose,
+                       const support::submission_id& id,
+                       schema::submission work, support::instant now)
+{
+    if (id.where->owner != this->peers.self())
+    {
+        this->relay.start(who, purpose, id, std::move(work), now);
+        return;
+    }
+    if (purpose == call_purpose::submit)
+        this->submissions.submit(who, std::move(work), id,
+                                 this->homes.current().generation, now);
+    else
+        this->submissions.query(who, work.id, purpose == call_purpose::cancel,
+                                now);
+}
+
+void dispatcher::reply(const waiter& who, const schema::answer& result)
+{
+    if (const auto* const local = std::get_if<local_waiter>(&who))
+    {
+        this->out.push(answer_caller{.call = local->call, .result = result});
+        return;
+    }
+    const auto& peer = std::get<peer_waiter>(who);
+    schema::peer_message message;
+    if (peer.is_offer)
+    {
+        schema::offer_reply offered;
+        offered.call = peer.call;
+        offered.result = result;
+        message.__set_offer_replied(offered);
+    }
+    else
+    {
+        schema::forward_answer forwarded;
+        forwarded.call = peer.call;
+        forwarded.result = result;
+        message.__set_answered(forwarded);
+    }
+    this->send(peer.host, std::move(message));
+}
+
+void dispatcher::on(const peer_connected& peer, support::instant now)
+{
+    // A link that opens anew ends what depended on the former one.
+    if (this->peers.find(peer.who.host) != nullptr)
+        this->on(peer_disconnected{peer.who.host}, now);
+    this->peers.connected(peer, now);
+    this->log("", log_line("peer_up")
+                      .add("host", support::to_text(peer.who))
+                      .add("domain", peer.domain));
+    this->peers_changed(now);
+    this->next_heartbeat = now;
+}
+
+void dispatcher::on(const peer_disconnected& peer, support::instant now)
+{
+    if (this->peers.find(peer.host) == nullptr)
+        return;
+    this->peers.disconnected(peer.host);
+    this->log("", log_line("peer_down", support::log_level::warning)
+                      .add("host", peer.host));
+    this->peers_changed(now);
+    this->submissions.peer_left(peer.host, now);
+    this->relay.peer_left(peer.host, now);
+    this->handover_receivers.erase(peer.host);
+}
+
+void dispatcher::peers_changed(support::instant now)
+{
+    const auto witness =
+        this->peers.choose_witness(this->homes.current().witness);
+    if (this->homes.update(witness, now))
+        this->submissions.home_issued(witness);
+    this->submissions.tasks().endpoints().set_sharers(
+        this->peers.domain_hosts(), now);
+}
+
+void dispatcher::on(const peer_spoke& spoke, support::instant now)
+{
+    if (this->peers.find(spoke.host) == nullptr)
+        return;
+    this->peers.heard(spoke.host, now);
+    this->on_message(spoke.host, spoke.message, now);
+}
+
+void dispatcher::on_message(const std::string& from,
+                            const schema::peer_message& said,
+                            support::instant now)
+{
+    const auto& set = said.__isset;
+    const auto parse = [](const std::string& id)
+    {
+        return support::parse_submission_id(id);
+    };
+    if (set.beat)
+        this->on_heartbeat(from, said.beat, now);
+    else if (set.forwarded)
+    {
+        const auto id = parse(said.forwarded.work.id);
+        const waiter who = peer_waiter{
+            .host = from, .call = said.forwarded.call, .is_offer = false};
+        // A forward goes one hop: only the owner takes it.
+        if (id && id->where && id->where->owner == this->peers.self())
+            this->submissions.submit(who, said.forwarded.work, *id,
+                                     this->homes.current().generation, now);
+        else
+            this->reply(who, status_answer(said.forwarded.work.id,
+                                           error_kind::undetermined,
+                                           "forwarded to a host that does "
+                                           "not own it"));
+    }
+    else if (set.queried)
+        this->submissions.query(peer_waiter{.host = from,
+                                            .call = said.queried.call,
+                                            .is_offer = false},
+                                said.queried.id, said.queried.cancel, now);
+    else if (set.answered)
+        this->relay.answered(from, said.answered);
+    else if (set.claimed)
+    {
+        schema::claim_reply reply;
+        reply.id = said.claimed.record.id;
+        reply.accepted = !this->is_stopping() &&
+                         this->witnessed.claim(said.claimed.record, now);
+        schema::peer_message message;
+        message.__set_claim_replied(reply);
+        this->send(from, std::move(message));
+    }
+    else if (set.claim_replied)
+        this->submissions.claim_replied(said.claim_replied, now);
+    else if (set.recorded)
+        for (const schema::witness_record& record : said.recorded.records)
+            this->witnessed.record(record, now);
+    else if (set.witness_queried)
+        this->on_witness_query(from, said.witness_queried, now);
+    else if (set.handed_over)
+    {
+        this->witnessed.take_over(said.handed_over, now);
+        schema::handover_reply reply;
+        reply.owner = said.handed_over.owner;
+        schema::peer_message message;
+        message.__set_handover_replied(reply);
+        this->send(from, std::move(message));
+    }
+    else if (set.handover_replied)
+        this->handover_receivers.erase(from);
+    else if (set.slots_requested)
+    {
+        scheduler& tasks = this->submissions.tasks();
+        tasks.market().on_request(from, said.slots_requested,
+                                  tasks.waiting_tasks() > 0, now);
+    }
+    else if (set.slots_granted)
+        this->submissions.tasks().market().on_grant(from, said.slots_granted,
+                                                    now);
+    else if (set.slots_returned)
+        this->submissions.tasks().market().on_return(from, said.slots_returned);
+    else if (set.offered)
+        this->submissions.take_offer(peer_waiter{.host = from,
+                                                 .call = said.offered.call,
+                                                 .is_offer = true},
+                                     said.offered.work, now);
+    else if (set.offer_replied)
+        this->submissions.offer_replied(from, said.offer_replied, now);
+    else if (set.bundle_pushed)
+        this->adopt_bundle(said.bundle_pushed.version, said.bundle_pushed.text,
+                           from);
+    else if (set.bundle_requested && this->current_bundle.version() >
+                                         said.bundle_requested.known_version)
+    {
+        schema::bundle_push push;
+        push.version = this->current_bundle.version();
+        push.text = this->current_bundle.text();
+        schema::peer_message message;
+        message.__set_bundle_pushed(push);
+        this->send(from, std::move(message));
+    }
+}
+
+void dispatcher::on_heartbeat(const std::string& from,
+                              const schema::heartbeat& beat,
+                              support::instant now)
+{
+    const bool was_stopping = this->peers.find(from)->stopping;
+    this->peers.heartbeat(from, beat);
+    this->submissions.tasks().peer_has_idle(from, beat.idle_slots);
+    if (beat.stopping != was_stopping)
+        this->peers_changed(now);
+    if (beat.bundle_version <= this->current_bundle.version() ||
+        now - this->bundle_requested_at < bundle_request_interval)
+        return;
+    this->bundle_requested_at = now;
+    schema::bundle_request request;
+    request.known_version = this->current_bundle.version();
+    schema::peer_message message;
+    message.__set_bundle_requested(request);
+    this->send(from, std::move(message));
+}
+
+schema::answer dispatcher::answer_as_witness(const support::submission_id& id,
+                                             const std::string& digest,
+                                             const std::string& kind)
+{
+    const schema::kind_rule* const rule = this->current_bundle.kind(kind);
+    const claim_rule claims = rule != nullptr && !rule->repeatable
+                                  ? claim_rule::always_claimed
+                                  : claim_rule::may_be_unclaimed;
+    return this->witnessed.answer_for(id, digest, claims, this->current_time);
+}
+
+void dispatcher::on_witness_query(const std::string& from,
+                                  const schema::witness_query& query,
+                                  support::instant /*now*/)
+{
+    const waiter who =
+        peer_waiter{.host = from, .call = query.call, .is_offer = false};
+    const auto id = support::parse_submission_id(query.id);
+    if (!id || !id->where || id->where->witness != this->peers.self())
+    {
+        this->reply(who, status_answer(query.id, error_kind::undetermined,
+                                       "this host is not its witness"));
+        return;
+    }
+    this->reply(who, this->answer_as_witness(*id, query.digest, query.kind));
+}
+
+void dispatcher::on(const attempt_finished& ended, support::instant now)
+{
+    this->submissions.attempt_ended(ended, now);
+}
+
+void dispatcher::on(const host_list_read& list, support::instant /*now*/)
+{
+    scheduler& tasks = this->submissions.tasks();
+    for (const std::string& endpoint : tasks.endpoints().update(list.endpoints))
+        this->log("", log_line("endpoint_stopped").add("endpoint", endpoint));
+    std::size_t live_hosts = 0;
+    for (const host_listing& host : list.hosts)
+        live_hosts += host.state == listing_state::live ? 1 : 0;
+    if (live_hosts > 0)
+        this->submissions.set_quota_hosts(live_hosts);
+    if (tasks.held())
+        this->log("", log_line("resumed"));
+    tasks.resume();
+}
+
+void dispatcher::on(const host_list_unavailable& /*missing*/,
+                    support::instant /*now*/)
+{
+    // The last view stands; a paused host goes on with it too, since no
+    // newer one can be had.
+    this->submissions.tasks().resume();
+}
+
+void dispatcher::on(const store_answered& answer, support::instant /*now*/)
+{
+    this->keys.answered(answer);
+}
+
+void dispatcher::on(const bundle_read& bundle, support::instant /*now*/)
+{
+    this->adopt_bundle(bundle.version, bundle.text, "platform");
+}
+
+void dispatcher::adopt_bundle(std::int64_t version, const std::string& text,
+                              const std::string& source)
+{
+    if (version <= this->current_bundle.version())
+        return;
+    auto rules = support::read_bundle(text, "bundle");
+    if (!rules)
+    {
+        this->log("", log_line("bundle_rejected", support::log_level::error)
+                          .add("version", version)
+                          .add("detail", rules.error().detail));
+        return;
+    }
+    this->current_bundle = bundle_view(version, text, std::move(*rules));
+    this->submissions.bundle_adopted();
+    this->log("", log_line("bundle_adopted")
+                      .add("version", version)
+                      .add("source", source));
+    // Peers learn of it with the heartbeat that is due now.
+    this->next_heartbeat = this->current_time;
+    this->send_heartbeats(this->current_time);
+}
+
+void dispatcher::send_heartbeats(support::instant now)
+{
+    if (now < this->next_heartbeat)
+        return;
+    this->next_heartbeat = now + this->peers.heartbeat_interval();
+    schema::heartbeat beat;
+    beat.bundle_version = this->current_bundle.version();
+    beat.stopping = this->is_stopping();
+    beat.ready = this->is_ready();
+    const scheduler& tasks = this->submissions.tasks();
+    beat.idle_slots =
+        tasks.waiting_tasks() > 0 ? 0 : tasks.endpoints().idle_slots();
+    schema::peer_message message;
+    message.__set_beat(beat);
+    for (const auto& [host, peer] : this->peers.peers())
+        this->send(host, message);
+}
+
+void dispatcher::on(const ticked& /*tick*/, support::instant now)
+{
+    for (const std::string& host : this->peers.silent_peers(now))
+    {
+        this->out.push(drop_peer{host});
+        this->on(peer_disconnected{host}, now);
+    }
+    this->peers_changed(now);
+    this->send_heartbeats(now);
+    this->submissions.tick(now);
+    this->relay.tick(now);
+    this->witnessed.purge(now);
+    this->advance_stop(now);
+}
+
+void dispatcher::on(const stop_requested& /*stop*/, support::instant now)
+{
+    if (this->stop_state != stop_phase::none)
+        return;
+    this->stop_state = stop_phase::lame_duck;
+    this->stop_phase_since = now;
+    this->log("", log_line("stop_requested"));
+    this->next_heartbeat = now;
+    this->send_heartbeats(now);
+}
+
+void dispatcher::on(const stop_forced& /*stop*/, support::instant now)
+{
+    this->on(stop_requested{}, now);
+    this->submissions.refuse_new();
+    this->submissions.end_all(now);
+    this->relay.end_all();
+    this->stop_state = stop_phase::draining;
+    this->advance_stop(now);
+}
+
+void dispatcher::advance_stop(support::instant now)
+{
+    const auto in_phase = now - this->stop_phase_since;
+    switch (this->stop_state)
+    {
+    case stop_phase::none:
+    case stop_phase::done:
+        return;
+    case stop_phase::lame_duck:
+        if (in_phase < this->options.lame_duck)
+            return;
+        this->stop_state = stop_phase::draining;
+        this->stop_phase_since = now;
+        this->submissions.refuse_new();
+        return;
+    case stop_phase::draining:
+        if (this->submissions.submissions().unfinished() > 0 ||
+            this->relay.open_calls() > 0 || this->keys.pending() > 0)
+            return;
+        this->stop_state = stop_phase::handing_over;
+        this->stop_phase_since = now;
+        this->handover_receivers =
+            this->submissions.hand_over(this->peers.self());
+        this->log("",
+                  log_line("handover")
+                      .add("witnesses", static_cast<std::int64_t>(
+                                            this->handover_receivers.size())));
+        return;
+    case stop_phase::handing_over:
+        if (!this->handover_receivers.empty() &&
+            in_phase < this->options.handover_timeout)
+            return;
+        this->stop_state = stop_phase::done;
+        this->log("", log_line("stopped").add(
+                          "handed_over", this->handover_receivers.empty()));
+        this->out.push(stop_finished{});
+        return;
+    }
+}
+
+void dispatcher::log(const std::string& id, support::log_line line)
+{
+    if (!this->out.logs())
+        return;
+    if (!id.empty())
+    {
+        line.add("id", id);
+        this->stories.add(id, this->current_time, line.text());
+    }
+    this->out.push(std::move(line));
+}
+
+void dispatcher::send(const std::string& host, schema::peer_message message)
+{
+    this->out.push(send_to_peer{.host = host, .message = std::move(message)});
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/membership.cpp
@@ -0,0 +1,101 @@
+#include "chicorydrum/decision/membership.hpp"
+
+#include <algorithm>
+
+namespace chicorydrum::decision
+{
+
+membership::membership(membership_options given) : options(std::move(given))
+{
+}
+
+void membership::connected(const peer_connected& peer, support::instant now)
+{
+    this->up[peer.who.host] = {.who = peer.who,
+                               .domain = peer.domain,
+                               .last_heard = now,
+                               .bundle_version = 0,
+                               .stopping = false,
+                               .ready = false,
+                               .idle_slots = 0};
+}
+
+void membership::disconnected(const std::string& host)
+{
+    this->up.erase(host);
+}
+
+void membership::heard(const std::string& host, support::instant now)
+{
+    const auto found = this->up.find(host);
+    if (found != this->up.end())
+        found->second.last_heard = now;
+}
+
+void membership::heartbeat(const std::string& host,
+                           const schema::heartbeat& beat)
+{
+    const auto found = this->up.find(host);
+    if (found == this->up.end())
+        return;
+    found->second.bundle_version = beat.bundle_version;
+    found->second.stopping = beat.stopping;
+    found->second.ready = beat.ready;
+    found->second.idle_slots = beat.idle_slots;
+}
+
+std::vector<std::string> membership::silent_peers(support::instant now) const
+{
+    std::vector<std::string> silent;
+    for (const auto& [host, peer] : this->up)
+        if (now - peer.last_heard > this->options.silence_timeout)
+            silent.push_back(host);
+    return silent;
+}
+
+const peer_state* membership::find(const std::string& host) const
+{
+    const auto found = this->up.find(host);
+    return found == this->up.end() ? nullptr : &found->second;
+}
+
+bool membership::is_up(const schema::incarnation& who) const
+{
+    const peer_state* const peer = this->find(who.host);
+    return peer != nullptr && peer->who == who;
+}
+
+std::vector<std::string> membership::domain_hosts() const
+{
+    std::vector<std::string> hosts = {this->options.self.host};
+    for (const auto& [host, peer] : this->up)
+        if (peer.domain == this->options.domain && !peer.stopping)
+            hosts.push_back(host);
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
+std::optional<schema::incarnation> membership::choose_witness(
+    const std::optional<schema::incarnation>& current) const
+{
+    const auto is_fit = [](const peer_state& peer)
+    {
+        return !peer.stopping;
+    };
+    if (current && this->is_up(*current) && is_fit(this->up.at(current->host)))
+        return current;
+    // The next name after this host's own, so that hosts spread over
+    // witnesses instead of all choosing the same one.
+    const peer_state* best = nullptr;
+    const auto rank = [this](const peer_state& peer)
+    {
+        return std::pair(peer.domain != this->options.domain,
+                         peer.who.host < this->options.self.host);
+    };
+    for (const auto& [host, peer] : this->up)
+        if (is_fit(peer) && (best == nullptr || rank(peer) < rank(*best)))
+            best = &peer;
+    return best == nullptr ? std::nullopt : std::optional(best->who);
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/run_time_model.cpp
@@ -0,0 +1,73 @@
+#include "chicorydrum/decision/run_time_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicorydrum::decision
+{
+
+namespace
+{
+
+/// An average keeps moving by at least this part per sample.
+constexpr double min_kind_gain = 0.01;
+constexpr double min_endpoint_gain = 0.05;
+/// How much faster than average an unknown endpoint is taken to be, as a
+/// logarithm; shrinks with the square root of its samples.
+constexpr double optimism = 0.3;
+
+double gain(std::size_t samples, double minimum)
+{
+    return std::max(minimum, 1.0 / static_cast<double>(samples));
+}
+
+} // namespace
+
+void run_time_model::observe(const std::string& kind,
+                             const std::string& endpoint,
+                             support::decision_clock::duration run_time)
+{
+    const double seconds = std::max(1e-6, support::in_seconds(run_time));
+    const double log_seconds = std::log(seconds);
+    kind_state& of_kind = this->kinds[kind];
+    endpoint_state& of_endpoint = this->endpoints[endpoint];
+    ++of_kind.samples;
+    ++of_endpoint.samples;
+    const double kind_gain = gain(of_kind.samples, min_kind_gain);
+    of_kind.mean_seconds += kind_gain * (seconds - of_kind.mean_seconds);
+    const double unexplained =
+        log_seconds - of_endpoint.log_factor - of_kind.log_mean;
+    of_kind.log_mean += kind_gain * unexplained;
+    of_endpoint.log_factor +=
+        gain(of_endpoint.samples + 1, min_endpoint_gain) *
+        (log_seconds - of_kind.log_mean - of_endpoint.log_factor);
+}
+
+double run_time_model::kind_seconds(const std::string& kind, double prior) const
+{
+    const auto found = this->kinds.find(kind);
+    return found == this->kinds.end() ? prior : found->second.mean_seconds;
+}
+
+double run_time_model::slowness(const std::string& endpoint) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    if (found == this->endpoints.end())
+        return std::exp(-optimism);
+    const auto samples = static_cast<double>(found->second.samples);
+    return std::exp(found->second.log_factor -
+                    optimism / std::sqrt(samples + 1));
+}
+
+std::size_t run_time_model::samples(const std::string& endpoint) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    return found == this->endpoints.end() ? 0 : found->second.samples;
+}
+
+void run_time_model::forget_endpoint(const std::string& endpoint)
+{
+    this->endpoints.erase(endpoint);
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/scheduler.cpp
@@ -0,0 +1,483 @@
+#include "chicorydrum/decision/scheduler.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace chicorydrum::decision
+{
+
+namespace
+{
+
+constexpr double default_kind_seconds = 0.2;
+/// Bounds of the learned ratio of used to declared size.
+constexpr double min_usage_ratio = 0.1;
+constexpr double max_usage_ratio = 10;
+constexpr double usage_gain = 0.1;
+/// An attempt may take this many times its expected run time.
+constexpr double timeout_factor = 10;
+constexpr support::milliseconds min_attempt_timeout{2000};
+/// Recent starts and offers fade by this factor with each tick.
+constexpr double recent_decay = 0.99;
+
+} // namespace
+
+scheduler::scheduler(scheduler_options given, scheduler_hooks told,
+                     const membership& peers, outbox& actions)
+    : options(std::move(given)), hooks(std::move(told)), members(peers),
+      out(actions), queue({.kind_share =
+                               [this](const std::string& kind)
+                           {
+                               const auto* rule = this->bundle->kind(kind);
+                               return rule == nullptr ? 1.0 : rule->share;
+                           },
+                           .team_share =
+                               [this](const std::string& team)
+                           {
+                               const auto* rule = this->bundle->team(team);
+                               return rule == nullptr ? 1.0 : rule->share;
+                           }}),
+      pool(this->options.pool),
+      lending(this->options.market, this->pool, peers, actions)
+{
+}
+
+void scheduler::adopt(const bundle_view& adopted)
+{
+    this->bundle = &adopted;
+    const schema::routing_rule& routing = adopted.rules().routing;
+    this->lending.set_lease(support::milliseconds(routing.slot_lease));
+    this->pool.health().set_max_ejected_percent(routing.max_ejected);
+}
+
+double scheduler::cost_of(const std::string& kind) const
+{
+    const schema::kind_rule* const rule = this->bundle->kind(kind);
+    const double prior =
+        rule == nullptr ? default_kind_seconds
+                        : static_cast<double>(rule->expected_run_time) / 1000.0;
+    return this->pool.run_times().kind_seconds(kind, prior);
+}
+
+task_size scheduler::size_of(const schema::submission& work,
+                             std::size_t task) const
+{
+    const schema::task_spec& declared = work.tasks[task];
+    const schema::kind_rule* const rule = this->bundle->kind(work.kind);
+    task_size size{.millicores = static_cast<double>(declared.millicores),
+                   .memory_mb = static_cast<double>(declared.memory_mb)};
+    if (size.millicores <= 0 && rule != nullptr)
+        size.millicores = rule->cores;
+    if (size.memory_mb <= 0 && rule != nullptr)
+        size.memory_mb = rule->memory;
+    const auto learned = this->usage.find(work.kind);
+    if (learned != this->usage.end())
+    {
+        size.millicores *= learned->second.millicores;
+        size.memory_mb *= learned->second.memory;
+    }
+    return size;
+}
+
+void scheduler::enqueue(const record_ptr& record)
+{
+    this->queue.add(record);
+}
+
+void scheduler::drop_waiting(const record_ptr& record)
+{
+    assert(record->finished() && "only a finished record is dropped");
+    this->queue.forget(*record);
+    record->waiting.clear();
+}
+
+bool scheduler::is_late(const submission_record& record,
+                        support::instant now) const
+{
+    if (!this->options.drops_late_tasks)
+        return false;
+    const double left = support::in_seconds(record.deadline - now);
+    return left < this->cost_of(record.work.kind) * 0.5;
+}
+
+bool scheduler::reserve_allows(const std::string& kind, int idle) const
+{
+    int reserved_for_others = 0;
+    const int usable = this->pool.usable_slots();
+    for (const schema::kind_rule& rule : this->bundle->rules().kinds)
+    {
+        if (rule.reserved_slots == 0 || rule.name == kind)
+            continue;
+        const auto used = this->slots_in_use_by_kind.find(rule.name);
+        const int in_use =
+            used == this->slots_in_use_by_kind.end() ? 0 : used->second;
+        reserved_for_others +=
+            std::max(0, usable * rule.reserved_slots / 100 - in_use);
+    }
+    return idle > reserved_for_others;
+}
+
+bool scheduler::quota_allows(const std::string& team) const
+{
+    const schema::team_rule* const rule = this->bundle->team(team);
+    const auto running = this->running_by_team.find(team);
+    if (rule == nullptr || running == this->running_by_team.end())
+        return true;
+    const auto most = static_cast<std::size_t>(rule->max_concurrent_tasks);
+    return running->second * this->quota_hosts < most;
+}
+
+record_ptr scheduler::next_allowed(const std::set<std::string>& blocked_kinds,
+                                   int idle)
+{
+    return this->options.next_record(
+        this->queue,
+        [&](const std::string& kind, const std::string& team)
+        {
+            return !blocked_kinds.contains(kind) &&
+                   this->reserve_allows(kind, idle) && this->quota_allows(team);
+        });
+}
+
+void scheduler::release_stale_hold()
+{
+    const record_ptr holder = this->held_for.lock();
+    if (holder != nullptr && !holder->finished() && !holder->waiting.empty())
+        return;
+    this->held_for.reset();
+    this->held_endpoint.clear();
+}
+
+void scheduler::set_quota_hosts(std::size_t hosts)
+{
+    this->quota_hosts = std::max<std::size_t>(1, hosts);
+}
+
+void scheduler::peer_has_idle(const std::string& host, int slots)
+{
+    // Other hosts see the same idle slots; each takes its part of them.
+    constexpr int likely_offerers = 4;
+    this->offers_left[host] = slots / likely_offerers;
+}
+
+void scheduler::peer_has_slot_again(const std::string& host)
+{
+    ++this->offers_left[host];
+}
+
+void scheduler::peer_refused(const std::string& host)
+{
+    this->offers_left[host] = 0;
+}
+
+void scheduler::pump(support::instant now)
+{
+    if (this->bundle == nullptr || this->is_held)
+        return;
+    this->release_stale_hold();
+    int idle = this->pool.idle_slots();
+    std::set<std::string> blocked_kinds;
+    while (idle > 0)
+    {
+        const record_ptr record = this->next_allowed(blocked_kinds, idle);
+        if (record == nullptr)
+            break;
+        if (this->is_late(*record, now))
+        {
+            this->hooks.on_late(record);
+            continue;
+        }
+        const task_size size =
+            this->size_of(record->work, record->waiting.back());
+        const bool is_holder = this->held_for.lock() == record;
+        endpoint_state* const endpoint =
+            this->pool.choose(size, is_holder ? "" : this->held_endpoint, now);
+        if (endpoint == nullptr)
+        {
+            blocked_kinds.insert(record->work.kind);
+            this->hold_endpoint_for(record, size);
+            continue;
+        }
+        if (is_holder)
+        {
+            this->held_for.reset();
+            this->held_endpoint.clear();
+        }
+        const int needed = endpoint_pool::slots_needed(size, endpoint->listing);
+        idle -= needed;
+        this->start(record, *endpoint, needed, now);
+    }
+    if (this->queue.waiting_tasks() > 0 && this->options.shares_work)
+        this->seek_capacity(now);
+}
+
+void scheduler::hold_endpoint_for(const record_ptr& record,
+                                  const task_size& size)
+{
+    if (this->held_for.lock() != nullptr)
+        return;
+    const endpoint_state* const endpoint = this->pool.choose_to_hold(size);
+    if (endpoint == nullptr ||
+        endpoint_pool::slots_needed(size, endpoint->listing) == 1)
+        return;
+    this->held_for = record;
+    this->held_endpoint = endpoint->listing.name;
+    if (this->out.logs())
+        this->hooks.on_decision(record->work.id,
+                                support::log_line("hold")
+                                    .add("endpoint", this->held_endpoint)
+                                    .add("reason", "task_needs_many_slots"));
+}
+
+void scheduler::start(const record_ptr& record, endpoint_state& endpoint,
+                      int needed, support::instant now)
+{
+    const double cost = this->cost_of(record->work.kind) * needed;
+    const queued_task taken = this->queue.take(record, cost);
+    this->pool.started(endpoint, needed);
+    const attempt_id id = this->next_attempt++;
+    const running_attempt attempt{.record = record,
+                                  .task = taken.task,
+                                  .endpoint = endpoint.listing.name,
+                                  .peer = "",
+                                  .slots = needed,
+                                  .started = now};
+    this->attempts.emplace(id, attempt);
+    this->slots_in_use_by_kind[record->work.kind] += needed;
+    ++this->running_by_team[record->work.team];
+    ++this->recent_starts;
+    if (this->out.logs())
+        this->log_start(attempt, endpoint);
+    this->hooks.on_started(attempt);
+    this->out.push(start_attempt{
+        .attempt = id,
+        .endpoint = endpoint.listing.name,
+        .address = endpoint.listing.address,
+        .port = endpoint.listing.port,
+        .kind = record->work.kind,
+        .payload = record->work.tasks[taken.task].payload,
+        .timeout = this->attempt_timeout(*record, endpoint, now)});
+}
+
+void scheduler::log_start(const running_attempt& attempt,
+                          const endpoint_state& endpoint) const
+{
+    int busy = 0;
+    int unhealthy = 0;
+    int leaving = 0;
+    for (const auto& [name, state] : this->pool.endpoints())
+    {
+        const bool is_healthy =
+            this->pool.health().state(name, attempt.started) ==
+            health_state::healthy;
+        if (!state.may_start())
+            ++leaving;
+        else if (!is_healthy)
+            ++unhealthy;
+        else if (state.free() <= 0)
+            ++busy;
+    }
+    this->hooks.on_decision(
+        attempt.record->work.id,
+        support::log_line("route")
+            .add("task", static_cast<std::int64_t>(attempt.task))
+            .add("endpoint", attempt.endpoint)
+            .add("reason", "fastest_free")
+            .add("slowness", endpoint.slowness)
+            .add("slots", attempt.slots)
+            .add("passed_over_busy", busy)
+            .add("passed_over_unhealthy", unhealthy)
+            .add("passed_over_leaving", leaving));
+}
+
+support::decision_clock::duration
+scheduler::attempt_timeout(const submission_record& record,
+                           const endpoint_state& endpoint,
+                           support::instant now) const
+{
+    const double expected =
+        this->cost_of(record.work.kind) * std::max(1.0, endpoint.slowness);
+    const auto learned = support::milliseconds(
+        static_cast<std::int64_t>(expected * timeout_factor * 1000));
+    const support::milliseconds longest(
+        this->bundle->rules().routing.attempt_timeout);
+    const auto allowed = std::clamp<support::decision_clock::duration>(
+        learned, std::min(min_attempt_timeout, longest), longest);
+    return std::min(allowed, record.deadline - now);
+}
+
+bool scheduler::start_now(const record_ptr& record, support::instant now)
+{
+    if (this->bundle == nullptr || this->is_held ||
+        this->queue.waiting_tasks() > 0)
+        return false;
+    if (!this->reserve_allows(record->work.kind, this->pool.idle_slots()))
+        return false;
+    const task_size size = this->size_of(record->work, 0);
+    endpoint_state* const endpoint =
+        this->pool.choose(size, this->held_endpoint, now);
+    if (endpoint == nullptr)
+        return false;
+    this->queue.add(record);
+    this->start(record, *endpoint,
+                endpoint_pool::slots_needed(size, endpoint->listing), now);
+    return true;
+}
+
+void scheduler::seek_capacity(support::instant now)
+{
+    const auto waiting = static_cast<int>(
+        std::min<std::size_t>(this->queue.waiting_tasks(), 1000));
+    const bool asked = this->lending.want(waiting, this->held_endpoint, now);
+    if (asked)
+        return;
+    while (this->queue.waiting_tasks() > 0 && this->offer_to_peer(now))
+    {
+    }
+}
+
+bool scheduler::offer_to_peer(support::instant now)
+{
+    const double budget = this->bundle->rules().routing.spill_budget / 100.0;
+    constexpr double always_allowed = 4;
+    if (this->recent_offers >
+        always_allowed + budget * (this->recent_starts + this->recent_offers))
+        return false;
+    const peer_state* best = nullptr;
+    for (const auto& [host, peer] : this->members.peers())
+    {
+        if (peer.domain == this->members.domain() || peer.stopping ||
+            this->offers_left[host] <= 0)
+            continue;
+        if (best == nullptr ||
+            this->offers_left[host] > this->offers_left[best->who.host])
+            best = &peer;
+    }
+    if (best == nullptr)
+        return false;
+    // An offer uses no slot here, so no reserve is kept for other kinds.
+    const record_ptr record = this->options.next_record(
+        this->queue, [this](const std::string&, const std::string& team)
+        { return this->quota_allows(team); });
+    if (record == nullptr || this->is_late(*record, now))
+        return false;
+    --this->offers_left[best->who.host];
+    const queued_task taken =
+        this->queue.take(record, this->cost_of(record->work.kind));
+    const attempt_id id = this->next_attempt++;
+    const running_attempt attempt{.record = record,
+                                  .task = taken.task,
+                                  .endpoint = "",
+                                  .peer = best->who.host,
+                                  .slots = 0,
+                                  .started = now};
+    this->attempts.emplace(id, attempt);
+    ++this->running_by_team[record->work.team];
+    ++this->recent_offers;
+    if (this->out.logs())
+        this->hooks.on_decision(
+            record->work.id,
+            support::log_line("offer")
+                .add("task", static_cast<std::int64_t>(taken.task))
+                .add("host", attempt.peer)
+                .add("reason", "own_domain_full"));
+    this->hooks.on_started(attempt);
+    schema::offer offer;
+    offer.call = static_cast<std::int64_t>(id);
+    offer.work = record->work;
+    offer.work.tasks = {record->work.tasks[taken.task]};
+    offer.work.deadline_ms = support::whole_ms(record->deadline - now);
+    schema::peer_message message;
+    message.__set_offered(offer);
+    this->out.push(send_to_peer{.host = attempt.peer, .message = message});
+    return true;
+}
+
+std::optional<running_attempt> scheduler::finish(const attempt_finished& ended,
+                                                 support::instant now)
+{
+    const auto found = this->attempts.find(ended.attempt);
+    if (found == this->attempts.end())
+    {
+        ++this->late_answer_count;
+        return std::nullopt;
+    }
+    running_attempt attempt = std::move(found->second);
+    this->attempts.erase(found);
+    const std::string& kind = attempt.record->work.kind;
+    --this->running_by_team[attempt.record->work.team];
+    if (!attempt.peer.empty())
+        return attempt;
+    this->slots_in_use_by_kind[kind] -= attempt.slots;
+    this->pool.finished(attempt.endpoint, attempt.slots);
+    this->pool.learn(attempt.endpoint, kind, ended.outcome,
+                     now - attempt.started, now);
+    this->learn_usage(attempt, ended);
+    return attempt;
+}
+
+void scheduler::learn_usage(const running_attempt& attempt,
+                            const attempt_finished& ended)
+{
+    const schema::submission& work = attempt.record->work;
+    const schema::task_spec& declared = work.tasks[attempt.task];
+    const schema::kind_rule* const rule = this->bundle->kind(work.kind);
+    if (rule == nullptr || ended.used_millicores <= 0 ||
+        ended.used_memory_mb <= 0)
+        return;
+    const double cores =
+        declared.millicores > 0 ? declared.millicores : rule->cores;
+    const double memory =
+        declared.memory_mb > 0 ? declared.memory_mb : rule->memory;
+    usage_ratio& ratio = this->usage[work.kind];
+    const double gain =
+        std::max(usage_gain, 1.0 / static_cast<double>(++ratio.samples));
+    const auto learn = [gain](double& learned, double observed)
+    {
+        learned +=
+            gain *
+            (std::clamp(observed, min_usage_ratio, max_usage_ratio) - learned);
+    };
+    learn(ratio.millicores, ended.used_millicores / cores);
+    learn(ratio.memory, ended.used_memory_mb / memory);
+}
+
+void scheduler::requeue(const running_attempt& refused)
+{
+    this->queue.put_back({.record = refused.record, .task = refused.task});
+}
+
+std::vector<attempt_id>
+scheduler::attempts_on_peer(const std::string& host) const
+{
+    std::vector<attempt_id> found;
+    for (const auto& [id, attempt] : this->attempts)
+        if (attempt.peer == host)
+            found.push_back(id);
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+void scheduler::tick(support::instant now)
+{
+    this->recent_starts *= recent_decay;
+    this->recent_offers *= recent_decay;
+    this->pool.settle_shares(now);
+    this->lending.tick(this->queue.waiting_tasks() > 0, now);
+}
+
+double scheduler::predicted_seconds(const schema::submission& work) const
+{
+    const double cost = this->cost_of(work.kind);
+    const auto waiting = static_cast<double>(
+        this->queue.waiting_tasks(work.kind, work.team) + work.tasks.size());
+    const double part = this->queue.guaranteed_part(work.kind, work.team);
+    const double slots = std::max(1, this->pool.usable_slots());
+    const bool is_idle =
+        this->queue.waiting_tasks() == 0 &&
+        this->pool.idle_slots() >= static_cast<int>(work.tasks.size());
+    return is_idle ? cost : cost + cost * waiting / (slots * part);
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/story_book.cpp
@@ -0,0 +1,32 @@
+#include "chicorydrum/decision/story_book.hpp"
+
+namespace chicorydrum::decision
+{
+
+void story_book::add(const std::string& id, support::instant when,
+                     std::string text)
+{
+    const auto [position, is_new] = this->stories.try_emplace(id);
+    if (is_new)
+    {
+        this->by_age.push_back(id);
+        if (this->by_age.size() > this->options.max_stories)
+        {
+            this->stories.erase(this->by_age.front());
+            this->by_age.pop_front();
+        }
+    }
+    std::vector<story_line>& lines = position->second;
+    if (lines.size() >= this->options.max_lines)
+        lines.erase(lines.begin() + 1);
+    lines.push_back({.when = when, .text = std::move(text)});
+}
+
+std::vector<story_line> story_book::story(const std::string& id) const
+{
+    const auto found = this->stories.find(id);
+    return found == this->stories.end() ? std::vector<story_line>()
+                                        : found->second;
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/submission_owner.cpp
@@ -0,0 +1,696 @@
+#include "chicorydrum/decision/submission_owner.hpp"
+
+#include "chicorydrum/decision/answers.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicorydrum::decision
+{
+
+namespace
+{
+
+using support::error_kind;
+
+/// Retries that may be saved up while everything succeeds.
+constexpr double max_retry_tokens = 20;
+/// Records in one batch to a witness.
+constexpr std::size_t max_batch_records = 256;
+/// A prediction counts as late only beyond this part of the time left.
+constexpr double shed_margin = 0.9;
+
+schema::witness_record make_witness_record(const submission_record& record)
+{
+    schema::witness_record made;
+    made.id = record.work.id;
+    made.digest = record.work.digest;
+    made.witnessed = record.witnessed;
+    made.finished = record.finished();
+    if (made.finished)
+        made.result = record.outcome;
+    return made;
+}
+
+} // namespace
+
+submission_owner::submission_owner(submission_owner_options given,
+                                   submission_owner_hooks told,
+                                   const membership& peers,
+                                   const bundle_view& rules, outbox& actions)
+    : options(std::move(given)), hooks(std::move(told)), members(peers),
+      bundle(rules), out(actions), table(this->options.table),
+      scheduling(this->options.scheduling,
+                 {.on_started =
+                      [this](const running_attempt& attempt)
+                  {
+                      ++attempt.record->running;
+                      ++attempt.record->maybe_run;
+                      ++this->totals.starts;
+                  },
+                  .on_late =
+                      [this](const record_ptr& record)
+                  {
+                      const bool is_untouched = record->maybe_run == 0;
+                      this->fail_open(record,
+                                      is_untouched
+                                          ? error_kind::shed
+                                          : error_kind::deadline_passed,
+                                      "it could not finish before its deadline",
+                                      record->deadline);
+                  },
+                  .on_decision = this->hooks.log},
+                 peers, actions)
+{
+}
+
+record_ptr submission_owner::make_record(schema::submission work,
+                                         support::instant now)
+{
+    auto record = std::make_shared<submission_record>();
+    record->arrived = now;
+    record->deadline = now + support::milliseconds(work.deadline_ms);
+    const std::size_t tasks = work.tasks.size();
+    record->results.resize(tasks);
+    record->waiting.reserve(tasks);
+    for (std::size_t task = tasks; task > 0; --task)
+        record->waiting.push_back(task - 1);
+    const schema::kind_rule* const rule = this->bundle.kind(work.kind);
+    record->repeatable = rule != nullptr && rule->repeatable;
+    record->work = std::move(work);
+    return record;
+}
+
+std::optional<schema::answer>
+submission_owner::find_refusal(const schema::submission& work,
+                               support::instant now)
+{
+    const auto refuse_with = [&work](error_kind kind, std::string detail)
+    {
+        return not_run_answer(work.id, kind, std::move(detail));
+    };
+    if (this->bundle.version() == 0)
+        return refuse_with(error_kind::bundle_missing,
+                           "the host has no bundle yet");
+    if (this->is_refusing)
+        return refuse_with(error_kind::stopping, "the host is stopping");
+    if (this->bundle.kind(work.kind) == nullptr)
+        return refuse_with(error_kind::bad_request,
+                           "unknown kind '" + work.kind + "'");
+    const schema::team_rule* const team = this->bundle.team(work.team);
+    if (team == nullptr)
+        return refuse_with(error_kind::bad_request,
+                           "unknown team '" + work.team + "'");
+    const auto most_tasks =
+        static_cast<std::size_t>(this->bundle.rules().routing.max_job_tasks);
+    if (work.tasks.empty() || work.tasks.size() > most_tasks)
+        return refuse_with(error_kind::bad_request,
+                           "a job has 1 to " + std::to_string(most_tasks) +
+                               " tasks");
+    if (work.deadline_ms <= 0)
+        return refuse_with(error_kind::deadline_passed,
+                           "its deadline has passed");
+    const endpoint_pool& endpoints = this->scheduling.endpoints();
+    if (!endpoints.endpoints().empty())
+        for (std::size_t task = 0; task < work.tasks.size(); ++task)
+            if (!endpoints.fits_somewhere(this->scheduling.size_of(work, task)))
+                return refuse_with(error_kind::never_fits,
+                                   "task " + std::to_string(task) +
+                                       " is larger than every worker");
+    if (this->table.open_bytes() > this->options.max_open_bytes)
+        return refuse_with(error_kind::no_capacity, "the host's queue is full");
+    if (this->options.sheds_predicted_late &&
+        this->scheduling.predicted_seconds(work) * 1000 * shed_margin >
+            static_cast<double>(work.deadline_ms))
+        return refuse_with(error_kind::shed,
+                           "it could not finish before its deadline");
+    const double rate = static_cast<double>(team->max_tasks_per_second) /
+                        static_cast<double>(this->quota_hosts);
+    rate_limiter& limiter = this->team_rates[work.team];
+    if (limiter.take(static_cast<double>(work.tasks.size()), rate, now))
+        return std::nullopt;
+    schema::answer refusal = refuse_with(
+        error_kind::over_quota, "team '" + work.team + "' is over its quota");
+    refusal.retry_after_ms = std::max<std::int64_t>(
+        refusal.retry_after_ms,
+        static_cast<std::int64_t>(limiter.seconds_until_positive(rate) * 1000));
+    return refusal;
+}
+
+void submission_owner::refuse(const waiter& who, const std::string& id,
+                              schema::answer refusal, support::instant deadline)
+{
+    ++this->totals.refused;
+    // Without a memory of the refusal, a copy of the submission that is
+    // still on its way could run after the caller was told that it did not.
+    if (!id.empty() &&
+        !this->table.remember_refusal(id, refusal.error, deadline))
+        refusal = status_answer(id, error_kind::undetermined,
+                                "too many refusals to remember this one");
+    if (this->out.logs())
+        this->hooks.log(refusal.id,
+                        support::log_line("refused")
+                            .add("error", support::info(refusal.error).name)
+                            .add("detail", refusal.detail));
+    this->hooks.reply(who, refusal);
+}
+
+void submission_owner::submit(const waiter& who, schema::submission work,
+                              const support::submission_id& id,
+                              std::int64_t current_generation,
+                              support::instant now)
+{
+    if (id.where->generation > current_generation)
+    {
+        this->hooks.reply(who, status_answer(work.id, error_kind::bad_request,
+                                             "this home was never issued"));
+        return;
+    }
+    switch (this->table.look_up(id))
+    {
+    case id_knowledge::recorded:
+        this->answer_known(who, this->table.find(work.id), work);
+        return;
+    case id_knowledge::refused:
+        this->hooks.reply(
+            who, not_run_answer(work.id, this->table.refusal_of(work.id),
+                                "it was refused before; use a new "
+                                "id to try again"));
+        return;
+    case id_knowledge::forgotten:
+        this->hooks.reply(who,
+                          status_answer(work.id, error_kind::undetermined,
+                                        "its record may have been forgotten"));
+        return;
+    case id_knowledge::fresh:
+        break;
+    }
+    const support::instant deadline =
+        now +
+        support::milliseconds(std::max<std::int64_t>(0, work.deadline_ms));
+    auto refusal = this->find_refusal(work, now);
+    if (refusal)
+    {
+        this->refuse(who, work.id, std::move(*refusal), deadline);
+        return;
+    }
+    const record_ptr record = this->make_record(std::move(work), now);
+    record->waiters.push_back(who);
+    this->accept(record, id, now);
+}
+
+void submission_owner::answer_known(const waiter& who, const record_ptr& record,
+                                    const schema::submission& work)
+{
+    if (record->work.digest != work.digest)
+    {
+        this->hooks.reply(who, status_answer(work.id, error_kind::conflict,
+                                             "the id belongs to another "
+                                             "submission"));
+        return;
+    }
+    if (this->out.logs())
+        this->hooks.log(record->work.id,
+                        support::log_line("resubmitted")
+                            .add("finished", record->finished()));
+    if (record->finished())
+        this->hooks.reply(who, record->outcome);
+    else
+        record->waiters.push_back(who);
+}
+
+void submission_owner::accept(const record_ptr& record,
+                              const support::submission_id& id,
+                              support::instant now)
+{
+    ++this->totals.accepted;
+    this->table.insert(record);
+    const auto& witness = id.where->witness;
+    if (this->out.logs())
+        this->hooks.log(record->work.id,
+                        support::log_line("accepted")
+                            .add("kind", record->work.kind)
+                            .add("team", record->work.team)
+                            .add("tasks", static_cast<std::int64_t>(
+                                              record->work.tasks.size()))
+                            .add("witness", witness ? witness->host : "none"));
+    if (record->repeatable || !witness)
+    {
+        this->activate(record);
+        if (witness)
+            this->note_for_witness(*record);
+        return;
+    }
+    record->phase = submission_phase::claiming;
+    record->witnessed = true;
+    this->send_claim(record, *witness, now);
+}
+
+void submission_owner::send_claim(const record_ptr& record,
+                                  const schema::incarnation& witness,
+                                  support::instant now)
+{
+    if (!this->members.is_up(witness))
+    {
+        this->fail_open(record, error_kind::home_gone,
+                        "the witness of this home is gone; use a new id", now);
+        return;
+    }
+    schema::claim claim;
+    claim.record = make_witness_record(*record);
+    schema::peer_message message;
+    message.__set_claimed(claim);
+    this->out.push(send_to_peer{.host = witness.host, .message = message});
+    this->claims_sent[record->work.id] = now;
+}
+
+void submission_owner::claim_replied(const schema::claim_reply& reply,
+                                     support::instant now)
+{
+    if (this->claims_sent.erase(reply.id) == 0)
+        return;
+    const record_ptr record = this->table.find(reply.id);
+    if (record == nullptr || record->phase != submission_phase::claiming)
+        return;
+    if (!reply.accepted)
+    {
+        this->fail_open(record, error_kind::home_gone,
+                        "the witness closed this id; use a new one", now);
+        return;
+    }
+    this->activate(record);
+}
+
+void submission_owner::activate(const record_ptr& record)
+{
+    record->phase = submission_phase::active;
+    this->scheduling.enqueue(record);
+}
+
+void submission_owner::submit_anonymous(const waiter& who,
+                                        schema::submission work,
+                                        support::instant now)
+{
+    auto refusal = this->find_refusal(work, now);
+    if (refusal)
+    {
+        this->refuse(who, "", std::move(*refusal), now);
+        return;
+    }
+    work.id = "r" + std::to_string(this->next_anonymous++);
+    const record_ptr record = this->make_record(std::move(work), now);
+    record->anonymous = true;
+    record->waiters.push_back(who);
+    if (const auto* const local = std::get_if<local_waiter>(&who))
+        this->anonymous_calls[local->call] = record;
+    ++this->totals.accepted;
+    this->table.insert(record);
+    this->activate(record);
+}
+
+void submission_owner::take_offer(const waiter& who, schema::submission work,
+                                  support::instant now)
+{
+    const std::string offered_id = work.id;
+    work.id = "o" + std::to_string(this->next_anonymous++);
+    const bool is_usable = work.tasks.size() == 1 && work.deadline_ms > 0 &&
+                           this->bundle.kind(work.kind) != nullptr &&
+                           !this->is_refusing;
+    const record_ptr record = this->make_record(std::move(work), now);
+    record->anonymous = true;
+    // The offering host decides about repetitions.
+    record->repeatable = false;
+    record->waiters.push_back(who);
+    this->table.insert(record);
+    if (is_usable && this->scheduling.start_now(record, now))
+    {
+        if (this->out.logs())
+            this->hooks.log(
+                offered_id,
+                support::log_line("offer_taken").add("as", record->work.id));
+        return;
+    }
+    this->finish(record,
+                 not_run_answer(offered_id, error_kind::no_capacity,
+                                "no slot is free at once"),
+                 now);
+}
+
+void submission_owner::query(const waiter& who, const std::string& id,
+                             bool cancel, support::instant now)
+{
+    const record_ptr record = this->table.find(id);
+    if (record == nullptr)
+    {
+        this->hooks.reply(who, status_answer(id, error_kind::not_found,
+                                             "nothing is known of this id"));
+        return;
+    }
+    if (cancel && !record->finished())
+        this->fail_open(record, error_kind::cancelled, "it was cancelled", now);
+    if (record->finished())
+    {
+        this->hooks.reply(who, record->outcome);
+        return;
+    }
+    schema::answer progress = status_answer(
+        id, error_kind::running,
+        std::to_string(record->succeeded) + " of " +
+            std::to_string(record->work.tasks.size()) + " tasks done");
+    progress.tasks_maybe_run = static_cast<std::int32_t>(record->maybe_run);
+    this->hooks.reply(who, progress);
+}
+
+void submission_owner::caller_left(call_id call, support::instant now)
+{
+    const auto found = this->anonymous_calls.find(call);
+    if (found == this->anonymous_calls.end())
+        return;
+    const record_ptr record = found->second.lock();
+    this->anonymous_calls.erase(found);
+    if (record != nullptr && !record->finished() && record->maybe_run == 0)
+        this->fail_open(record, error_kind::cancelled, "its caller left", now);
+}
+
+void submission_owner::attempt_ended(const attempt_finished& ended,
+                                     support::instant now)
+{
+    const auto attempt = this->scheduling.finish(ended, now);
+    if (!attempt)
+    {
+        if (this->out.logs())
+            this->hooks.log("", support::log_line("late_answer")
+                                    .add("attempt", static_cast<std::int64_t>(
+                                                        ended.attempt)));
+        return;
+    }
+    this->end_attempt(*attempt, ended, now);
+}
+
+void submission_owner::offer_replied(const std::string& from,
+                                     const schema::offer_reply& reply,
+                                     support::instant now)
+{
+    attempt_finished ended;
+    ended.attempt = static_cast<attempt_id>(reply.call);
+    if (reply.result.error == error_kind::none &&
+        reply.result.results.size() == 1)
+    {
+        ended.outcome = attempt_outcome::succeeded;
+        ended.result = reply.result.results.front();
+        this->scheduling.peer_has_slot_again(from);
+    }
+    else if (reply.result.not_run)
+    {
+        ended.outcome = attempt_outcome::refused;
+        this->scheduling.peer_refused(from);
+    }
+    else
+        ended.outcome = attempt_outcome::failed;
+    this->attempt_ended(ended, now);
+}
+
+void submission_owner::end_attempt(const running_attempt& attempt,
+                                   const attempt_finished& ended,
+                                   support::instant now)
+{
+    submission_record& record = *attempt.record;
+    --record.running;
+    if (ended.outcome == attempt_outcome::refused)
+        --record.maybe_run;
+    if (record.finished())
+        return;
+    switch (ended.outcome)
+    {
+    case attempt_outcome::succeeded:
+        this->task_succeeded(attempt, ended.result, now);
+        return;
+    case attempt_outcome::refused:
+        if (this->out.logs())
+            this->hooks.log(
+                record.work.id,
+                support::log_line("refused_attempt")
+                    .add("task", static_cast<std::int64_t>(attempt.task))
+                    .add("endpoint", attempt.endpoint)
+                    .add("host", attempt.peer));
+        for (const waiter& who : record.waiters)
+        {
+            const auto* const peer = std::get_if<peer_waiter>(&who);
+            if (peer == nullptr || !peer->is_offer)
+                continue;
+            this->finish(attempt.record,
+                         not_run_answer(record.work.id, error_kind::no_capacity,
+                                        "the endpoint refused it"),
+                         now);
+            return;
+        }
+        this->scheduling.requeue(attempt);
+        return;
+    case attempt_outcome::failed:
+    case attempt_outcome::lost:
+        this->task_failed(attempt, ended.outcome, now);
+        return;
+    }
+}
+
+void submission_owner::task_succeeded(const running_attempt& attempt,
+                                      std::string result, support::instant now)
+{
+    submission_record& record = *attempt.record;
+    const double earned =
+        static_cast<double>(this->bundle.rules().routing.retry_budget) / 100;
+    this->retry_tokens =
+        std::min(max_retry_tokens, this->retry_tokens + earned);
+    record.results[attempt.task] = std::move(result);
+    ++record.succeeded;
+    if (record.succeeded < record.work.tasks.size())
+        return;
+    schema::answer outcome;
+    outcome.id = record.work.id;
+    outcome.error = error_kind::none;
+    outcome.tasks_maybe_run = static_cast<std::int32_t>(record.maybe_run);
+    this->finish(attempt.record, std::move(outcome), now);
+}
+
+bool submission_owner::may_retry(const submission_record& record)
+{
+    // The tasks of a submission with an id start once, whatever the kind.
+    if (!record.anonymous || !record.repeatable || this->retry_tokens < 1)
+        return false;
+    this->retry_tokens -= 1;
+    return true;
+}
+
+void submission_owner::task_failed(const running_attempt& attempt,
+                                   attempt_outcome outcome,
+                                   support::instant now)
+{
+    submission_record& record = *attempt.record;
+    if (this->out.logs())
+        this->hooks.log(
+            record.work.id,
+            support::log_line("failed_attempt")
+                .add("task", static_cast<std::int64_t>(attempt.task))
+                .add("endpoint", attempt.endpoint)
+                .add("host", attempt.peer)
+                .add("outcome",
+                     outcome == attempt_outcome::lost ? "lost" : "failed"));
+    if (now < record.deadline && this->may_retry(record))
+    {
+        ++record.retries;
+        ++this->totals.retries;
+        this->scheduling.requeue(attempt);
+        return;
+    }
+    this->fail_open(attempt.record, error_kind::endpoint_failed,
+                    "task " + std::to_string(attempt.task) + " " +
+                        (outcome == attempt_outcome::lost
+                             ? "got no whole answer"
+                             : "failed on its endpoint"),
+                    now);
+}
+
+void submission_owner::fail_open(const record_ptr& record, error_kind kind,
+                                 const std::string& detail,
+                                 support::instant now)
+{
+    if (record->maybe_run == 0)
+        this->finish(record, not_run_answer(record->work.id, kind, detail),
+                     now);
+    else
+        this->finish(
+            record,
+            maybe_run_answer(record->work.id, kind, detail,
+                             static_cast<std::int32_t>(record->maybe_run)),
+            now);
+}
+
+void submission_owner::finish(const record_ptr& record, schema::answer outcome,
+                              support::instant now)
+{
+    assert(!record->finished() && "an outcome is final");
+    const bool was_queued = record->phase == submission_phase::active;
+    record->phase = submission_phase::finished;
+    const bool is_complete = outcome.error == error_kind::none;
+    ++(is_complete ? this->totals.completed : this->totals.failed);
+    record->outcome = std::move(outcome);
+    if (was_queued && !record->waiting.empty())
+        this->scheduling.drop_waiting(record);
+    record->waiting.clear();
+    if (!is_complete)
+        record->results.clear();
+    std::vector<waiter> waiters = std::exchange(record->waiters, {});
+    this->table.finished(record, now);
+    if (record->anonymous)
+    {
+        // Its internal id means nothing to the caller.
+        record->outcome.id.clear();
+        record->outcome.results = std::move(record->results);
+    }
+    else
+        this->note_for_witness(*record);
+    if (this->out.logs())
+        this->hooks.log(
+            record->work.id,
+            support::log_line("finished")
+                .add("error", support::info(record->outcome.error).name)
+                .add("not_run", record->outcome.not_run)
+                .add("tasks_maybe_run", record->outcome.tasks_maybe_run)
+                .add("ms", support::whole_ms(now - record->arrived)));
+    for (const waiter& who : waiters)
+    {
+        if (const auto* const local = std::get_if<local_waiter>(&who))
+            this->anonymous_calls.erase(local->call);
+        this->hooks.reply(who, record->outcome);
+    }
+}
+
+void submission_owner::note_for_witness(const submission_record& record)
+{
+    const auto id = support::parse_submission_id(record.work.id);
+    if (!id || !id->where || !id->where->witness ||
+        !this->members.is_up(*id->where->witness))
+        return;
+    std::vector<schema::witness_record>& batch =
+        this->notes[id->where->witness->host];
+    batch.push_back(make_witness_record(record));
+    if (batch.size() >= max_batch_records)
+        this->flush_notes();
+}
+
+void submission_owner::flush_notes()
+{
+    for (auto& [host, records] : this->notes)
+    {
+        schema::record_batch batch;
+        batch.records = std::move(records);
+        schema::peer_message message;
+        message.__set_recorded(batch);
+        this->out.push(send_to_peer{.host = host, .message = message});
+    }
+    this->notes.clear();
+}
+
+void submission_owner::peer_left(const std::string& host, support::instant now)
+{
+    this->notes.erase(host);
+    this->scheduling.market().peer_left(host, now);
+    for (const attempt_id attempt : this->scheduling.attempts_on_peer(host))
+    {
+        attempt_finished ended;
+        ended.attempt = attempt;
+        ended.outcome = attempt_outcome::lost;
+        this->attempt_ended(ended, now);
+    }
+    std::vector<std::string> unclaimed;
+    for (const auto& [id, sent_at] : this->claims_sent)
+    {
+        const auto parsed = support::parse_submission_id(id);
+        if (parsed->where->witness->host == host)
+            unclaimed.push_back(id);
+    }
+    std::sort(unclaimed.begin(), unclaimed.end());
+    for (const std::string& id : unclaimed)
+        this->claim_replied(
+            [&id]
+            {
+                schema::claim_reply refused;
+                refused.id = id;
+                refused.accepted = false;
+                return refused;
+            }(),
+            now);
+}
+
+void submission_owner::tick(support::instant now)
+{
+    for (const record_ptr& record : this->table.take_expired(now))
+        this->fail_open(record, error_kind::deadline_passed,
+                        "its deadline has passed", now);
+    std::vector<std::string> timed_out;
+    for (const auto& [id, sent_at] : this->claims_sent)
+        if (now - sent_at > this->options.claim_timeout)
+            timed_out.push_back(id);
+    std::sort(timed_out.begin(), timed_out.end());
+    for (const std::string& id : timed_out)
+    {
+        this->claims_sent.erase(id);
+        const record_ptr record = this->table.find(id);
+        if (record != nullptr && record->phase == submission_phase::claiming)
+            this->fail_open(record, error_kind::home_gone,
+                            "the witness did not answer; use a new id", now);
+    }
+    this->flush_notes();
+    this->table.purge(now);
+    this->scheduling.tick(now);
+}
+
+void submission_owner::end_all(support::instant now)
+{
+    for (const record_ptr& record : this->table.unfinished_records())
+        this->fail_open(record, error_kind::stopping, "the host had to stop",
+                        now);
+}
+
+std::set<std::string>
+submission_owner::hand_over(const schema::incarnation& self)
+{
+    std::set<std::string> receivers;
+    for (const auto& [text, witness] : this->issued_witnesses)
+        if (this->members.is_up(witness))
+            receivers.insert(witness.host);
+    const std::vector<record_ptr> owned = this->table.all();
+    for (const std::string& host : receivers)
+    {
+        for (const record_ptr& record : owned)
+        {
+            const auto id = support::parse_submission_id(record->work.id);
+            if (id->where->witness && id->where->witness->host == host)
+                this->note_for_witness(*record);
+        }
+    }
+    this->flush_notes();
+    schema::handover table_end;
+    table_end.owner = self;
+    table_end.purged_generation = this->table.forgotten_generation();
+    schema::peer_message message;
+    message.__set_handed_over(table_end);
+    for (const std::string& host : receivers)
+        this->out.push(send_to_peer{.host = host, .message = message});
+    return receivers;
+}
+
+void submission_owner::home_issued(
+    const std::optional<schema::incarnation>& witness)
+{
+    if (witness)
+        this->issued_witnesses[support::to_text(*witness)] = *witness;
+}
+
+void submission_owner::set_quota_hosts(std::size_t hosts)
+{
+    this->quota_hosts = std::max<std::size_t>(1, hosts);
+    this->scheduling.set_quota_hosts(hosts);
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/decision/lib/submission_table.cpp
@@ -0,0 +1,138 @@
+#include "chicorydrum/decision/submission_table.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicorydrum::decision
+{
+
+id_knowledge submission_table::look_up(const support::submission_id& id) const
+{
+    const std::string text = support::to_text(id);
+    if (this->records.contains(text))
+        return id_knowledge::recorded;
+    if (this->refusals.contains(text))
+        return id_knowledge::refused;
+    if (id.where->generation <= this->purged_generation)
+        return id_knowledge::forgotten;
+    return id_knowledge::fresh;
+}
+
+record_ptr submission_table::find(const std::string& id) const
+{
+    const auto found = this->records.find(id);
+    return found == this->records.end() ? nullptr : found->second;
+}
+
+support::error_kind submission_table::refusal_of(const std::string& id) const
+{
+    const auto found = this->refusals.find(id);
+    assert(found != this->refusals.end() && "the id was not refused");
+    return found->second.kind;
+}
+
+void submission_table::insert(const record_ptr& record)
+{
+    const bool is_new = this->records.emplace(record->work.id, record).second;
+    assert(is_new && "an id has one record");
+    static_cast<void>(is_new);
+    this->expiries.push({.deadline = record->deadline, .record = record});
+    ++this->open_count;
+    this->open_bytes_used += bytes_held(*record);
+}
+
+bool submission_table::remember_refusal(const std::string& id,
+                                        support::error_kind kind,
+                                        support::instant deadline)
+{
+    if (this->refusals.size() >= this->options.max_refusals)
+        return false;
+    if (this->refusals.try_emplace(id, refusal{kind, deadline}).second)
+        this->refusals_by_age.push_back(id);
+    return true;
+}
+
+void submission_table::finished(const record_ptr& record, support::instant now)
+{
+    assert(record->finished() && "only a final outcome is kept");
+    --this->open_count;
+    this->open_bytes_used -= bytes_held(*record);
+    for (schema::task_spec& task : record->work.tasks)
+        task.payload = std::string();
+    if (record->anonymous)
+    {
+        this->records.erase(record->work.id);
+        return;
+    }
+    record->outcome.results = std::move(record->results);
+    const std::size_t bytes = bytes_held(*record);
+    this->kept.push_back(
+        {.finished_at = now, .id = record->work.id, .bytes = bytes});
+    this->kept_bytes_used += bytes;
+}
+
+std::vector<record_ptr> submission_table::take_expired(support::instant now)
+{
+    std::vector<record_ptr> expired;
+    while (!this->expiries.empty() && this->expiries.top().deadline <= now)
+    {
+        const record_ptr record = this->expiries.top().record.lock();
+        this->expiries.pop();
+        if (record && !record->finished())
+            expired.push_back(record);
+    }
+    return expired;
+}
+
+void submission_table::forget_refusals(support::instant now)
+{
+    while (!this->refusals_by_age.empty())
+    {
+        const auto oldest = this->refusals.find(this->refusals_by_age.front());
+        if (oldest->second.until > now)
+            return;
+        this->refusals.erase(oldest);
+        this->refusals_by_age.pop_front();
+    }
+}
+
+void submission_table::purge(support::instant now)
+{
+    this->forget_refusals(now);
+    while (!this->kept.empty())
+    {
+        const kept_answer& oldest = this->kept.front();
+        const bool is_old = now - oldest.finished_at > this->options.max_age;
+        if (!is_old && this->kept_bytes_used <= this->options.max_bytes)
+            return;
+        const auto id = support::parse_submission_id(oldest.id);
+        this->purged_generation =
+            std::max(this->purged_generation, id->where->generation);
+        this->kept_bytes_used -= oldest.bytes;
+        this->records.erase(oldest.id);
+        this->kept.pop_front();
+    }
+}
+
+std::vector<record_ptr> submission_table::all() const
+{
+    std::vector<record_ptr> owned;
+    for (const auto& [id, record] : this->records)
+        if (!record->anonymous)
+            owned.push_back(record);
+    return owned;
+}
+
+std::vector<record_ptr> submission_table::unfinished_records() const
+{
+    std::vector<record_ptr> open;
+    for (const auto& [id, record] : this->records)
+        if (!record->finished())
+            open.push_back(record);
+    std::sort(open.begin(), open.end(),
+              [](const record_ptr& a, const record_ptr& b)
+              { return a->work.id < b->work.id; });
+    return open;
+}
+
+} // namespace chicorydrum::decision
--- /dev/null
+++ b/schema/idl/settings.thrift
@@ -0,0 +1,102 @@
+// Settings of one chicorydrumd process and the operators' bundle.
+//
+// The YAML reader takes names, types, units and ranges from the annotations
+// here: "unit" is printed in messages, "min" and "max" bound numbers and the
+// length of text and lists, and "pattern" names a character class for text.
+// A field with a default value may be left out; "required" fields may not.
+
+namespace cpp chicorydrum.schema
+
+/// Another entry host that this one may talk to.
+struct peer_settings {
+  1: required string name (min = "1", max = "32", pattern = "name")
+  2: required string address (min = "7", max = "45", pattern = "ip")
+  3: required i32 peer_port (min = "1", max = "65535")
+  4: required string domain (min = "1", max = "32", pattern = "name")
+}
+
+/// Where the platform's service answers.
+struct platform_settings {
+  1: required string address (min = "7", max = "45", pattern = "ip")
+  2: required i32 port (min = "1", max = "65535")
+  3: i64 request_timeout = 1000 (unit = "ms", min = "50", max = "30000")
+  4: i64 poll_interval = 1000 (unit = "ms", min = "100", max = "60000")
+  5: i32 writes_per_second = 50 (unit = "1/s", min = "1", max = "500")
+  6: i32 reads_per_second = 100 (unit = "1/s", min = "1", max = "2000")
+}
+
+/// Bounds of the caller-facing HTTP listener.
+struct listener_settings {
+  1: i32 max_body = 8388608 (unit = "bytes", min = "1024", max = "67108864")
+  2: i32 max_connections = 2000 (min = "8", max = "20000")
+  3: i64 receive_timeout = 10000 (unit = "ms", min = "100", max = "60000")
+}
+
+/// Timing of the links between entry hosts.
+struct peer_link_settings {
+  1: i64 heartbeat_interval = 250 (unit = "ms", min = "50", max = "5000")
+  2: i64 silence_timeout = 1000 (unit = "ms", min = "150", max = "20000")
+  3: i64 redial_interval = 300 (unit = "ms", min = "50", max = "10000")
+  4: i64 claim_timeout = 500 (unit = "ms", min = "20", max = "10000")
+}
+
+/// How long and how much a host keeps to recognise a resubmission.
+struct retention_settings {
+  1: i64 answer_age = 600000 (unit = "ms", min = "1000", max = "86400000")
+  2: i64 answer_bytes = 67108864 (unit = "bytes", min = "65536", max = "1073741824")
+  3: i64 queue_bytes = 67108864 (unit = "bytes", min = "65536", max = "1073741824")
+}
+
+/// Everything that one chicorydrumd reads at its start.
+struct settings {
+  1: required string name (min = "1", max = "32", pattern = "name")
+  2: required string domain (min = "1", max = "32", pattern = "name")
+  3: required string address (min = "7", max = "45", pattern = "ip")
+  4: required i32 http_port (min = "1", max = "65535")
+  5: required i32 peer_port (min = "1", max = "65535")
+  6: required platform_settings platform
+  7: list<peer_settings> peers (min = "0", max = "500")
+  8: listener_settings listener
+  9: peer_link_settings peer_link
+  10: retention_settings retention
+  11: i64 stop_grace = 30000 (unit = "ms", min = "0", max = "600000")
+  12: string log_level = "info" (pattern = "level")
+}
+
+/// One kind of work, as the operators admit and route it.
+struct kind_rule {
+  1: required string name (min = "1", max = "64", pattern = "name")
+  2: bool repeatable = true
+  3: double share = 1.0 (min = "0.001", max = "1000")
+  4: i64 default_deadline = 30000 (unit = "ms", min = "1", max = "3600000")
+  5: i64 expected_run_time = 200 (unit = "ms", min = "1", max = "600000")
+  6: i32 cores = 1000 (unit = "millicores", min = "1", max = "1024000")
+  7: i32 memory = 256 (unit = "MB", min = "1", max = "4194304")
+  8: i32 urgency = 0 (min = "0", max = "9")
+  9: i32 reserved_slots = 0 (unit = "percent", min = "0", max = "50")
+}
+
+/// A team's weight and quota over the whole system.
+struct team_rule {
+  1: required string name (min = "1", max = "64", pattern = "name")
+  2: double share = 1.0 (min = "0.001", max = "1000")
+  3: i32 max_tasks_per_second = 100000 (unit = "1/s", min = "1", max = "1000000")
+  4: i32 max_concurrent_tasks = 100000 (min = "1", max = "1000000")
+}
+
+/// Limits of routing, retries and ejection.
+struct routing_rule {
+  1: i32 max_ejected = 30 (unit = "percent", min = "0", max = "90")
+  2: i32 retry_budget = 10 (unit = "percent", min = "0", max = "100")
+  3: i64 slot_lease = 500 (unit = "ms", min = "50", max = "10000")
+  4: i32 spill_budget = 20 (unit = "percent", min = "0", max = "100")
+  5: i32 max_job_tasks = 1000 (min = "1", max = "10000")
+  6: i64 attempt_timeout = 20000 (unit = "ms", min = "100", max = "600000")
+}
+
+/// The operators' versioned configuration.
+struct bundle {
+  1: required list<kind_rule> kinds (min = "1", max = "200")
+  2: required list<team_rule> teams (min = "1", max = "500")
+  3: routing_rule routing
+}
--- /dev/null
+++ b/support/include/chicorydrum/support/yaml_reader.hpp
@@ -0,0 +1,27 @@
+/// \file
+/// Reads YAML into schema structs; names, types and ranges come from the
+/// schema, so no setting is checked by hand.
+#pragma once
+
+#include "chicorydrum/schema/generated/settings_types.h"
+#include "chicorydrum/support/error.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace chicorydrum::support
+{
+
+/// Reads \p text as the settings of one process. An error's detail is one
+/// line that names \p source, line, key and what is allowed.
+result<schema::settings> read_settings(std::string_view text,
+                                       std::string_view source);
+
+/// Reads \p text as a bundle, with the checks that concern several fields.
+result<schema::bundle> read_bundle(std::string_view text,
+                                   std::string_view source);
+
+/// Reads the whole file at \p path, at most \p max_bytes.
+result<std::string> read_file(const std::string& path, std::size_t max_bytes);
+
+} // namespace chicorydrum::support
--- /dev/null
+++ b/support/unittests/yaml_reader_test.cpp
@@ -0,0 +1,81 @@
+#include "chicorydrum/support/yaml_reader.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chicorydrum;
+using namespace chicorydrum::support;
+
+namespace
+{
+
+const std::string minimal = "name: h1\n"
+                            "domain: d1\n"
+                            "address: 127.0.0.1\n"
+                            "http_port: 80\n"
+                            "peer_port: 81\n"
+                            "platform: {address: 127.0.0.1, port: 82}\n";
+
+/// The one-line message for \p text, or empty if it is accepted.
+std::string problem_of(const std::string& text)
+{
+    const auto settings = read_settings(text, "f.yaml");
+    return settings ? "" : settings.error().detail;
+}
+
+std::string bundle_problem_of(const std::string& text)
+{
+    const auto bundle = read_bundle(text, "b.yaml");
+    return bundle ? "" : bundle.error().detail;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(yaml_reader)
+
+BOOST_AUTO_TEST_CASE(minimal_settings_get_the_schema_defaults)
+{
+    const auto settings = read_settings(minimal, "f.yaml");
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->peer_link.silence_timeout == 1000);
+    BOOST_TEST(settings->platform.port == 82);
+}
+
+BOOST_AUTO_TEST_CASE(each_mistake_is_one_line_with_file_line_and_key)
+{
+    BOOST_TEST(problem_of(minimal + "http_prt: 1\n")
+                   .starts_with("f.yaml:7: key 'http_prt': unknown key"));
+    BOOST_TEST(problem_of(minimal + "stop_grace: soon\n") ==
+               "f.yaml:7: key 'stop_grace': allowed: a whole number, 0 to "
+               "600000 ms");
+    BOOST_TEST(problem_of(minimal + "listener: {max_body: 1}\n") ==
+               "f.yaml:7: key 'listener.max_body': allowed: a whole number, "
+               "1024 to 67108864 bytes");
+    BOOST_TEST(problem_of(minimal + "stop_grace: 1.5\n")
+                   .starts_with("f.yaml:7: key 'stop_grace'"));
+    BOOST_TEST(problem_of(minimal + "name: h2\n") ==
+               "f.yaml:7: key 'name': given twice");
+    BOOST_TEST(problem_of("name: h1\n")
+                   .starts_with("f.yaml:1: key 'domain': missing"));
+    BOOST_TEST(
+        problem_of(minimal + "peers: [{name: p, address: localhost, "
+                             "peer_port: 1, domain: d}]\n") ==
+        "f.yaml:7: key 'peers[0].address': allowed: an IP number such as "
+        "127.0.0.1");
+    BOOST_TEST(problem_of("name: [\n").starts_with("f.yaml:"));
+    BOOST_TEST(problem_of("").starts_with("f.yaml:"));
+}
+
+BOOST_AUTO_TEST_CASE(a_bundle_is_checked_across_its_fields)
+{
+    const std::string teams = "teams: [{name: t}]\n";
+    BOOST_TEST(bundle_problem_of("kinds: [{name: k}]\n" + teams).empty());
+    BOOST_TEST(bundle_problem_of("kinds: [{name: k}, {name: k}]\n" + teams) ==
+               "b.yaml: kind 'k' is given twice");
+    BOOST_TEST(!bundle_problem_of("kinds: []\n" + teams).empty());
+    BOOST_TEST(!bundle_problem_of("kinds: [{name: k, reserved_slots: 30}, "
+                                  "{name: l, reserved_slots: 30}]\n" +
+                                  teams)
+                    .empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/transport/include/chicorydrum/transport/http.hpp
@@ -0,0 +1,47 @@
+/// \file
+/// What HTTP requests and responses look like to the tasks.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicorydrum::transport
+{
+
+enum class http_method
+{
+    get,
+    put,
+    post,
+    del,
+    other,
+};
+
+std::string_view name_of(http_method method);
+
+struct http_header
+{
+    /// Lower case, without the colon.
+    std::string name;
+    std::string value;
+};
+
+struct http_request
+{
+    http_method method = http_method::get;
+    std::string path;
+    std::string body = {};
+};
+
+struct http_response
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    std::vector<http_header> headers = {};
+    std::string body = {};
+    /// Closes the connection after the response.
+    bool close = false;
+};
+
+} // namespace chicorydrum::transport
--- /dev/null
+++ b/transport/lib/event_loop.cpp
@@ -0,0 +1,97 @@
+#include "chicorydrum/transport/event_loop.hpp"
+
+#include <stdexcept>
+
+#include <libwebsockets.h>
+
+namespace chicorydrum::transport
+{
+
+struct timer::state
+{
+    // First member: libwebsockets hands back its address.
+    lws_sorted_usec_list_t entry{};
+    lws_context* context = nullptr;
+    std::function<void()> hook;
+
+    static void fire(lws_sorted_usec_list_t* fired)
+    {
+        // A copy, since the hook may destroy its own timer.
+        const std::function<void()> hook =
+            reinterpret_cast<state*>(fired)->hook;
+        hook();
+    }
+};
+
+timer::timer(std::unique_ptr<state> owned) : owned_state(std::move(owned))
+{
+}
+
+timer::timer(timer&&) noexcept = default;
+
+timer& timer::operator=(timer&& other) noexcept
+{
+    if (this == &other)
+        return *this;
+    this->cancel();
+    this->owned_state = std::move(other.owned_state);
+    return *this;
+}
+
+timer::~timer()
+{
+    this->cancel();
+}
+
+void timer::start(support::decision_clock::duration delay)
+{
+    lws_sul_schedule(this->owned_state->context, 0, &this->owned_state->entry,
+                     &state::fire, delay.count());
+}
+
+void timer::cancel()
+{
+    if (this->owned_state)
+        lws_sul_cancel(&this->owned_state->entry);
+}
+
+event_loop::event_loop(const event_loop_options& options)
+{
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info{};
+    info.options =
+        LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.fd_limit_per_thread = options.max_connections;
+    info.max_http_header_pool2 = options.max_connections;
+    info.max_http_header_data2 = options.max_header_bytes;
+    this->native = lws_create_context(&info);
+    if (this->native == nullptr)
+        throw std::runtime_error("cannot create the event loop");
+}
+
+event_loop::~event_loop()
+{
+    lws_context_destroy(this->native);
+}
+
+void event_loop::run_until(const std::function<bool()>& is_done)
+{
+    while (!is_done())
+        lws_service(this->native, 0);
+}
+
+support::instant event_loop::now()
+{
+    return support::instant(support::microseconds(lws_now_usecs()));
+}
+
+timer event_loop::make_timer(std::function<void()> hook)
+{
+    auto made = std::make_unique<timer::state>();
+    made->context = this->native;
+    made->hook = std::move(hook);
+    return timer(std::move(made));
+}
+
+} // namespace chicorydrum::transport
--- /dev/null
+++ b/transport/lib/http_client.cpp
@@ -0,0 +1,320 @@
+#include "chicorydrum/transport/http_client.hpp"
+
+#include <array>
+#include <cstring>
+#include <stdexcept>
+#include <unordered_map>
+
+#include <libwebsockets.h>
+
+namespace chicorydrum::transport
+{
+
+namespace
+{
+
+constexpr std::size_t read_chunk_bytes = 16U << 10U;
+
+/// One request on its connection. The connection's opaque pointer holds it.
+struct open_request
+{
+    std::uint64_t id = 0;
+    client_request request;
+    std::function<void(client_outcome)> on_outcome;
+    lws* connection = nullptr;
+    std::size_t body_sent = 0;
+    bool sent = false;
+    bool timed_out = false;
+    bool whole = false;
+    /// While lws_client_connect_via_info() runs, no outcome may be given.
+    bool connecting = false;
+    bool ended_while_connecting = false;
+    http_response response;
+    std::unique_ptr<timer> deadline;
+    /// Runs the outcome of a request that ended before send() returned.
+    std::unique_ptr<timer> early_end;
+};
+
+/// The reason phrase does not matter, only the numeric status.
+bool add_header(lws* connection, const http_header& header,
+                unsigned char** position, unsigned char* end)
+{
+    const std::string name = header.name + ":";
+    return lws_add_http_header_by_name(
+               connection, reinterpret_cast<const unsigned char*>(name.c_str()),
+               reinterpret_cast<const unsigned char*>(header.value.c_str()),
+               static_cast<int>(header.value.size()), position, end) == 0;
+}
+
+} // namespace
+
+std::string_view name_of(client_error error)
+{
+    static constexpr std::array<std::string_view, 3> names = {
+        "not_sent", "no_response", "timed_out"};
+    return names[static_cast<std::size_t>(error)];
+}
+
+struct http_client::state
+{
+    explicit state(http_client_options given) : options(std::move(given))
+    {
+    }
+
+    static int on_event(lws* connection, lws_callback_reasons reason,
+                        void* user, void* in, std::size_t length);
+
+    void connect(open_request& open);
+    int append_headers(open_request& open, void* in, std::size_t length);
+    int write_body(open_request& open);
+    int receive(open_request& open, lws* connection);
+    int keep(open_request& open, const char* bytes, std::size_t length);
+    void keep_headers(open_request& open, lws* connection);
+    void time_out(std::uint64_t id);
+    void finish(std::uint64_t id);
+
+    http_client_options options;
+    lws_protocols protocols[2] = {};
+    lws_vhost* vhost = nullptr;
+    std::uint64_t next_id = 1;
+    std::unordered_map<std::uint64_t, std::unique_ptr<open_request>> requests;
+};
+
+void http_client::state::connect(open_request& open)
+{
+    const std::string host =
+        open.request.address + ":" + std::to_string(open.request.port);
+    const std::string method(name_of(open.request.method));
+    lws_client_connect_info info{};
+    info.context = this->options.loop.context();
+    info.vhost = this->vhost;
+    info.address = open.request.address.c_str();
+    info.port = open.request.port;
+    info.path = open.request.path.c_str();
+    info.host = host.c_str();
+    info.origin = host.c_str();
+    info.method = method.c_str();
+    info.protocol = this->protocols[0].name;
+    info.local_protocol_name = this->protocols[0].name;
+    info.opaque_user_data = &open;
+    info.pwsi = &open.connection;
+    open.connecting = true;
+    const bool is_connecting = lws_client_connect_via_info(&info) != nullptr;
+    open.connecting = false;
+    if (is_connecting && !open.ended_while_connecting)
+        return;
+    // The connection is gone already; the outcome follows after send().
+    open.connection = nullptr;
+    const std::uint64_t id = open.id;
+    open.early_end = std::make_unique<timer>(
+        this->options.loop.make_timer([this, id] { this->finish(id); }));
+    open.early_end->start(support::microseconds(1));
+}
+
+int http_client::state::append_headers(open_request& open, void* in,
+                                       std::size_t length)
+{
+    auto** const position = static_cast<unsigned char**>(in);
+    unsigned char* const end = *position + length;
+    open.sent = true;
+    for (const http_header& header : open.request.headers)
+        if (!add_header(open.connection, header, position, end))
+            return -1;
+    if (open.request.method == http_method::get)
+        return 0;
+    const http_header type{.name = "content-type", .value = "application/json"};
+    const http_header size{.name = "content-length",
+                           .value = std::to_string(open.request.body.size())};
+    if (!add_header(open.connection, type, position, end) ||
+        !add_header(open.connection, size, position, end))
+        return -1;
+    if (!open.request.body.empty())
+    {
+        lws_client_http_body_pending(open.connection, 1);
+        lws_callback_on_writable(open.connection);
+    }
+    return 0;
+}
+
+int http_client::state::write_body(open_request& open)
+{
+    const std::string& body = open.request.body;
+    if (open.body_sent == body.size())
+        return 0;
+    constexpr std::size_t chunk_bytes = 64U << 10U;
+    const std::size_t length =
+        std::min(chunk_bytes, body.size() - open.body_sent);
+    std::string buffer(LWS_PRE, '\0');
+    buffer.append(body, open.body_sent, length);
+    open.body_sent += length;
+    const bool is_last = open.body_sent == body.size();
+    if (is_last)
+        lws_client_http_body_pending(open.connection, 0);
+    const int written =
+        lws_write(open.connection,
+                  reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE,
+                  length, is_last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+    if (written < 0)
+        return -1;
+    if (!is_last)
+        lws_callback_on_writable(open.connection);
+    return 0;
+}
+
+int http_client::state::receive(open_request& open, lws* connection)
+{
+    std::array<char, LWS_PRE + read_chunk_bytes> buffer{};
+    char* position = buffer.data() + LWS_PRE;
+    int length = static_cast<int>(read_chunk_bytes);
+    // Leads to LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ for each piece.
+    if (lws_http_client_read(connection, &position, &length) < 0)
+        return -1;
+    return open.timed_out ? -1 : 0;
+}
+
+int http_client::state::keep(open_request& open, const char* bytes,
+                             std::size_t length)
+{
+    if (open.response.body.size() + length > this->options.max_response_bytes)
+        return -1;
+    open.response.body.append(bytes, length);
+    return 0;
+}
+
+void http_client::state::keep_headers(open_request& open, lws* connection)
+{
+    open.response.status =
+        static_cast<int>(lws_http_client_http_response(connection));
+    for (const std::string& name : this->options.kept_headers)
+    {
+        const std::string key = name + ":";
+        std::array<char, 1024> value{};
+        const int copied = lws_hdr_custom_copy(
+            connection, value.data(), static_cast<int>(value.size()),
+            key.c_str(), static_cast<int>(key.size()));
+        if (copied > 0)
+            open.response.headers.push_back(
+                {.name = name, .value = value.data()});
+    }
+}
+
+void http_client::state::time_out(std::uint64_t id)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end())
+        return;
+    open_request& open = *found->second;
+    open.timed_out = true;
+    if (open.connection != nullptr)
+    {
+        lws_set_opaque_user_data(open.connection, nullptr);
+        lws_set_timeout(open.connection, PENDING_TIMEOUT_USER_REASON_BASE,
+                        LWS_TO_KILL_ASYNC);
+    }
+    this->finish(id);
+}
+
+void http_client::state::finish(std::uint64_t id)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end())
+        return;
+    const std::unique_ptr<open_request> ended = std::move(found->second);
+    this->requests.erase(found);
+    if (ended->whole)
+        ended->on_outcome(std::move(ended->response));
+    else if (!ended->sent)
+        ended->on_outcome(tl::unexpected(client_error::not_sent));
+    else if (ended->timed_out)
+        ended->on_outcome(tl::unexpected(client_error::timed_out));
+    else
+        ended->on_outcome(tl::unexpected(client_error::no_response));
+}
+
+int http_client::state::on_event(lws* connection, lws_callback_reasons reason,
+                                 void* user, void* in, std::size_t length)
+{
+    lws_vhost* const vhost = lws_get_vhost(connection);
+    if (vhost == nullptr)
+        return 0;
+    auto* const self = static_cast<state*>(lws_vhost_user(vhost));
+    auto* const open =
+        static_cast<open_request*>(lws_get_opaque_user_data(connection));
+    if (self == nullptr || open == nullptr)
+        return lws_callback_http_dummy(connection, reason, user, in, length);
+    switch (reason)
+    {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        return self->append_headers(*open, in, length);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return self->write_body(*open);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        self->keep_headers(*open, connection);
+        return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        return self->receive(*open, connection);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        return self->keep(*open, static_cast<const char*>(in), length);
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        open->whole = true;
+        lws_set_opaque_user_data(connection, nullptr);
+        self->finish(open->id);
+        return -1;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_WSI_DESTROY:
+        lws_set_opaque_user_data(connection, nullptr);
+        if (open->connecting)
+            open->ended_while_connecting = true;
+        else
+            self->finish(open->id);
+        return 0;
+    default:
+        return lws_callback_http_dummy(connection, reason, user, in, length);
+    }
+}
+
+http_client::http_client(http_client_options options)
+    : owned_state(std::make_unique<state>(std::move(options)))
+{
+    state& self = *this->owned_state;
+    self.protocols[0].name = "http-client";
+    self.protocols[0].callback = &state::on_event;
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = self.protocols;
+    info.user = &self;
+    info.vhost_name = "http-client";
+    self.vhost = lws_create_vhost(self.options.loop.context(), &info);
+    if (self.vhost == nullptr)
+        throw std::runtime_error("cannot create the HTTP client");
+}
+
+http_client::~http_client()
+{
+    lws_vhost_destroy(this->owned_state->vhost);
+}
+
+void http_client::send(client_request request,
+                       std::function<void(client_outcome)> on_outcome)
+{
+    state& self = *this->owned_state;
+    auto made = std::make_unique<open_request>();
+    open_request& open = *made;
+    open.id = self.next_id++;
+    open.request = std::move(request);
+    open.on_outcome = std::move(on_outcome);
+    const std::uint64_t id = open.id;
+    open.deadline = std::make_unique<timer>(
+        self.options.loop.make_timer([&self, id] { self.time_out(id); }));
+    open.deadline->start(open.request.timeout);
+    self.requests.emplace(id, std::move(made));
+    self.connect(open);
+}
+
+std::size_t http_client::open_requests() const
+{
+    return this->owned_state->requests.size();
+}
+
+} // namespace chicorydrum::transport
--- /dev/null
+++ b/transport/lib/http_server.cpp
@@ -0,0 +1,338 @@
+#include "chicorydrum/transport/http_server.hpp"
+
+#include <array>
+#include <stdexcept>
+#include <unordered_map>
+
+#include <libwebsockets.h>
+
+namespace chicorydrum::transport
+{
+
+namespace
+{
+
+constexpr std::size_t write_chunk_bytes = 64U << 10U;
+constexpr int header_buffer_bytes = 4096;
+
+struct exchange
+{
+    lws* connection = nullptr;
+    http_request request;
+    http_response response;
+    std::size_t body_sent = 0;
+    bool delivered = false;
+    bool responding = false;
+    bool headers_sent = false;
+    /// Present while the request is still arriving.
+    std::unique_ptr<timer> receive_timer;
+};
+
+/// What libwebsockets keeps for each connection.
+struct connection_data
+{
+    exchange_id current;
+};
+
+http_method method_of(lws* connection, std::string& path)
+{
+    char* uri = nullptr;
+    int length = 0;
+    const int method = lws_http_get_uri_and_method(connection, &uri, &length);
+    if (method < 0)
+        return http_method::other;
+    path.assign(uri, static_cast<std::size_t>(length));
+    switch (method)
+    {
+    case LWSHUMETH_GET:
+        return http_method::get;
+    case LWSHUMETH_PUT:
+        return http_method::put;
+    case LWSHUMETH_POST:
+        return http_method::post;
+    case LWSHUMETH_DELETE:
+        return http_method::del;
+    default:
+        return http_method::other;
+    }
+}
+
+std::size_t content_length(lws* connection)
+{
+    std::array<char, 24> text{};
+    const int copied =
+        lws_hdr_copy(connection, text.data(), static_cast<int>(text.size()),
+                     WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    if (copied <= 0)
+        return 0;
+    return std::strtoull(text.data(), nullptr, 10);
+}
+
+} // namespace
+
+struct http_server::state
+{
+    explicit state(http_server_options given) : options(std::move(given))
+    {
+    }
+
+    static int on_event(lws* connection, lws_callback_reasons reason,
+                        void* user, void* in, std::size_t length);
+
+    int begin(lws* connection, connection_data& data);
+    int receive_body(connection_data& data, const char* bytes,
+                     std::size_t length);
+    int deliver(connection_data& data);
+    int write(lws* connection, connection_data& data);
+    int write_headers(lws* connection, const exchange& open);
+    void reject(exchange_id id, rejection why);
+    void start_response(exchange_id id, http_response response);
+    void forget(connection_data& data);
+
+    http_server_options options;
+    lws_protocols protocols[2] = {};
+    lws_vhost* vhost = nullptr;
+    unsigned connections = 0;
+    exchange_id next_id = 1;
+    std::unordered_map<exchange_id, exchange> exchanges;
+};
+
+int http_server::state::begin(lws* connection, connection_data& data)
+{
+    data.current = this->next_id++;
+    exchange& open = this->exchanges[data.current];
+    open.connection = connection;
+    open.request.method = method_of(connection, open.request.path);
+    lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
+    const std::size_t expected = content_length(connection);
+    if (this->connections > this->options.max_connections)
+    {
+        this->reject(data.current, rejection::too_many_connections);
+        return 0;
+    }
+    if (expected > this->options.max_body_bytes)
+    {
+        this->reject(data.current, rejection::too_large);
+        return 0;
+    }
+    const bool chunked =
+        lws_hdr_total_length(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+    if (expected == 0 && !chunked)
+        return this->deliver(data);
+    const exchange_id id = data.current;
+    open.receive_timer = std::make_unique<timer>(this->options.loop.make_timer(
+        [this, id] { this->reject(id, rejection::too_slow); }));
+    open.receive_timer->start(this->options.receive_timeout);
+    return 0;
+}
+
+int http_server::state::receive_body(connection_data& data, const char* bytes,
+                                     std::size_t length)
+{
+    const auto found = this->exchanges.find(data.current);
+    if (found == this->exchanges.end() || found->second.responding)
+        return 0;
+    std::string& body = found->second.request.body;
+    if (body.size() + length > this->options.max_body_bytes)
+    {
+        this->reject(data.current, rejection::too_large);
+        return 0;
+    }
+    body.append(bytes, length);
+    return 0;
+}
+
+int http_server::state::deliver(connection_data& data)
+{
+    const auto found = this->exchanges.find(data.current);
+    if (found == this->exchanges.end() || found->second.responding ||
+        found->second.delivered)
+        return 0;
+    exchange& open = found->second;
+    open.delivered = true;
+    open.receive_timer.reset();
+    lws_set_timeout(open.connection, NO_PENDING_TIMEOUT, 0);
+    this->options.on_request(data.current, std::move(open.request));
+    return 0;
+}
+
+void http_server::state::reject(exchange_id id, rejection why)
+{
+    http_response response = this->options.on_rejected(why);
+    // The rest of the request is not read, so the connection cannot go on.
+    response.close = true;
+    this->start_response(id, std::move(response));
+}
+
+void http_server::state::start_response(exchange_id id, http_response response)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end() || found->second.responding)
+        return;
+    exchange& open = found->second;
+    open.receive_timer.reset();
+    open.responding = true;
+    open.response = std::move(response);
+    lws_callback_on_writable(open.connection);
+}
+
+int http_server::state::write_headers(lws* connection, const exchange& open)
+{
+    std::array<unsigned char, LWS_PRE + header_buffer_bytes> buffer{};
+    unsigned char* const start = buffer.data() + LWS_PRE;
+    unsigned char* position = start;
+    unsigned char* const end = buffer.data() + buffer.size() - 1;
+    const http_response& response = open.response;
+    if (lws_add_http_common_headers(connection,
+                                    static_cast<unsigned>(response.status),
+                                    response.content_type.c_str(),
+                                    response.body.size(), &position, end) != 0)
+        return -1;
+    for (const http_header& header : response.headers)
+    {
+        const std::string name = header.name + ":";
+        if (lws_add_http_header_by_name(
+                connection,
+                reinterpret_cast<const unsigned char*>(name.c_str()),
+                reinterpret_cast<const unsigned char*>(header.value.c_str()),
+                static_cast<int>(header.value.size()), &position, end) != 0)
+            return -1;
+    }
+    return lws_finalize_write_http_header(connection, start, &position, end);
+}
+
+int http_server::state::write(lws* connection, connection_data& data)
+{
+    const auto found = this->exchanges.find(data.current);
+    if (found == this->exchanges.end() || !found->second.responding)
+        return 0;
+    exchange& open = found->second;
+    if (!open.headers_sent)
+    {
+        if (this->write_headers(connection, open) != 0)
+            return -1;
+        open.headers_sent = true;
+        if (!open.response.body.empty())
+        {
+            lws_callback_on_writable(connection);
+            return 0;
+        }
+    }
+    const std::string& body = open.response.body;
+    const std::size_t length =
+        std::min(write_chunk_bytes, body.size() - open.body_sent);
+    const bool is_last = open.body_sent + length == body.size();
+    if (length > 0)
+    {
+        std::string buffer(LWS_PRE, '\0');
+        buffer.append(body, open.body_sent, length);
+        const int written =
+            lws_write(connection,
+                      reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE,
+                      length, is_last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+        if (written < 0)
+            return -1;
+        open.body_sent += length;
+    }
+    if (!is_last)
+    {
+        lws_callback_on_writable(connection);
+        return 0;
+    }
+    const bool close = open.response.close;
+    this->exchanges.erase(found);
+    data.current = 0;
+    if (close)
+        return -1;
+    return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
+}
+
+void http_server::state::forget(connection_data& data)
+{
+    const auto found = this->exchanges.find(data.current);
+    if (found == this->exchanges.end())
+        return;
+    const bool waits = found->second.delivered && !found->second.responding;
+    const exchange_id id = data.current;
+    this->exchanges.erase(found);
+    data.current = 0;
+    if (waits && this->options.on_abandoned)
+        this->options.on_abandoned(id);
+}
+
+int http_server::state::on_event(lws* connection, lws_callback_reasons reason,
+                                 void* user, void* in, std::size_t length)
+{
+    lws_vhost* const vhost = lws_get_vhost(connection);
+    if (vhost == nullptr)
+        return 0;
+    auto* const self = static_cast<state*>(lws_vhost_user(vhost));
+    auto* const data = static_cast<connection_data*>(user);
+    if (self == nullptr)
+        return 0;
+    switch (reason)
+    {
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        ++self->connections;
+        return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
+        if (self->connections > 0)
+            --self->connections;
+        return 0;
+    case LWS_CALLBACK_HTTP:
+        return self->begin(connection, *data);
+    case LWS_CALLBACK_HTTP_BODY:
+        return self->receive_body(*data, static_cast<const char*>(in), length);
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        return self->deliver(*data);
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return self->write(connection, *data);
+    case LWS_CALLBACK_CLOSED_HTTP:
+        if (data != nullptr)
+            self->forget(*data);
+        return 0;
+    default:
+        return lws_callback_http_dummy(connection, reason, user, in, length);
+    }
+}
+
+http_server::http_server(http_server_options options)
+    : owned_state(std::make_unique<state>(std::move(options)))
+{
+    state& self = *this->owned_state;
+    self.protocols[0].name = "http-server";
+    self.protocols[0].callback = &state::on_event;
+    self.protocols[0].per_session_data_size = sizeof(connection_data);
+    lws_context_creation_info info{};
+    info.port = self.options.port;
+    info.iface = self.options.address.c_str();
+    info.protocols = self.protocols;
+    info.user = &self;
+    info.vhost_name = "http-server";
+    info.keepalive_timeout = 60;
+    info.timeout_secs = static_cast<unsigned>(
+        std::max<std::int64_t>(1, self.options.receive_timeout.count() / 1000));
+    info.timeout_secs_ah_idle = info.timeout_secs;
+    self.vhost = lws_create_vhost(self.options.loop.context(), &info);
+    if (self.vhost == nullptr)
+        throw std::runtime_error("cannot listen on " + self.options.address +
+                                 ":" + std::to_string(self.options.port));
+}
+
+http_server::~http_server()
+{
+    if (this->owned_state->vhost != nullptr)
+        lws_vhost_destroy(this->owned_state->vhost);
+}
+
+void http_server::respond(exchange_id id, http_response response)
+{
+    this->owned_state->start_response(id, std::move(response));
+}
+
+std::size_t http_server::open_exchanges() const
+{
+    return this->owned_state->exchanges.size();
+}
+
+} // namespace chicorydrum::transport
--- /dev/null
+++ b/transport/lib/peer_codec.cpp
@@ -0,0 +1,69 @@
+#include "chicorydrum/transport/peer_codec.hpp"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace chicorydrum::transport
+{
+
+namespace
+{
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int max_message_bytes = 64 << 20;
+constexpr int max_nesting = 16;
+
+/// How many members of the union are set.
+int count_members(const schema::peer_message& message)
+{
+    const auto& set = message.__isset;
+    return set.greeting + set.beat + set.forwarded + set.queried +
+           set.answered + set.claimed + set.claim_replied + set.recorded +
+           set.witness_queried + set.handed_over + set.handover_replied +
+           set.slots_requested + set.slots_granted + set.slots_returned +
+           set.offered + set.offer_replied + set.bundle_pushed +
+           set.bundle_requested;
+}
+
+} // namespace
+
+std::string encode_message(const schema::peer_message& message)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+support::result<schema::peer_message> decode_message(std::string_view frame)
+{
+    try
+    {
+        // The buffer only reads the bytes; its interface lacks the const.
+        auto* const bytes =
+            reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data()));
+        const auto limits = std::make_shared<TConfiguration>(
+            max_message_bytes, max_message_bytes, max_nesting);
+        const auto buffer = std::make_shared<TMemoryBuffer>(
+            bytes, static_cast<std::uint32_t>(frame.size()),
+            TMemoryBuffer::OBSERVE, limits);
+        TCompactProtocol protocol(buffer);
+        schema::peer_message message;
+        const std::uint32_t used = message.read(&protocol);
+        if (used != frame.size() || count_members(message) != 1)
+            return support::fail(support::error_kind::bad_request,
+                                 "a frame holds one message");
+        return message;
+    }
+    catch (const std::exception& malformed)
+    {
+        return support::fail(support::error_kind::bad_request,
+                             std::string("malformed frame: ") +
+                                 malformed.what());
+    }
+}
+
+} // namespace chicorydrum::transport
