Give each request of the planned-stop test a payload of its own

The stop itself cut nothing; all ten answers were 200.

Ruled out: a double start of the job's tasks; the only payload with a count over one was the requests' own.

Change: each request has its own payload; the check stays as it was.

--- a/test/process/failure_test.cpp
+++ b/test/process/failure_test.cpp
@@ -168,7 +168,9 @@
     for (int i = 0; i < 10; ++i)
         requests.push_back(fleet.start(
             fleet.http_port(0), http_method::post, "/v1/requests/quote",
-            R"({"team":"desk","payload":"sleep=500"})"));
+            json{{"team", "desk"},
+                 {"payload", "sleep=500 request " + std::to_string(i)}}
+                .dump()));
     fleet.host(0).signal(SIGTERM);
     BOOST_TEST(fleet.wait_for(
         [&]
