Measure policies in virtual time against baselines and an oracle

Found: an attempt's timeout ended at its caller's deadline and was booked as the endpoint's failure, so a flood with short deadlines had healthy endpoints under suspicion. Also: a queue policy that ignores flows could loop for ever in pump().

--- a/decision/include/chicorydrum/decision/fair_queue.hpp
+++ b/decision/include/chicorydrum/decision/fair_queue.hpp
@@ -55,6 +55,8 @@
     /// The record that arrived first, whatever its flow, or null. Only for
     /// comparisons with queues that know no shares.
     record_ptr peek_oldest();
+    /// The same with higher urgency first, whatever its flow.
+    record_ptr peek_most_urgent();
 
     /// Takes the next task of \p record, which peek() returned last, and
     /// charges \p cost slot-seconds to its flow.
@@ -98,6 +100,10 @@
         std::map<std::string, team_flow> teams;
     };
 
+    /// The front that \p comes_before puts first, whatever its flow.
+    record_ptr peek_first(
+        const std::function<bool(const submission_record&,
+                                 const submission_record&)>& comes_before);
     /// Counts \p tasks more in the flow of \p work.
     team_flow& count_in(const schema::submission& work, std::size_t tasks);
     void count_out(const schema::submission& work, std::size_t tasks);
--- a/decision/lib/fair_queue.cpp
+++ b/decision/lib/fair_queue.cpp
@@ -109,18 +109,37 @@
     return best_team == nullptr ? nullptr : front(*best_team);
 }
 
-record_ptr fair_queue::peek_oldest()
+record_ptr fair_queue::peek_first(
+    const std::function<bool(const submission_record&,
+                             const submission_record&)>& comes_before)
 {
-    record_ptr oldest;
+    record_ptr best;
     for (auto& [name, kind] : this->kinds)
         for (auto& [team_name, team] : kind.teams)
         {
             const record_ptr first = front(team);
             if (first != nullptr &&
-                (oldest == nullptr || first->arrived < oldest->arrived))
-                oldest = first;
+                (best == nullptr || comes_before(*first, *best)))
+                best = first;
         }
-    return oldest;
+    return best;
+}
+
+record_ptr fair_queue::peek_oldest()
+{
+    return this->peek_first(
+        [](const submission_record& a, const submission_record& b)
+        { return a.arrived < b.arrived; });
+}
+
+record_ptr fair_queue::peek_most_urgent()
+{
+    return this->peek_first(
+        [](const submission_record& a, const submission_record& b)
+        {
+            return std::pair(-a.work.urgency, a.arrived) <
+                   std::pair(-b.work.urgency, b.arrived);
+        });
 }
 
 queued_task fair_queue::take(const record_ptr& record, double cost)
--- a/decision/lib/scheduler.cpp
+++ b/decision/lib/scheduler.cpp
@@ -185,7 +185,8 @@
     while (idle > 0)
     {
         const record_ptr record = this->next_allowed(blocked_kinds, idle);
-        if (record == nullptr)
+        // A policy that knows no flows may insist on one that is blocked.
+        if (record == nullptr || blocked_kinds.contains(record->work.kind))
             break;
         if (this->is_late(*record, now))
         {
@@ -264,10 +265,8 @@
                       .port = endpoint.listing.port,
                       .kind = record->work.kind,
                       .payload = record->work.tasks[taken.task].payload,
-                      .timeout = std::min<support::decision_clock::duration>(
-                          support::milliseconds(
-                              this->bundle->rules().routing.attempt_timeout),
-                          record->deadline - now)});
+                      .timeout = support::milliseconds(
+                          this->bundle->rules().routing.attempt_timeout)});
 }
 
 void scheduler::log_start(const running_attempt& attempt,
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -227,6 +227,15 @@
 
 void fleet::perform_one(virtual_host& host, decision::send_to_peer& todo)
 {
+    const auto& set = todo.message.__isset;
+    ++this->counted.all_peer_messages;
+    this->counted.heartbeats += set.beat ? 1 : 0;
+    this->counted.bundle_messages +=
+        set.bundle_pushed || set.bundle_requested ? 1 : 0;
+    if (set.slots_granted && todo.message.slots_granted.slots.empty())
+        ++this->counted.denied_slot_requests;
+    if (set.offer_replied && todo.message.offer_replied.result.not_run)
+        ++this->counted.refused_offers;
     this->links.send(host.name, todo.host, todo.message);
 }
 
@@ -295,6 +304,8 @@
             .start(this->queue, this->run_time_of(attempt.payload),
                    wire_id(host, life, attempt.attempt), attempt.payload,
                    answer);
+    if (!is_started)
+        ++this->counted.refused_attempts;
     if (is_started)
         this->recorded.starts.push_back({.when = this->now(),
                                          .endpoint = attempt.endpoint,
@@ -458,6 +469,7 @@
         return;
     host.alive = false;
     host.paused = false;
+    host.last_home = host.decisions->home();
     host.decisions.reset();
     host.inbox.clear();
     this->links.close_all(name);
@@ -600,8 +612,10 @@
 
 std::string fleet::id_at(const std::string& host, const std::string& key) const
 {
+    const virtual_host& issuer = this->hosts.at(host);
     return support::to_text(
-        {.where = this->hosts.at(host).decisions->home(), .key = key});
+        {.where = issuer.alive ? issuer.decisions->home() : issuer.last_home,
+         .key = key});
 }
 
 std::size_t fleet::add_call(const std::string& name, const std::string& host,
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -48,6 +48,26 @@
     std::function<void(decision::dispatcher_options&)> adjust;
 };
 
+/// Messages between hosts, and attempts, by what came of them.
+struct message_counts
+{
+    std::int64_t heartbeats = 0;
+    std::int64_t denied_slot_requests = 0;
+    std::int64_t refused_offers = 0;
+    std::int64_t refused_attempts = 0;
+    std::int64_t all_peer_messages = 0;
+    std::int64_t bundle_messages = 0;
+
+    /// Messages that led to no start and no answer; a refusal wastes the
+    /// question and the reply.
+    std::int64_t wasted() const
+    {
+        return this->heartbeats +
+               2 * (this->denied_slot_requests + this->refused_offers +
+                    this->refused_attempts);
+    }
+};
+
 /// What the fleet tells its user; all hooks may be empty.
 struct fleet_hooks
 {
@@ -84,7 +104,7 @@
 
     /// Registers a submission; its payloads become `<name>/<task>`.
     void define(const std::string& name, submission_entry entry);
-    /// A full id under the home that \p host advertises now.
+    /// A full id under the home that \p host advertises, or advertised last.
     std::string id_at(const std::string& host, const std::string& key) const;
 
     /// Sends a defined submission through \p host; gives the call's number.
@@ -126,9 +146,9 @@
         return this->hosts.at(host).decisions.get();
     }
     std::vector<std::string> host_names() const;
-    std::int64_t peer_messages() const
+    const message_counts& messages() const
     {
-        return this->links.messages_sent();
+        return this->counted;
     }
 
 private:
@@ -147,6 +167,8 @@
         /// Since when every poll of the host list succeeded.
         support::instant informed_since;
         std::int64_t bundle_version = 0;
+        /// What a caller may have cached when the host ended.
+        std::optional<support::home> last_home;
     };
 
     void start_process(virtual_host& host);
@@ -191,6 +213,7 @@
     std::map<std::string, fake_endpoint> endpoints;
     std::map<std::string, support::instant> leaving_since;
     run_records recorded;
+    message_counts counted;
     std::int64_t next_nonce = 1;
     std::int64_t next_roll = 1;
     bool fault_was_used = false;
--- a/test/fleet/scenario.cpp
+++ b/test/fleet/scenario.cpp
@@ -324,6 +324,7 @@
     submission_entry entry;
     std::string via;
     std::string home;
+    std::string same_id;
     bool is_bare = false;
     std::size_t tasks = 1;
     milliseconds run_time(100);
@@ -353,6 +354,8 @@
             entry.has_id = false;
         else if (line.skip("bare"))
             is_bare = true;
+        else if (line.skip("same-id"))
+            same_id = line.take();
         else
             line.fail("unknown word '" + line.take() + "'");
     }
@@ -360,11 +363,14 @@
         home = via;
     entry.work.tasks.assign(tasks, task);
     entry.run_times.assign(tasks, run_time);
-    return [this, name, entry, via, home, is_bare]
+    return [this, name, entry, via, home, is_bare, same_id]
     {
         submission_entry made = entry;
         if (made.has_id)
             made.work.id = is_bare ? name : this->hosts.id_at(home, name);
+        if (!same_id.empty())
+            made.work.id =
+                this->hosts.records().submissions.at(same_id).work.id;
         this->hosts.define(name, std::move(made));
         this->hosts.submit(name, via);
     };
--- a/test/fleet/virtual_links.cpp
+++ b/test/fleet/virtual_links.cpp
@@ -23,7 +23,6 @@
     link& used = this->links[key(from, to)];
     if (!used.open_at.contains(from))
         return;
-    ++this->sent;
     support::instant& last = used.last_arrival[to];
     last = std::max(last, this->options.queue.now() +
                               this->options.latency(from, to));
--- a/test/fleet/virtual_links.hpp
+++ b/test/fleet/virtual_links.hpp
@@ -55,11 +55,6 @@
     void heal_all();
     bool is_cut(const std::string& a, const std::string& b) const;
 
-    std::int64_t messages_sent() const
-    {
-        return this->sent;
-    }
-
 private:
     struct message_on_hold
     {
@@ -91,7 +86,6 @@
     virtual_links_options options;
     std::map<pair, link> links;
     std::set<pair> cuts;
-    std::int64_t sent = 0;
 };
 
 } // namespace chicorydrum::fleet
--- /dev/null
+++ b/test/measure/experiment.cpp
@@ -0,0 +1,227 @@
+#include "experiment.hpp"
+
+#include <cmath>
+#include <memory>
+#include <random>
+
+namespace chicorydrum::measure
+{
+
+namespace
+{
+
+constexpr int domain_count = 3;
+constexpr int hosts_per_domain = 3;
+constexpr int endpoints_per_domain = 16;
+constexpr double speed_spread = 4;
+
+const char* const bundle_text = "kinds:\n"
+                                "  - {name: quote, expected_run_time: 300}\n"
+                                "  - {name: lookup, expected_run_time: 300}\n"
+                                "  - {name: filing, expected_run_time: 300}\n"
+                                "teams:\n"
+                                "  - {name: desk}\n"
+                                "  - {name: flood}\n";
+
+std::string domain_name(int domain)
+{
+    return std::string(1, static_cast<char>('a' + domain));
+}
+
+void use_fixed_shares(decision::dispatcher_options& options)
+{
+    options.owner.scheduling.shares_work = false;
+}
+
+void refuse_nothing(decision::dispatcher_options& options)
+{
+    options.owner.sheds_predicted_late = false;
+    options.owner.scheduling.drops_late_tasks = false;
+    options.owner.max_open_bytes = std::size_t{1} << 40U;
+}
+
+} // namespace
+
+policy our_policy()
+{
+    return {.name = "ours", .apply = [](decision::dispatcher_options&) {
+            }};
+}
+
+std::vector<policy> routing_baselines(std::uint64_t seed)
+{
+    using candidates = std::vector<decision::route_candidate>;
+    const auto random = std::make_shared<std::mt19937_64>(seed);
+    const auto pick = [random](std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0,
+                                                          count - 1)(*random);
+    };
+    const auto with =
+        [](const std::string& name, const decision::routing_policy& choose)
+    {
+        return policy{.name = name,
+                      .apply = [choose](decision::dispatcher_options& options)
+                      {
+                          use_fixed_shares(options);
+                          options.owner.scheduling.pool.policy = choose;
+                      }};
+    };
+    const auto is_less_busy = [](const decision::route_candidate& a,
+                                 const decision::route_candidate& b)
+    {
+        return a.endpoint->in_use < b.endpoint->in_use;
+    };
+    const auto turn = std::make_shared<std::size_t>(0);
+    return {
+        with("random",
+             [pick](const candidates& all) { return pick(all.size()); }),
+        with("round_robin",
+             [turn](const candidates& all) { return (*turn)++ % all.size(); }),
+        with("least_outstanding",
+             [is_less_busy](const candidates& all)
+             {
+                 return static_cast<std::size_t>(
+                     std::min_element(all.begin(), all.end(), is_less_busy) -
+                     all.begin());
+             }),
+        with("two_choices",
+             [pick, is_less_busy](const candidates& all)
+             {
+                 const std::size_t a = pick(all.size());
+                 const std::size_t b = pick(all.size());
+                 return is_less_busy(all[a], all[b]) ? a : b;
+             }),
+        with("fixed_shares", decision::choose_fastest),
+    };
+}
+
+std::vector<policy> admission_baselines()
+{
+    const auto with =
+        [](const std::string& name, const decision::queue_policy& next)
+    {
+        return policy{.name = name,
+                      .apply = [next](decision::dispatcher_options& options)
+                      {
+                          refuse_nothing(options);
+                          options.owner.scheduling.next_record = next;
+                      }};
+    };
+    return {
+        with("fifo",
+             [](decision::fair_queue& queue, const decision::flow_filter&)
+             { return queue.peek_oldest(); }),
+        with("strict_priority",
+             [](decision::fair_queue& queue, const decision::flow_filter&)
+             { return queue.peek_most_urgent(); }),
+    };
+}
+
+deployment make_deployment(std::uint64_t seed)
+{
+    deployment made;
+    made.bundle = bundle_text;
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> exponent(-0.5, 0.5);
+    for (int i = 0; i < domain_count * endpoints_per_domain; ++i)
+        made.endpoints.push_back(
+            {.slots = 8, .slowness = std::pow(speed_spread, exponent(random))});
+    return made;
+}
+
+run_result run(const experiment& wanted)
+{
+    fleet::fleet all({.seed = wanted.seed,
+                      .keeps_logs = false,
+                      .cross_latency = wanted.setup.cross_latency,
+                      .caller_latency = wanted.setup.caller_latency,
+                      .adjust = wanted.rules.apply},
+                     {});
+    all.platform().preset_bundle(wanted.setup.bundle);
+    std::vector<std::string> hosts;
+    for (int d = 0; d < domain_count; ++d)
+        for (int i = 0; i < hosts_per_domain; ++i)
+        {
+            hosts.push_back(domain_name(d) + std::to_string(i));
+            all.add_host(hosts.back(), domain_name(d));
+        }
+    for (std::size_t i = 0; i < wanted.setup.endpoints.size(); ++i)
+    {
+        const true_endpoint& endpoint = wanted.setup.endpoints[i];
+        all.add_endpoint(
+            {.name = "e" + std::to_string(i),
+             .domain = domain_name(static_cast<int>(i) / endpoints_per_domain),
+             .slots = endpoint.slots,
+             .connections = 64,
+             .millicores = 16000,
+             .memory_mb = 65536},
+            endpoint.slowness);
+    }
+    if (wanted.prepare)
+        wanted.prepare(all);
+
+    // The balancer sends arrivals to the hosts in turn, past dead ones.
+    std::vector<std::size_t> calls(wanted.load.size());
+    std::size_t next_host = 0;
+    std::function<void(std::size_t)> submit = [&](std::size_t i)
+    {
+        const arrival& one = wanted.load[i];
+        const std::string name = "r" + std::to_string(i);
+        fleet::submission_entry entry;
+        entry.work.kind = one.kind;
+        entry.work.team = one.team;
+        entry.work.urgency = one.urgency;
+        entry.work.deadline_ms = one.deadline.count();
+        entry.work.tasks.resize(one.run_times.size());
+        entry.run_times = one.run_times;
+        entry.has_id = one.run_times.size() > 1;
+        do
+            next_host = (next_host + 1) % hosts.size();
+        while (!all.is_alive(hosts[next_host]));
+        if (entry.has_id)
+            entry.work.id = all.id_at(hosts[next_host], name);
+        all.define(name, std::move(entry));
+        calls[i] = all.submit(name, hosts[next_host]);
+        if (i + 1 < wanted.load.size())
+            all.events().at(wanted.load[i + 1].when,
+                            [&submit, i] { submit(i + 1); });
+    };
+    if (!wanted.load.empty())
+        all.events().at(wanted.load.front().when, [&submit] { submit(0); });
+    const support::instant end =
+        (wanted.load.empty() ? support::instant() : wanted.load.back().when) +
+        wanted.tail;
+    run_result result;
+    if (!wanted.load.empty())
+        // The quiet time after the load would count heartbeats only.
+        all.events().at(wanted.load.back().when,
+                        [&] { result.messages = all.messages(); });
+    all.run_until(end);
+
+    for (std::size_t i = 0; i < wanted.load.size(); ++i)
+    {
+        const fleet::call_record& call = all.records().calls[calls[i]];
+        outcome came;
+        came.response_seconds = support::in_seconds(call.answered - call.asked);
+        came.is_complete =
+            call.is_answered && call.answer.error == support::error_kind::none;
+        came.is_refused = call.is_answered && call.answer.not_run;
+        came.is_in_deadline =
+            came.is_complete &&
+            call.answered <= call.asked + wanted.load[i].deadline;
+        result.outcomes.push_back(came);
+    }
+    if (wanted.load.empty())
+        result.messages = all.messages();
+    result.starts = static_cast<std::int64_t>(all.records().starts.size());
+    result.violations = fleet::find_violations(all.records(), all.now());
+    for (const fleet::adoption_record& adoption : all.records().adoptions)
+        if (adoption.version > 1)
+            result.bundle_seconds = std::max(
+                result.bundle_seconds,
+                support::in_seconds(adoption.when - support::instant()));
+    return result;
+}
+
+} // namespace chicorydrum::measure
