Give each baseline random numbers of its own

Cause: two runs of utils/measure differed at the random baseline: random and two_choices drew from one generator on two threads.

Ruled out: the order of candidates and unordered containers; with deferred runs on one thread three runs were the same.

Change: one generator for each of the two.

--- a/test/measure/experiment.cpp
+++ b/test/measure/experiment.cpp
@@ -51,12 +51,18 @@
 std::vector<policy> routing_baselines(std::uint64_t seed)
 {
     using candidates = std::vector<decision::route_candidate>;
-    const auto random = std::make_shared<std::mt19937_64>(seed);
-    const auto pick = [random](std::size_t count)
+    // Each policy draws from numbers of its own: they run side by side.
+    const auto make_pick = [](std::uint64_t own_seed)
     {
-        return std::uniform_int_distribution<std::size_t>(0,
-                                                          count - 1)(*random);
+        const auto random = std::make_shared<std::mt19937_64>(own_seed);
+        return [random](std::size_t count)
+        {
+            return std::uniform_int_distribution<std::size_t>(0, count - 1)(
+                *random);
+        };
     };
+    const auto pick = make_pick(seed);
+    const auto pick_two = make_pick(seed + 1);
     const auto with =
         [](const std::string& name, const decision::routing_policy& choose)
     {
@@ -86,10 +92,10 @@
                      all.begin());
              }),
         with("two_choices",
-             [pick, is_less_busy](const candidates& all)
+             [pick_two, is_less_busy](const candidates& all)
              {
-                 const std::size_t a = pick(all.size());
-                 const std::size_t b = pick(all.size());
+                 const std::size_t a = pick_two(all.size());
+                 const std::size_t b = pick_two(all.size());
                  return is_less_busy(all[a], all[b]) ? a : b;
              }),
         with("fixed_shares", decision::choose_fastest),
