Borrow from all peers at once; refuse with room for long runs; fewer beats

Change: requests go to all peers of the domain and divide the need; offers to half of a peer's idle slots; would_be_late() leaves room for a run of the mean plus six deviations, at most half the deadline, and counts half of the idle slots that domain peers announce; heartbeats every 500 ms, silence 1,500 ms.

--- a/decision/include/chicorydrum/decision/membership.hpp
+++ b/decision/include/chicorydrum/decision/membership.hpp
@@ -19,8 +19,8 @@
 {
     schema::incarnation self;
     std::string domain;
-    support::milliseconds heartbeat_interval{250};
-    support::milliseconds silence_timeout{1000};
+    support::milliseconds heartbeat_interval{500};
+    support::milliseconds silence_timeout{1500};
 };
 
 /// One peer with an open link.
--- a/decision/include/chicorydrum/decision/run_time_model.hpp
+++ b/decision/include/chicorydrum/decision/run_time_model.hpp
@@ -22,6 +22,11 @@
     /// Mean run time of \p kind in seconds, or \p prior until one is known.
     double kind_seconds(const std::string& kind, double prior) const;
 
+    /// A run time of \p kind in seconds that few tasks exceed: the mean and
+    /// six standard deviations, as run times have a long tail, or \p prior
+    /// until one is known.
+    double kind_tail_seconds(const std::string& kind, double prior) const;
+
     /// How much slower \p endpoint is than the average one: 1 is average,
     /// 2 takes twice as long. Unknown endpoints count as slightly faster
     /// than average, so that they get tried.
@@ -36,6 +41,7 @@
     struct kind_state
     {
         double mean_seconds = 0;
+        double variance = 0;
         double log_mean = 0;
         std::size_t samples = 0;
     };
--- a/decision/include/chicorydrum/decision/scheduler.hpp
+++ b/decision/include/chicorydrum/decision/scheduler.hpp
@@ -126,9 +126,9 @@
         return this->is_held;
     }
 
-    /// Seconds until a submission with \p tasks tasks more in its flow would
-    /// be finished, if every flow with work keeps its share busy.
-    double predicted_seconds(const schema::submission& work) const;
+    /// Whether \p work would miss its deadline behind what waits now, if
+    /// every flow with work keeps its share busy.
+    bool would_be_late(const schema::submission& work) const;
 
     /// Size of one task of \p work after correction by the learned ratio.
     task_size size_of(const schema::submission& work, std::size_t task) const;
@@ -173,6 +173,7 @@
     };
 
     double cost_of(const std::string& kind) const;
+    double predicted_wait_seconds(const schema::submission& work) const;
     bool is_late(const submission_record& record, support::instant now) const;
     bool reserve_allows(const std::string& kind, int idle) const;
     bool quota_allows(const std::string& team) const;
--- a/decision/include/chicorydrum/decision/slot_market.hpp
+++ b/decision/include/chicorydrum/decision/slot_market.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/decision/messages.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,12 +22,12 @@
     support::milliseconds first_denial_pause{20};
     support::milliseconds max_denial_pause{320};
     /// Most slots asked for in one request.
-    int max_request = 16;
+    int max_request = 64;
 };
 
 /// Slots move by leases. Peers' links are reliable and ordered, so a slot
 /// comes back by the borrower's return; if the link breaks, the lender takes
-/// it back when the lease is over. At most one request is open at a time.
+/// it back when the lease is over. At most one request is open to each peer.
 class slot_market
 {
 public:
@@ -35,8 +36,8 @@
 
     void set_lease(support::milliseconds lease);
 
-    /// Asks a peer for \p slots, on \p endpoint if that is not empty. True
-    /// if a request is open now; false if nobody can be asked.
+    /// Asks peers for \p slots, on \p endpoint if that is not empty. True if a
+    /// request is open now; false if nobody can be asked.
     bool want(int slots, const std::string& endpoint, support::instant now);
 
     /// Answers a peer's request. \p has_waiting_work denies all but requests
@@ -92,7 +93,8 @@
         support::milliseconds pause{0};
     };
 
-    const peer_state* choose_lender(support::instant now) const;
+    bool may_ask(const peer_state& peer, support::instant now) const;
+    void ask(const std::string& host, int slots, const std::string& endpoint);
     std::vector<schema::slot_count> pick_idle(int wanted, int max_total) const;
     void close(borrowed_lease& lease);
     bool return_unused(borrowed_lease& lease);
@@ -104,8 +106,8 @@
     std::map<std::int64_t, lent_lease> lent;
     std::vector<borrowed_lease> borrowed;
     std::map<std::string, denial> denials;
-    /// The lender that was asked and has not answered, or empty.
-    std::string asked;
+    /// Peers that were asked and have not answered.
+    std::set<std::string> asked;
     std::int64_t next_lease = 1;
     std::int64_t request_count = 0;
     std::int64_t denial_count = 0;
--- a/decision/lib/scheduler.cpp
+++ b/decision/lib/scheduler.cpp
@@ -102,7 +102,7 @@
     if (!this->options.drops_late_tasks)
         return false;
     const double left = support::in_seconds(record.deadline - now);
-    return left < this->cost_of(record.work.kind) * 0.5;
+    return left < this->cost_of(record.work.kind);
 }
 
 bool scheduler::reserve_allows(const std::string& kind, int idle) const
@@ -161,7 +161,7 @@
 void scheduler::peer_has_idle(const std::string& host, int slots)
 {
     // Other hosts see the same idle slots; each takes its part of them.
-    constexpr int likely_offerers = 4;
+    constexpr int likely_offerers = 2;
     this->offers_left[host] = slots / likely_offerers;
 }
 
@@ -537,17 +537,36 @@
     this->lending.tick(this->queue.waiting_tasks() > 0, now);
 }
 
-double scheduler::predicted_seconds(const schema::submission& work) const
+double scheduler::predicted_wait_seconds(const schema::submission& work) const
 {
-    const double cost = this->cost_of(work.kind);
+    const bool can_start_now =
+        this->queue.waiting_tasks() == 0 &&
+        this->pool.idle_slots() >= static_cast<int>(work.tasks.size());
+    if (can_start_now)
+        return 0;
     const auto waiting = static_cast<double>(
         this->queue.waiting_tasks(work.kind, work.team) + work.tasks.size());
     const double part = this->queue.guaranteed_part(work.kind, work.team);
-    const double slots = std::max(1, this->pool.usable_slots());
-    const bool is_idle =
-        this->queue.waiting_tasks() == 0 &&
-        this->pool.idle_slots() >= static_cast<int>(work.tasks.size());
-    return is_idle ? cost : cost + cost * waiting / (slots * part);
+    // Peers of the domain lend what they have idle; others may ask as well.
+    double slots = std::max(1, this->pool.usable_slots());
+    for (const auto& [host, peer] : this->members.peers())
+        if (peer.domain == this->members.domain())
+            slots += peer.idle_slots / 2.0;
+    return this->cost_of(work.kind) * waiting / (slots * part);
+}
+
+bool scheduler::would_be_late(const schema::submission& work) const
+{
+    const double deadline = static_cast<double>(work.deadline_ms) / 1000.0;
+    const double mean = this->cost_of(work.kind);
+    const double wait = this->predicted_wait_seconds(work);
+    if (wait <= 0)
+        return mean > deadline;
+    // Room for a long run, but not more than half of a short deadline.
+    const double run =
+        std::min(deadline / 2,
+                 this->pool.run_times().kind_tail_seconds(work.kind, mean));
+    return wait + std::max(mean, run) > deadline;
 }
 
 } // namespace chicorydrum::decision
--- a/decision/lib/slot_market.cpp
+++ b/decision/lib/slot_market.cpp
@@ -17,39 +17,44 @@
     this->options.lease = lease;
 }
 
-const peer_state* slot_market::choose_lender(support::instant now) const
+bool slot_market::may_ask(const peer_state& peer, support::instant now) const
 {
-    const peer_state* best = nullptr;
-    for (const auto& [host, peer] : this->members.peers())
-    {
-        if (peer.domain != this->members.domain() || peer.stopping)
-            continue;
-        const auto denied = this->denials.find(host);
-        if (denied != this->denials.end() && now < denied->second.until)
-            continue;
-        if (best == nullptr || peer.idle_slots > best->idle_slots)
-            best = &peer;
-    }
-    return best;
+    const std::string& host = peer.who.host;
+    if (peer.domain != this->members.domain() || peer.stopping ||
+        this->asked.contains(host))
+        return false;
+    const auto denied = this->denials.find(host);
+    return denied == this->denials.end() || now >= denied->second.until;
 }
 
-bool slot_market::want(int slots, const std::string& endpoint,
-                       support::instant now)
+void slot_market::ask(const std::string& host, int slots,
+                      const std::string& endpoint)
 {
-    if (!this->asked.empty())
-        return true;
-    const peer_state* const lender = this->choose_lender(now);
-    if (lender == nullptr)
-        return false;
     schema::slot_request request;
-    request.wanted = std::min(slots, this->options.max_request);
+    request.wanted = slots;
     request.endpoint = endpoint;
     schema::peer_message message;
     message.__set_slots_requested(request);
-    this->asked = lender->who.host;
+    this->asked.insert(host);
     ++this->request_count;
-    this->out.push(send_to_peer{.host = this->asked, .message = message});
-    return true;
+    this->out.push(send_to_peer{.host = host, .message = message});
+}
+
+bool slot_market::want(int slots, const std::string& endpoint,
+                       support::instant now)
+{
+    std::vector<std::string> lenders;
+    for (const auto& [host, peer] : this->members.peers())
+        if (this->may_ask(peer, now))
+            lenders.push_back(host);
+    // The need is divided, so that two grants are not twice the need.
+    const int count = static_cast<int>(lenders.size());
+    for (const std::string& host : lenders)
+        this->ask(host,
+                  std::clamp((slots + count - 1) / count, 1,
+                             this->options.max_request),
+                  endpoint);
+    return !this->asked.empty();
 }
 
 std::vector<schema::slot_count> slot_market::pick_idle(int wanted,
@@ -120,8 +125,7 @@
                            const schema::slot_grant& grant,
                            support::instant now)
 {
-    if (this->asked == from)
-        this->asked.clear();
+    this->asked.erase(from);
     denial& denied = this->denials[from];
     if (grant.slots.empty())
     {
@@ -174,8 +178,7 @@
 
 void slot_market::peer_left(const std::string& host, support::instant now)
 {
-    if (this->asked == host)
-        this->asked.clear();
+    this->asked.erase(host);
     this->denials.erase(host);
     for (auto& [id, lease] : this->lent)
     {
--- a/decision/lib/submission_owner.cpp
+++ b/decision/lib/submission_owner.cpp
@@ -17,8 +17,6 @@
 constexpr double max_retry_tokens = 20;
 /// Records in one batch to a witness.
 constexpr std::size_t max_batch_records = 256;
-/// A prediction counts as late only beyond this part of the time left.
-constexpr double shed_margin = 0.9;
 
 schema::witness_record make_witness_record(const submission_record& record)
 {
@@ -120,8 +118,7 @@
     if (this->table.open_bytes() > this->options.max_open_bytes)
         return refuse_with(error_kind::no_capacity, "the host's queue is full");
     if (this->options.sheds_predicted_late &&
-        this->scheduling.predicted_seconds(work) * 1000 * shed_margin >
-            static_cast<double>(work.deadline_ms))
+        this->scheduling.would_be_late(work))
         return refuse_with(error_kind::shed,
                            "it could not finish before its deadline");
     const double rate = static_cast<double>(team->max_tasks_per_second) /
--- a/schema/idl/settings.thrift
+++ b/schema/idl/settings.thrift
@@ -34,8 +34,8 @@
 
 /// Timing of the links between entry hosts.
 struct peer_link_settings {
-  1: i64 heartbeat_interval = 250 (unit = "ms", min = "50", max = "5000")
-  2: i64 silence_timeout = 1000 (unit = "ms", min = "150", max = "20000")
+  1: i64 heartbeat_interval = 500 (unit = "ms", min = "50", max = "5000")
+  2: i64 silence_timeout = 1500 (unit = "ms", min = "150", max = "20000")
   3: i64 redial_interval = 300 (unit = "ms", min = "50", max = "10000")
   4: i64 claim_timeout = 500 (unit = "ms", min = "20", max = "10000")
 }
@@ -89,7 +89,7 @@
   1: i32 max_ejected = 30 (unit = "percent", min = "0", max = "90")
   2: i32 retry_budget = 10 (unit = "percent", min = "0", max = "100")
   3: i64 slot_lease = 500 (unit = "ms", min = "50", max = "10000")
-  4: i32 spill_budget = 20 (unit = "percent", min = "0", max = "100")
+  4: i32 spill_budget = 50 (unit = "percent", min = "0", max = "100")
   5: i32 max_job_tasks = 1000 (min = "1", max = "10000")
   6: i64 attempt_timeout = 20000 (unit = "ms", min = "100", max = "600000")
 }
