--- a/decision/include/chicorydrum/decision/dispatcher.hpp
+++ b/decision/include/chicorydrum/decision/dispatcher.hpp
@@ -140,6 +140,7 @@
                       const std::string& source);
     void peers_changed(support::instant now);
     void send_heartbeats(support::instant now);
+    void send_speed_report(support::instant now);
     void advance_stop(support::instant now);
     void log(const std::string& id, support::log_line line);
     void send(const std::string& host, schema::peer_message message);
@@ -157,6 +158,7 @@
     call_relay relay;
     key_claims keys;
     support::instant next_heartbeat;
+    support::instant next_speed_report;
     support::instant bundle_requested_at;
     stop_phase stop_state = stop_phase::none;
     support::instant stop_phase_since;
--- a/decision/include/chicorydrum/decision/endpoint_pool.hpp
+++ b/decision/include/chicorydrum/decision/endpoint_pool.hpp
@@ -123,6 +123,9 @@
                support::decision_clock::duration run_time,
                support::instant now);
 
+    /// Takes in what a peer learned of the endpoints' speeds.
+    void merge_speeds(const schema::speed_report& report);
+
     endpoint_state* find(const std::string& name);
     const std::map<std::string, endpoint_state>& endpoints() const
     {
--- a/decision/include/chicorydrum/decision/run_time_model.hpp
+++ b/decision/include/chicorydrum/decision/run_time_model.hpp
@@ -2,6 +2,7 @@
 /// Learned run times: how long a kind takes, and how fast an endpoint is.
 #pragma once
 
+#include "chicorydrum/schema/generated/messages_types.h"
 #include "chicorydrum/support/clock.hpp"
 
 #include <string>
@@ -37,7 +38,18 @@
 
     void forget_endpoint(const std::string& endpoint);
 
+    /// What was observed since the last call, for the peers of the domain.
+    schema::speed_report take_report();
+    /// Takes in what a peer observed.
+    void merge(const schema::speed_report& report);
+
 private:
+    struct endpoint_state;
+
+    /// Moves the endpoint's factor towards \p samples with this mean.
+    static void learn(endpoint_state& endpoint, double mean_residual,
+                      int samples);
+
     struct kind_state
     {
         double mean_seconds = 0;
@@ -50,6 +62,9 @@
     {
         double log_factor = 0;
         std::size_t samples = 0;
+        /// Not reported to peers yet.
+        double unreported_sum = 0;
+        int unreported = 0;
     };
 
     std::unordered_map<std::string, kind_state> kinds;
--- a/decision/lib/dispatcher.cpp
+++ b/decision/lib/dispatcher.cpp
@@ -14,6 +14,7 @@
 
 /// A bundle is asked for again if none came within this time.
 constexpr support::milliseconds bundle_request_interval{500};
+constexpr support::milliseconds speed_report_interval{1000};
 
 } // namespace
 
@@ -67,7 +68,7 @@
                 this->reply(who, result);
             }},
            this->out),
-      next_heartbeat(now), stop_phase_since(now)
+      next_heartbeat(now), next_speed_report(now), stop_phase_since(now)
 {
 }
 
@@ -349,6 +350,9 @@
     else if (set.bundle_pushed)
         this->adopt_bundle(said.bundle_pushed.version, said.bundle_pushed.text,
                            from);
+    else if (set.speeds_reported)
+        this->submissions.tasks().endpoints().merge_speeds(
+            said.speeds_reported);
     else if (set.bundle_requested && this->current_bundle.version() >
                                          said.bundle_requested.known_version)
     {
@@ -493,6 +497,21 @@
         this->send(host, message);
 }
 
+void dispatcher::send_speed_report(support::instant now)
+{
+    if (now < this->next_speed_report)
+        return;
+    this->next_speed_report = now + speed_report_interval;
+    schema::peer_message message;
+    message.__set_speeds_reported(
+        this->submissions.tasks().endpoints().run_times().take_report());
+    if (message.speeds_reported.endpoints.empty())
+        return;
+    for (const auto& [host, peer] : this->peers.peers())
+        if (peer.domain == this->peers.domain())
+            this->send(host, message);
+}
+
 void dispatcher::on(const ticked& /*tick*/, support::instant now)
 {
     for (const std::string& host : this->peers.silent_peers(now))
@@ -502,6 +521,7 @@
     }
     this->peers_changed(now);
     this->send_heartbeats(now);
+    this->send_speed_report(now);
     this->submissions.tick(now);
     this->relay.tick(now);
     this->witnessed.purge(now);
--- a/decision/lib/endpoint_pool.cpp
+++ b/decision/lib/endpoint_pool.cpp
@@ -247,6 +247,17 @@
         state->slowness = this->model.slowness(endpoint);
 }
 
+void endpoint_pool::merge_speeds(const schema::speed_report& report)
+{
+    this->model.merge(report);
+    for (const schema::speed_sample& sample : report.endpoints)
+    {
+        endpoint_state* const state = this->find(sample.endpoint);
+        if (state != nullptr)
+            state->slowness = this->model.slowness(sample.endpoint);
+    }
+}
+
 endpoint_state* endpoint_pool::find(const std::string& name)
 {
     const auto found = this->states.find(name);
--- a/decision/lib/run_time_model.cpp
+++ b/decision/lib/run_time_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chicorydrum::decision
 {
@@ -32,7 +33,6 @@
     kind_state& of_kind = this->kinds[kind];
     endpoint_state& of_endpoint = this->endpoints[endpoint];
     ++of_kind.samples;
-    ++of_endpoint.samples;
     const double kind_gain = gain(of_kind.samples, min_kind_gain);
     const double deviation = seconds - of_kind.mean_seconds;
     of_kind.mean_seconds += kind_gain * deviation;
@@ -41,9 +41,43 @@
     const double unexplained =
         log_seconds - of_endpoint.log_factor - of_kind.log_mean;
     of_kind.log_mean += kind_gain * unexplained;
-    of_endpoint.log_factor +=
-        gain(of_endpoint.samples + 1, min_endpoint_gain) *
-        (log_seconds - of_kind.log_mean - of_endpoint.log_factor);
+    const double residual = log_seconds - of_kind.log_mean;
+    of_endpoint.unreported_sum += residual;
+    ++of_endpoint.unreported;
+    learn(of_endpoint, residual, 1);
+}
+
+void run_time_model::learn(endpoint_state& endpoint, double mean_residual,
+                           int samples)
+{
+    endpoint.samples += static_cast<std::size_t>(samples);
+    const double gain_of_one = gain(endpoint.samples + 1, min_endpoint_gain);
+    const double gain_of_all = 1 - std::pow(1 - gain_of_one, samples);
+    endpoint.log_factor += gain_of_all * (mean_residual - endpoint.log_factor);
+}
+
+schema::speed_report run_time_model::take_report()
+{
+    schema::speed_report report;
+    for (auto& [name, state] : this->endpoints)
+    {
+        if (state.unreported == 0)
+            continue;
+        schema::speed_sample sample;
+        sample.endpoint = name;
+        sample.log_residual_sum = std::exchange(state.unreported_sum, 0);
+        sample.samples = std::exchange(state.unreported, 0);
+        report.endpoints.push_back(std::move(sample));
+    }
+    return report;
+}
+
+void run_time_model::merge(const schema::speed_report& report)
+{
+    for (const schema::speed_sample& sample : report.endpoints)
+        if (sample.samples > 0 && std::isfinite(sample.log_residual_sum))
+            learn(this->endpoints[sample.endpoint],
+                  sample.log_residual_sum / sample.samples, sample.samples);
 }
 
 double run_time_model::kind_seconds(const std::string& kind, double prior) const
--- a/schema/idl/messages.thrift
+++ b/schema/idl/messages.thrift
@@ -191,6 +191,17 @@
   1: i64 known_version
 }
 
+/// What a host learned of endpoints since its last report: the logarithms of
+/// run times, less the mean of their kind, summed up.
+struct speed_sample {
+  1: string endpoint
+  2: double log_residual_sum
+  3: i32 samples
+}
+struct speed_report {
+  1: list<speed_sample> endpoints
+}
+
 union peer_message {
   1: hello greeting
   2: heartbeat beat
@@ -210,4 +221,5 @@
   16: offer_reply offer_replied
   17: bundle_push bundle_pushed
   18: bundle_request bundle_requested
+  19: speed_report speeds_reported
 }
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -230,6 +230,7 @@
     const auto& set = todo.message.__isset;
     ++this->counted.all_peer_messages;
     this->counted.heartbeats += set.beat ? 1 : 0;
+    this->counted.speed_reports += set.speeds_reported ? 1 : 0;
     this->counted.bundle_messages +=
         set.bundle_pushed || set.bundle_requested ? 1 : 0;
     if (set.slots_granted && todo.message.slots_granted.slots.empty())
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -52,6 +52,7 @@
 struct message_counts
 {
     std::int64_t heartbeats = 0;
+    std::int64_t speed_reports = 0;
     std::int64_t denied_slot_requests = 0;
     std::int64_t refused_offers = 0;
     std::int64_t refused_attempts = 0;
@@ -62,7 +63,7 @@
     /// question and the reply.
     std::int64_t wasted() const
     {
-        return this->heartbeats +
+        return this->heartbeats + this->speed_reports +
                2 * (this->denied_slot_requests + this->refused_offers +
                     this->refused_attempts);
     }
--- a/transport/lib/peer_codec.cpp
+++ b/transport/lib/peer_codec.cpp
@@ -25,7 +25,7 @@
            set.witness_queried + set.handed_over + set.handover_replied +
            set.slots_requested + set.slots_granted + set.slots_returned +
            set.offered + set.offer_replied + set.bundle_pushed +
-           set.bundle_requested;
+           set.bundle_requested + set.speeds_reported;
 }
 
 } // namespace
