--- a/cli/lib/commands.cpp
+++ b/cli/lib/commands.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/cli/commands.hpp"
 
 #include "chicorydrum/support/digest.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 #include "chicorydrum/support/yaml_reader.hpp"
 
 #include <algorithm>
@@ -36,8 +37,7 @@
 /// The body as JSON; an object in any case.
 json parse_body(const client_outcome& outcome)
 {
-    json parsed = json::parse(outcome->body, nullptr, false);
-    return parsed.is_object() ? parsed : json::object();
+    return support::parse_json_object(outcome->body);
 }
 
 /// Reports an error answer and picks the exit code that is true of it.
--- a/daemon/lib/endpoint_client.cpp
+++ b/daemon/lib/endpoint_client.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/daemon/endpoint_client.hpp"
 
 #include "chicorydrum/support/ids.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -58,15 +59,10 @@
         return ended;
     ended.outcome = attempt_outcome::succeeded;
     ended.result = parsed["result"];
-    const auto used = [&parsed](const char* name)
-    {
-        const auto found = parsed.find(name);
-        const bool is_number =
-            found != parsed.end() && found->is_number_integer();
-        return is_number ? found->get<int>() : 0;
-    };
-    ended.used_millicores = used("used_millicores");
-    ended.used_memory_mb = used("used_memory_mb");
+    ended.used_millicores =
+        static_cast<int>(support::integer_field(parsed, "used_millicores"));
+    ended.used_memory_mb =
+        static_cast<int>(support::integer_field(parsed, "used_memory_mb"));
     return ended;
 }
 
@@ -113,7 +109,7 @@
     const json parsed = json::parse(outcome->body, nullptr, false);
     if (outcome->status != 200 || !parsed.is_object())
         return checked;
-    const std::string state = parsed.value("state", "");
+    const std::string state = support::text_field(parsed, "state");
     if (state == "running")
         checked.state = decision::attempt_check::running;
     if (state == "failed")
@@ -121,7 +117,7 @@
     if (state == "succeeded")
     {
         checked.state = decision::attempt_check::succeeded;
-        checked.result = parsed.value("result", "");
+        checked.result = support::text_field(parsed, "result");
     }
     return checked;
 }
--- a/daemon/lib/http_api.cpp
+++ b/daemon/lib/http_api.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorydrum/daemon/json_codec.hpp"
 #include "chicorydrum/support/digest.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 #include "chicorydrum/support/yaml_reader.hpp"
 
 #include <algorithm>
@@ -64,20 +65,6 @@
         .count();
 }
 
-json parse_operator_body(const std::string& body)
-{
-    json parsed = json::parse(body, nullptr, false);
-    return parsed.is_object() ? parsed : json::object();
-}
-
-/// A string of an operator's body, or empty.
-std::string operator_text(const json& object, const char* name)
-{
-    const auto found = object.find(name);
-    const bool is_text = found != object.end() && found->is_string();
-    return is_text ? found->get<std::string>() : std::string();
-}
-
 } // namespace
 
 const std::vector<http_api::route>& http_api::routes()
@@ -448,23 +435,23 @@
 void http_api::post_bundle_propose(exchange_id id, const http_request& request,
                                    const std::string& /*rest*/)
 {
-    const json body = parse_operator_body(request.body);
-    const std::string who = operator_text(body, "operator");
+    const json body = support::parse_json_object(request.body);
+    const std::string who = support::text_field(body, "operator");
     if (who.empty())
         this->respond_error(id, error_kind::bad_request,
                             "'operator' is missing");
     else
         decision::propose_bundle(this->options.platform.bundle_store(),
-                                 operator_text(body, "text"), who,
+                                 support::text_field(body, "text"), who,
                                  this->step_hook(id));
 }
 
 void http_api::post_bundle_sign_off(exchange_id id, const http_request& request,
                                     const std::string& /*rest*/)
 {
-    const json body = parse_operator_body(request.body);
-    const std::string who = operator_text(body, "operator");
-    const std::string digest = operator_text(body, "digest");
+    const json body = support::parse_json_object(request.body);
+    const std::string who = support::text_field(body, "operator");
+    const std::string digest = support::text_field(body, "digest");
     if (who.empty() || digest.empty())
         this->respond_error(id, error_kind::bad_request,
                             "'operator' or 'digest' is missing");
@@ -476,9 +463,9 @@
 void http_api::post_bundle_roll(exchange_id id, const http_request& request,
                                 const std::string& /*rest*/)
 {
-    const json body = parse_operator_body(request.body);
-    const std::string who = operator_text(body, "operator");
-    const std::string digest = operator_text(body, "digest");
+    const json body = support::parse_json_object(request.body);
+    const std::string who = support::text_field(body, "operator");
+    const std::string digest = support::text_field(body, "digest");
     if (who.empty() || digest.empty())
     {
         this->respond_error(id, error_kind::bad_request,
--- a/daemon/lib/platform_client.cpp
+++ b/daemon/lib/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/daemon/platform_client.hpp"
 
 #include "chicorydrum/support/digest.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -202,8 +203,9 @@
                 return done(support::fail(error_kind::store_unavailable,
                                           "the platform's answer is "
                                           "malformed"));
-            done(decision::table_row{.value = parsed.value("value", ""),
-                                     .version = parsed.value("version", 0)});
+            done(decision::table_row{
+                .value = support::text_field(parsed, "value"),
+                .version = support::integer_field(parsed, "version")});
         });
 }
 
--- a/decision/lib/bundle_operator.cpp
+++ b/decision/lib/bundle_operator.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorydrum/decision/bundle_view.hpp"
 #include "chicorydrum/support/digest.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 #include "chicorydrum/support/yaml_reader.hpp"
 
 #include <memory>
@@ -38,8 +39,8 @@
     const json parsed = json::parse(text, nullptr, false);
     if (!parsed.is_object())
         return std::nullopt;
-    return proposal{.proposer = parsed.value("proposer", ""),
-                    .signer = parsed.value("signer", "")};
+    return proposal{.proposer = support::text_field(parsed, "proposer"),
+                    .signer = support::text_field(parsed, "signer")};
 }
 
 std::string proposal_key(const std::string& digest)
@@ -287,11 +288,11 @@
         return fail(error_kind::internal,
                     "the platform's table holds a malformed bundle record");
     return accepted_bundle{.version = parsed["version"],
-                           .digest = parsed.value("digest", ""),
-                           .proposer = parsed.value("proposer", ""),
-                           .signer = parsed.value("signer", ""),
-                           .roller = parsed.value("roller", ""),
-                           .token = parsed.value("token", "")};
+                           .digest = support::text_field(parsed, "digest"),
+                           .proposer = support::text_field(parsed, "proposer"),
+                           .signer = support::text_field(parsed, "signer"),
+                           .roller = support::text_field(parsed, "roller"),
+                           .token = support::text_field(parsed, "token")};
 }
 
 std::string history_key(std::int64_t version)
--- /dev/null
+++ b/decision/unittests/tables_test.cpp
@@ -0,0 +1,168 @@
+#include "chicorydrum/decision/answers.hpp"
+#include "chicorydrum/decision/bundle_view.hpp"
+#include "chicorydrum/decision/submission_table.hpp"
+#include "chicorydrum/decision/witness_table.hpp"
+#include "chicorydrum/support/yaml_reader.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chicorydrum;
+using namespace chicorydrum::decision;
+using support::error_kind;
+using support::instant;
+using support::milliseconds;
+
+namespace
+{
+
+instant at(int ms)
+{
+    return instant(milliseconds(ms));
+}
+
+support::submission_id parse(const std::string& text)
+{
+    return support::parse_submission_id(text).value();
+}
+
+schema::witness_record make_claim(const std::string& id)
+{
+    schema::witness_record record;
+    record.id = id;
+    record.digest = "d";
+    record.witnessed = true;
+    return record;
+}
+
+record_ptr make_finished(const std::string& id)
+{
+    auto record = std::make_shared<submission_record>();
+    record->work.id = id;
+    record->work.tasks.resize(1);
+    return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tables)
+
+BOOST_AUTO_TEST_CASE(a_closed_id_takes_no_claim)
+{
+    witness_table table({});
+    const std::string id = "a~1~w~2~1.k";
+    const auto told =
+        table.answer_for(parse(id), "d", claim_rule::always_claimed, at(0));
+    BOOST_TEST(told.not_run);
+    BOOST_TEST(!table.claim(make_claim(id), at(1)));
+    BOOST_TEST(table.claim(make_claim("a~1~w~2~1.other"), at(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_claimed_or_unclaimable_id_may_have_run)
+{
+    witness_table table({});
+    table.claim(make_claim("a~1~w~2~1.k"), at(0));
+    BOOST_TEST(!table
+                    .answer_for(parse("a~1~w~2~1.k"), "d",
+                                claim_rule::always_claimed, at(1))
+                    .not_run);
+    BOOST_TEST(!table
+                    .answer_for(parse("a~1~w~2~1.q"), "d",
+                                claim_rule::may_be_unclaimed, at(1))
+                    .not_run);
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_record_is_never_called_not_run)
+{
+    witness_table table({.max_age = milliseconds(1000)});
+    table.claim(make_claim("a~1~w~2~3.k"), at(0));
+    table.purge(at(2000));
+    BOOST_TEST(table.size() == 0U);
+    const auto told = table.answer_for(parse("a~1~w~2~3.k"), "d",
+                                       claim_rule::always_claimed, at(2000));
+    BOOST_TEST((told.error == error_kind::undetermined));
+    BOOST_TEST(!told.not_run);
+    BOOST_TEST(!table.claim(make_claim("a~1~w~2~2.j"), at(2000)));
+    BOOST_TEST(table.claim(make_claim("a~1~w~2~4.j"), at(2000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_complete_table_proves_what_is_not_in_it)
+{
+    witness_table table({});
+    schema::handover handed;
+    handed.owner.host = "a";
+    handed.owner.nonce = 1;
+    handed.purged_generation = 2;
+    table.take_over(handed, at(0));
+    const auto ask = [&table](const std::string& id)
+    {
+        return table.answer_for(parse(id), "d", claim_rule::may_be_unclaimed,
+                                at(1));
+    };
+    BOOST_TEST(ask("a~1~w~2~3.k").not_run);
+    BOOST_TEST(!ask("a~1~w~2~2.k").not_run);
+    BOOST_TEST(!table.claim(make_claim("a~1~w~2~3.l"), at(2)));
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_never_takes_a_forgotten_id_for_a_fresh_one)
+{
+    submission_table table({.max_age = milliseconds(1000)});
+    const std::string id = "a~1~w~2~3.k";
+    const record_ptr record = make_finished(id);
+    table.insert(record);
+    BOOST_TEST((table.look_up(parse(id)) == id_knowledge::recorded));
+    record->phase = submission_phase::finished;
+    table.finished(record, at(0));
+    table.purge(at(2000));
+    BOOST_TEST((table.look_up(parse(id)) == id_knowledge::forgotten));
+    BOOST_TEST((table.look_up(parse("a~1~w~2~4.k")) == id_knowledge::fresh));
+    BOOST_TEST(table.open_bytes() == 0U);
+    BOOST_TEST(table.kept_bytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_kept_within_their_bytes)
+{
+    submission_table table({.max_bytes = 4000});
+    for (int i = 0; i < 50; ++i)
+    {
+        const record_ptr record =
+            make_finished("a~1~w~2~1.k" + std::to_string(i));
+        table.insert(record);
+        record->phase = submission_phase::finished;
+        table.finished(record, at(i));
+    }
+    table.purge(at(60));
+    BOOST_TEST(table.kept_bytes() <= 4000U);
+    BOOST_TEST(
+        (table.look_up(parse("a~1~w~2~1.k49")) == id_knowledge::recorded));
+    BOOST_TEST(
+        (table.look_up(parse("a~1~w~2~1.k0")) == id_knowledge::forgotten));
+}
+
+BOOST_AUTO_TEST_CASE(refusals_are_remembered_as_long_as_answers)
+{
+    submission_table table({.max_age = milliseconds(1000)});
+    const auto id = parse("a~1~w~2~1.k");
+    table.remember_refusal(id, error_kind::shed, at(0));
+    table.purge(at(900));
+    BOOST_TEST((table.look_up(id) == id_knowledge::refused));
+    table.purge(at(1100));
+    BOOST_TEST((table.look_up(id) == id_knowledge::forgotten));
+}
+
+BOOST_AUTO_TEST_CASE(a_kind_keeps_its_repeatable_flag)
+{
+    const auto read = [](const std::string& kind)
+    {
+        return support::read_bundle(
+                   "kinds: [" + kind + "]\nteams: [{name: t}]\n", "b")
+            .value();
+    };
+    const auto before = read("{name: k}");
+    BOOST_TEST(
+        find_bundle_conflict(before, read("{name: k, share: 2}")).empty());
+    BOOST_TEST(
+        !find_bundle_conflict(before, read("{name: k, repeatable: false}"))
+             .empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
