--- a/daemon/include/chicorydrum/daemon/platform_client.hpp
+++ b/daemon/include/chicorydrum/daemon/platform_client.hpp
@@ -59,6 +59,7 @@
 
     void poll();
     void poll_hosts();
+    void take_host_list(const transport::client_outcome& outcome);
     void poll_bundle();
     void fetch_bundle(const decision::accepted_bundle& accepted);
     /// Sends \p request within budget and breaker; a request that may not be
@@ -80,6 +81,8 @@
     decision::rate_limiter write_budget;
     transport::timer poll_timer;
     std::int64_t known_bundle_version = 0;
+    /// Revision of the host list that was read last; 0 before the first.
+    std::int64_t host_list_revision = 0;
     bool is_fetching_bundle = false;
     std::int64_t read_count = 0;
     std::int64_t write_count = 0;
--- a/daemon/lib/platform_client.cpp
+++ b/daemon/lib/platform_client.cpp
@@ -133,21 +133,35 @@
 
 void platform_client::poll_hosts()
 {
-    this->send(
-        this->make_request(http_method::get, "/hosts", ""),
-        [this](const client_outcome& outcome)
-        {
-            if (!outcome || outcome->status != 200)
-            {
-                this->options.on_event(decision::host_list_unavailable{});
-                return;
-            }
-            auto list = parse_host_list(outcome->body);
-            if (!list)
-                this->options.on_event(decision::host_list_unavailable{});
-            else
-                this->options.on_event(std::move(*list));
-        });
+    // A list of thousands of workers is sent only when it has changed.
+    this->send(this->make_request(http_method::get,
+                                  "/hosts/since/" +
+                                      std::to_string(this->host_list_revision),
+                                  ""),
+               [this](const client_outcome& outcome)
+               { this->take_host_list(outcome); });
+}
+
+void platform_client::take_host_list(const client_outcome& outcome)
+{
+    constexpr int not_modified = 304;
+    if (outcome && outcome->status == not_modified)
+    {
+        this->options.on_event(decision::host_list_unchanged{});
+        return;
+    }
+    auto list = outcome && outcome->status == 200
+                    ? parse_host_list(outcome->body)
+                    : support::fail(error_kind::store_unavailable,
+                                    "the platform did not answer");
+    if (!list)
+    {
+        this->options.on_event(decision::host_list_unavailable{});
+        return;
+    }
+    this->host_list_revision = support::integer_field(
+        support::parse_json_object(outcome->body), "revision");
+    this->options.on_event(std::move(*list));
 }
 
 void platform_client::poll_bundle()
--- a/decision/include/chicorydrum/decision/dispatcher.hpp
+++ b/decision/include/chicorydrum/decision/dispatcher.hpp
@@ -112,7 +112,9 @@
     void on(const attempt_finished& ended, support::instant now);
     void on(const attempt_checked& check, support::instant now);
     void on(const host_list_read& list, support::instant now);
+    void on(const host_list_unchanged& unchanged, support::instant now);
     void on(const host_list_unavailable& missing, support::instant now);
+    void resume_starts();
     void on(const store_answered& answer, support::instant now);
     void on(const bundle_read& bundle, support::instant now);
     void on(const stop_requested& stop, support::instant now);
--- a/decision/include/chicorydrum/decision/messages.hpp
+++ b/decision/include/chicorydrum/decision/messages.hpp
@@ -144,6 +144,11 @@
     std::vector<endpoint_listing> endpoints;
 };
 
+/// The platform answered that its list is the one that was read last.
+struct host_list_unchanged
+{
+};
+
 struct host_list_unavailable
 {
 };
@@ -189,11 +194,12 @@
 {
 };
 
-using event = std::variant<caller_submitted, caller_queried, caller_left,
-                           peer_connected, peer_disconnected, peer_spoke,
-                           attempt_finished, attempt_checked, host_list_read,
-                           host_list_unavailable, store_answered, bundle_read,
-                           stop_requested, stop_forced, ticked>;
+using event =
+    std::variant<caller_submitted, caller_queried, caller_left, peer_connected,
+                 peer_disconnected, peer_spoke, attempt_finished,
+                 attempt_checked, host_list_read, host_list_unchanged,
+                 host_list_unavailable, store_answered, bundle_read,
+                 stop_requested, stop_forced, ticked>;
 
 // Actions: what to do about it.
 
--- a/decision/lib/dispatcher.cpp
+++ b/decision/lib/dispatcher.cpp
@@ -433,17 +433,29 @@
         live_hosts += host.state == listing_state::live ? 1 : 0;
     if (live_hosts > 0)
         this->submissions.set_quota_hosts(live_hosts);
+    this->resume_starts();
+}
+
+void dispatcher::resume_starts()
+{
+    scheduler& tasks = this->submissions.tasks();
     if (tasks.held())
         this->log("", log_line("resumed"));
     tasks.resume();
 }
 
+void dispatcher::on(const host_list_unchanged& /*unchanged*/,
+                    support::instant /*now*/)
+{
+    this->resume_starts();
+}
+
 void dispatcher::on(const host_list_unavailable& /*missing*/,
                     support::instant /*now*/)
 {
     // The last view stands; a paused host goes on with it too, since no
     // newer one can be had.
-    this->submissions.tasks().resume();
+    this->resume_starts();
 }
 
 void dispatcher::on(const store_answered& answer, support::instant /*now*/)
--- a/test/process/process_fleet.cpp
+++ b/test/process/process_fleet.cpp
@@ -384,8 +384,12 @@
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = loopback(port);
-    connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
-            sizeof(address));
+    if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) != 0)
+    {
+        close(descriptor);
+        return "";
+    }
     send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     std::string received;
     const auto until = std::chrono::steady_clock::now() + timeout;
--- a/test/process/process_fleet.hpp
+++ b/test/process/process_fleet.hpp
@@ -29,6 +29,10 @@
     child_process& operator=(const child_process&) = delete;
 
     void signal(int number) const;
+    pid_t id() const
+    {
+        return this->pid;
+    }
     /// The exit code if it has ended; negative for a signal.
     std::optional<int> exit_code();
 
--- a/test/standins/platform_standin.cpp
+++ b/test/standins/platform_standin.cpp
@@ -71,6 +71,7 @@
     std::map<std::string, row> table;
     std::map<std::string, std::string> objects;
     json hosts = {{"entry_hosts", json::array()}, {"endpoints", json::array()}};
+    int revision = 1;
     std::string mode = "up";
     int delay_ms = 0;
     std::vector<std::unique_ptr<transport::timer>> delayed;
@@ -121,7 +122,10 @@
         this->delay_ms = body.value("delay_ms", 0);
     }
     else if (request.path == "/control/hosts")
+    {
         this->hosts = body;
+        ++this->revision;
+    }
     else
         return {.status = 404, .body = "{}"};
     return {.status = 200, .body = "{}"};
@@ -131,8 +135,15 @@
 {
     const std::string table_prefix = "/table/";
     const std::string object_prefix = "/objects/";
-    if (request.path == "/hosts")
-        return {.status = 200, .body = this->hosts.dump()};
+    const std::string current = std::to_string(this->revision);
+    if (request.path == "/hosts/since/" + current)
+        return {.status = 304};
+    if (request.path.starts_with("/hosts"))
+    {
+        json listed = this->hosts;
+        listed["revision"] = this->revision;
+        return {.status = 200, .body = listed.dump()};
+    }
     if (request.path == "/table/transact")
         return this->transact(request.body);
     if (request.path.starts_with(table_prefix))
--- a/transport/lib/event_loop.cpp
+++ b/transport/lib/event_loop.cpp
@@ -68,8 +68,11 @@
 
 void timer::start(support::decision_clock::duration delay)
 {
+    // The library sleeps whole milliseconds, rounded down, and spins for the
+    // rest; a little more than whole milliseconds leaves nothing to spin for.
+    constexpr support::microseconds rounding_slack{80};
     lws_sul_schedule(this->owned_state->context, 0, &this->owned_state->entry,
-                     &state::fire, delay.count());
+                     &state::fire, (delay + rounding_slack).count());
 }
 
 void timer::cancel()
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -292,6 +292,11 @@
 
 http_client::~http_client()
 {
+    // No hook runs for requests that end with the client.
+    for (auto& [id, open] : this->owned_state->requests)
+        if (open->connection != nullptr)
+            lws_set_opaque_user_data(open->connection, nullptr);
+    this->owned_state->requests.clear();
     lws_vhost_destroy(this->owned_state->vhost);
 }
 
--- a/transport/lib/http_server.cpp
+++ b/transport/lib/http_server.cpp
@@ -348,6 +348,9 @@
 
 http_server::~http_server()
 {
+    // No hook runs for requests that end with the server.
+    this->owned_state->options.on_abandoned = nullptr;
+    this->owned_state->exchanges.clear();
     if (this->owned_state->vhost != nullptr)
         lws_vhost_destroy(this->owned_state->vhost);
 }
