Split grown files by job; write the docs

Change: admission, witness_notes and usage_model are classes of their own; what peers say is dispatcher_peers.cpp with one function for each matter; the ends of attempts are submission_owner_attempts.cpp. Design notes, glossary, operating, scenarios, platform, measurements, capacity.

--- a/decision/include/chicorydrum/decision/dispatcher.hpp
+++ b/decision/include/chicorydrum/decision/dispatcher.hpp
@@ -125,9 +125,26 @@
                     support::instant now);
     void on_heartbeat(const std::string& from, const schema::heartbeat& beat,
                       support::instant now);
+    // Each takes the messages of one matter; false if it is another one.
+    bool on_call_message(const std::string& from,
+                         const schema::peer_message& said,
+                         support::instant now);
+    bool on_witness_message(const std::string& from,
+                            const schema::peer_message& said,
+                            support::instant now);
+    bool on_slot_message(const std::string& from,
+                         const schema::peer_message& said,
+                         support::instant now);
+    void on_bundle_message(const std::string& from,
+                           const schema::peer_message& said);
+    void on_forward(const waiter& who, const schema::forward& forward,
+                    support::instant now);
+    void on_claim(const std::string& from, const schema::claim& claim,
+                  support::instant now);
+    void on_handover(const std::string& from, const schema::handover& table,
+                     support::instant now);
     void on_witness_query(const std::string& from,
-                          const schema::witness_query& query,
-                          support::instant now);
+                          const schema::witness_query& query);
 
     void notice_pause(support::instant now);
     /// Sends a call about \p id to its owner, here or elsewhere.
--- a/decision/include/chicorydrum/decision/scheduler.hpp
+++ b/decision/include/chicorydrum/decision/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/decision/fair_queue.hpp"
 #include "chicorydrum/decision/membership.hpp"
 #include "chicorydrum/decision/slot_market.hpp"
+#include "chicorydrum/decision/usage_model.hpp"
 
 #include <functional>
 #include <optional>
@@ -164,14 +165,6 @@
     }
 
 private:
-    /// Declared against used sizes of one kind.
-    struct usage_ratio
-    {
-        double millicores = 1;
-        double memory = 1;
-        std::size_t samples = 0;
-    };
-
     double cost_of(const std::string& kind) const;
     double predicted_wait_seconds(const schema::submission& work) const;
     bool is_late(const submission_record& record, support::instant now) const;
@@ -188,8 +181,9 @@
     void hold_endpoint_for(const record_ptr& record, const task_size& size);
     void seek_capacity(support::instant now);
     bool offer_to_peer(support::instant now);
-    void learn_usage(const running_attempt& attempt,
-                     const attempt_finished& ended);
+    /// What the caller declared, or else the bundle for the kind.
+    task_size declared_size(const schema::submission& work,
+                            std::size_t task) const;
     support::decision_clock::duration
     expected_bound(const submission_record& record,
                    const endpoint_state& endpoint) const;
@@ -205,7 +199,7 @@
     slot_market lending;
     std::unordered_map<attempt_id, running_attempt> attempts;
     attempt_id next_attempt = 1;
-    std::unordered_map<std::string, usage_ratio> usage;
+    usage_model usage;
     std::unordered_map<std::string, int> slots_in_use_by_kind;
     std::unordered_map<std::string, std::size_t> running_by_team;
     /// A large task waits for this endpoint to drain; empty if none does.
--- a/decision/include/chicorydrum/decision/submission_owner.hpp
+++ b/decision/include/chicorydrum/decision/submission_owner.hpp
@@ -3,11 +3,12 @@
 /// them at the witness, and turns task outcomes into one answer.
 #pragma once
 
+#include "chicorydrum/decision/admission.hpp"
 #include "chicorydrum/decision/bundle_view.hpp"
 #include "chicorydrum/decision/membership.hpp"
-#include "chicorydrum/decision/rate_limiter.hpp"
 #include "chicorydrum/decision/scheduler.hpp"
 #include "chicorydrum/decision/submission_table.hpp"
+#include "chicorydrum/decision/witness_notes.hpp"
 
 #include <functional>
 #include <map>
@@ -22,11 +23,8 @@
 {
     submission_table_options table;
     scheduler_options scheduling;
-    /// Bytes of unfinished submissions.
-    std::size_t max_open_bytes = 64U << 20U;
+    admission_options accepting;
     support::milliseconds claim_timeout{500};
-    /// Whether submissions that would be late by prediction are refused.
-    bool sheds_predicted_late = true;
 };
 
 struct submission_owner_hooks
@@ -96,7 +94,7 @@
     /// No new submission is accepted from here on.
     void refuse_new()
     {
-        this->is_refusing = true;
+        this->accepting.refuse_all();
     }
     /// Ends everything that is unfinished, with true answers.
     void end_all(support::instant now);
@@ -129,8 +127,6 @@
 
 private:
     record_ptr make_record(schema::submission work, support::instant now);
-    std::optional<schema::answer> find_refusal(const schema::submission& work,
-                                               support::instant now);
     void refuse(const waiter& who, const schema::answer& refusal);
     void accept(const record_ptr& record, const support::submission_id& id,
                 support::instant now);
@@ -150,8 +146,6 @@
                 support::instant now);
     void fail_open(const record_ptr& record, support::error_kind kind,
                    const std::string& detail, support::instant now);
-    void note_for_witness(const submission_record& record);
-    void flush_notes();
 
     submission_owner_options options;
     submission_owner_hooks hooks;
@@ -160,19 +154,16 @@
     outbox& out;
     submission_table table;
     scheduler scheduling;
+    admission accepting;
+    witness_notes notes;
     owner_counters totals;
     /// Claims in flight, by submission id.
     std::unordered_map<std::string, support::instant> claims_sent;
-    /// Records that wait for the next batch, by witness host.
-    std::map<std::string, std::vector<schema::witness_record>> notes;
     std::map<std::string, schema::incarnation> issued_witnesses;
-    std::unordered_map<std::string, rate_limiter> team_rates;
-    std::size_t quota_hosts = 1;
     double retry_tokens = 0;
     std::int64_t next_anonymous = 1;
     std::unordered_map<call_id, std::weak_ptr<submission_record>>
         anonymous_calls;
-    bool is_refusing = false;
 };
 
 } // namespace chicorydrum::decision
--- a/decision/lib/dispatcher.cpp
+++ b/decision/lib/dispatcher.cpp
@@ -12,10 +12,6 @@
 using support::error_kind;
 using support::log_line;
 
-/// A bundle is asked for again if none came within this time.
-constexpr support::milliseconds bundle_request_interval{500};
-constexpr support::milliseconds speed_report_interval{1000};
-
 } // namespace
 
 dispatcher::dispatcher(dispatcher_options given, support::instant now)
@@ -265,154 +261,6 @@
     this->on_message(spoke.host, spoke.message, now);
 }
 
-void dispatcher::on_message(const std::string& from,
-                            const schema::peer_message& said,
-                            support::instant now)
-{
-    const auto& set = said.__isset;
-    const schema::incarnation sender = this->peers.find(from)->who;
-    const auto parse = [](const std::string& id)
-    {
-        return support::parse_submission_id(id);
-    };
-    if (set.beat)
-        this->on_heartbeat(from, said.beat, now);
-    else if (set.forwarded)
-    {
-        const auto id = parse(said.forwarded.work.id);
-        const waiter who = peer_waiter{
-            .who = sender, .call = said.forwarded.call, .is_offer = false};
-        // A forward goes one hop: only the owner takes it.
-        if (id && id->where && id->where->owner == this->peers.self())
-            this->submissions.submit(who, said.forwarded.work, *id,
-                                     this->homes.current().generation, now);
-        else
-            this->reply(who, status_answer(said.forwarded.work.id,
-                                           error_kind::undetermined,
-                                           "forwarded to a host that does "
-                                           "not own it"));
-    }
-    else if (set.queried)
-        this->submissions.query(peer_waiter{.who = sender,
-                                            .call = said.queried.call,
-                                            .is_offer = false},
-                                said.queried.id, said.queried.cancel, now);
-    else if (set.answered)
-        this->relay.answered(from, said.answered);
-    else if (set.claimed)
-    {
-        schema::claim_reply reply;
-        reply.id = said.claimed.record.id;
-        reply.accepted = this->witnessed.claim(said.claimed.record, now);
-        schema::peer_message message;
-        message.__set_claim_replied(reply);
-        this->send(from, std::move(message));
-    }
-    else if (set.claim_replied)
-        this->submissions.claim_replied(said.claim_replied, now);
-    else if (set.recorded)
-        for (const schema::witness_record& record : said.recorded.records)
-            this->witnessed.record(record, now);
-    else if (set.witness_queried)
-        this->on_witness_query(from, said.witness_queried, now);
-    else if (set.handed_over)
-    {
-        this->witnessed.take_over(said.handed_over, now);
-        schema::handover_reply reply;
-        reply.owner = said.handed_over.owner;
-        schema::peer_message message;
-        message.__set_handover_replied(reply);
-        this->send(from, std::move(message));
-    }
-    else if (set.handover_replied)
-    {
-        if (said.handover_replied.owner == this->peers.self())
-            this->handover_receivers.erase(from);
-    }
-    else if (set.slots_requested)
-    {
-        scheduler& tasks = this->submissions.tasks();
-        tasks.market().on_request(from, said.slots_requested,
-                                  tasks.waiting_tasks() > 0, now);
-    }
-    else if (set.slots_granted)
-        this->submissions.tasks().market().on_grant(from, said.slots_granted,
-                                                    now);
-    else if (set.slots_returned)
-        this->submissions.tasks().market().on_return(from, said.slots_returned);
-    else if (set.offered)
-        this->submissions.take_offer(peer_waiter{.who = sender,
-                                                 .call = said.offered.call,
-                                                 .is_offer = true},
-                                     said.offered.work, now);
-    else if (set.offer_replied)
-        this->submissions.offer_replied(from, said.offer_replied, now);
-    else if (set.bundle_pushed)
-        this->adopt_bundle(said.bundle_pushed.version, said.bundle_pushed.text,
-                           from);
-    else if (set.speeds_reported)
-        this->submissions.tasks().endpoints().merge_speeds(
-            said.speeds_reported);
-    else if (set.bundle_requested && this->current_bundle.version() >
-                                         said.bundle_requested.known_version)
-    {
-        schema::bundle_push push;
-        push.version = this->current_bundle.version();
-        push.text = this->current_bundle.text();
-        schema::peer_message message;
-        message.__set_bundle_pushed(push);
-        this->send(from, std::move(message));
-    }
-}
-
-void dispatcher::on_heartbeat(const std::string& from,
-                              const schema::heartbeat& beat,
-                              support::instant now)
-{
-    const bool was_stopping = this->peers.find(from)->stopping;
-    this->peers.heartbeat(from, beat);
-    this->submissions.tasks().peer_has_idle(from, beat.idle_slots);
-    if (beat.stopping != was_stopping)
-        this->peers_changed(now);
-    if (beat.bundle_version <= this->current_bundle.version() ||
-        now - this->bundle_requested_at < bundle_request_interval)
-        return;
-    this->bundle_requested_at = now;
-    schema::bundle_request request;
-    request.known_version = this->current_bundle.version();
-    schema::peer_message message;
-    message.__set_bundle_requested(request);
-    this->send(from, std::move(message));
-}
-
-schema::answer dispatcher::answer_as_witness(const support::submission_id& id,
-                                             const std::string& digest,
-                                             const std::string& kind)
-{
-    const schema::kind_rule* const rule = this->current_bundle.kind(kind);
-    const claim_rule claims = rule != nullptr && !rule->repeatable
-                                  ? claim_rule::always_claimed
-                                  : claim_rule::may_be_unclaimed;
-    return this->witnessed.answer_for(id, digest, claims, this->current_time);
-}
-
-void dispatcher::on_witness_query(const std::string& from,
-                                  const schema::witness_query& query,
-                                  support::instant /*now*/)
-{
-    const schema::incarnation sender = this->peers.find(from)->who;
-    const waiter who =
-        peer_waiter{.who = sender, .call = query.call, .is_offer = false};
-    const auto id = support::parse_submission_id(query.id);
-    if (!id || !id->where || id->where->witness != this->peers.self())
-    {
-        this->reply(who, status_answer(query.id, error_kind::undetermined,
-                                       "this host is not its witness"));
-        return;
-    }
-    this->reply(who, this->answer_as_witness(*id, query.digest, query.kind));
-}
-
 void dispatcher::on(const attempt_finished& ended, support::instant now)
 {
     this->submissions.attempt_ended(ended, now);
@@ -491,39 +339,6 @@
     this->send_heartbeats(this->current_time);
 }
 
-void dispatcher::send_heartbeats(support::instant now)
-{
-    if (now < this->next_heartbeat)
-        return;
-    this->next_heartbeat = now + this->peers.heartbeat_interval();
-    schema::heartbeat beat;
-    beat.bundle_version = this->current_bundle.version();
-    beat.stopping = this->is_stopping();
-    beat.ready = this->is_ready();
-    const scheduler& tasks = this->submissions.tasks();
-    beat.idle_slots =
-        tasks.waiting_tasks() > 0 ? 0 : tasks.endpoints().idle_slots();
-    schema::peer_message message;
-    message.__set_beat(beat);
-    for (const auto& [host, peer] : this->peers.peers())
-        this->send(host, message);
-}
-
-void dispatcher::send_speed_report(support::instant now)
-{
-    if (now < this->next_speed_report)
-        return;
-    this->next_speed_report = now + speed_report_interval;
-    schema::peer_message message;
-    message.__set_speeds_reported(
-        this->submissions.tasks().endpoints().run_times().take_report());
-    if (message.speeds_reported.endpoints.empty())
-        return;
-    for (const auto& [host, peer] : this->peers.peers())
-        if (peer.domain == this->peers.domain())
-            this->send(host, message);
-}
-
 void dispatcher::on(const ticked& /*tick*/, support::instant now)
 {
     for (const std::string& host : this->peers.silent_peers(now))
--- /dev/null
+++ b/decision/lib/dispatcher_peers.cpp
@@ -0,0 +1,257 @@
+/// \file
+/// What peers say, and what this host tells them at intervals.
+#include "chicorydrum/decision/answers.hpp"
+#include "chicorydrum/decision/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace chicorydrum::decision
+{
+
+using support::error_kind;
+
+namespace
+{
+
+/// A bundle is asked for again if none came within this time.
+constexpr support::milliseconds bundle_request_interval{500};
+constexpr support::milliseconds min_speed_report_interval{1000};
+/// Speed reports to all peers together stay within this.
+constexpr std::size_t speed_report_bytes_per_second = 4000;
+constexpr std::size_t speed_sample_bytes = 32;
+
+} // namespace
+
+void dispatcher::on_message(const std::string& from,
+                            const schema::peer_message& said,
+                            support::instant now)
+{
+    if (said.__isset.beat)
+        this->on_heartbeat(from, said.beat, now);
+    else if (!this->on_call_message(from, said, now) &&
+             !this->on_witness_message(from, said, now) &&
+             !this->on_slot_message(from, said, now))
+        this->on_bundle_message(from, said);
+}
+
+bool dispatcher::on_call_message(const std::string& from,
+                                 const schema::peer_message& said,
+                                 support::instant now)
+{
+    const auto& set = said.__isset;
+    const auto caller = [&](std::int64_t call, bool is_offer)
+    {
+        return peer_waiter{.who = this->peers.find(from)->who,
+                           .call = call,
+                           .is_offer = is_offer};
+    };
+    if (set.forwarded)
+        this->on_forward(caller(said.forwarded.call, false), said.forwarded,
+                         now);
+    else if (set.queried)
+        this->submissions.query(caller(said.queried.call, false),
+                                said.queried.id, said.queried.cancel, now);
+    else if (set.answered)
+        this->relay.answered(from, said.answered);
+    else if (set.offered)
+        this->submissions.take_offer(caller(said.offered.call, true),
+                                     said.offered.work, now);
+    else if (set.offer_replied)
+        this->submissions.offer_replied(from, said.offer_replied, now);
+    else
+        return false;
+    return true;
+}
+
+void dispatcher::on_forward(const waiter& who, const schema::forward& forward,
+                            support::instant now)
+{
+    const auto id = support::parse_submission_id(forward.work.id);
+    // A forward goes one hop: only the owner takes it.
+    if (id && id->where && id->where->owner == this->peers.self())
+        this->submissions.submit(who, forward.work, *id,
+                                 this->homes.current().generation, now);
+    else
+        this->reply(who,
+                    status_answer(forward.work.id, error_kind::undetermined,
+                                  "forwarded to a host that does not "
+                                  "own it"));
+}
+
+bool dispatcher::on_witness_message(const std::string& from,
+                                    const schema::peer_message& said,
+                                    support::instant now)
+{
+    const auto& set = said.__isset;
+    if (set.claimed)
+        this->on_claim(from, said.claimed, now);
+    else if (set.claim_replied)
+        this->submissions.claim_replied(said.claim_replied, now);
+    else if (set.recorded)
+        for (const schema::witness_record& record : said.recorded.records)
+            this->witnessed.record(record, now);
+    else if (set.witness_queried)
+        this->on_witness_query(from, said.witness_queried);
+    else if (set.handed_over)
+        this->on_handover(from, said.handed_over, now);
+    else if (set.handover_replied)
+    {
+        // A reply to a former life of this host is none to this one.
+        if (said.handover_replied.owner == this->peers.self())
+            this->handover_receivers.erase(from);
+    }
+    else
+        return false;
+    return true;
+}
+
+void dispatcher::on_claim(const std::string& from, const schema::claim& claim,
+                          support::instant now)
+{
+    schema::claim_reply reply;
+    reply.id = claim.record.id;
+    reply.accepted = this->witnessed.claim(claim.record, now);
+    schema::peer_message message;
+    message.__set_claim_replied(reply);
+    this->send(from, std::move(message));
+}
+
+void dispatcher::on_handover(const std::string& from,
+                             const schema::handover& table,
+                             support::instant now)
+{
+    this->witnessed.take_over(table, now);
+    schema::handover_reply reply;
+    reply.owner = table.owner;
+    schema::peer_message message;
+    message.__set_handover_replied(reply);
+    this->send(from, std::move(message));
+}
+
+bool dispatcher::on_slot_message(const std::string& from,
+                                 const schema::peer_message& said,
+                                 support::instant now)
+{
+    const auto& set = said.__isset;
+    scheduler& tasks = this->submissions.tasks();
+    if (set.slots_requested)
+        tasks.market().on_request(from, said.slots_requested,
+                                  tasks.waiting_tasks() > 0, now);
+    else if (set.slots_granted)
+        tasks.market().on_grant(from, said.slots_granted, now);
+    else if (set.slots_returned)
+        tasks.market().on_return(from, said.slots_returned);
+    else if (set.speeds_reported)
+        tasks.endpoints().merge_speeds(said.speeds_reported);
+    else
+        return false;
+    return true;
+}
+
+void dispatcher::on_bundle_message(const std::string& from,
+                                   const schema::peer_message& said)
+{
+    if (said.__isset.bundle_pushed)
+    {
+        this->adopt_bundle(said.bundle_pushed.version, said.bundle_pushed.text,
+                           from);
+        return;
+    }
+    if (!said.__isset.bundle_requested ||
+        this->current_bundle.version() <= said.bundle_requested.known_version)
+        return;
+    schema::bundle_push push;
+    push.version = this->current_bundle.version();
+    push.text = this->current_bundle.text();
+    schema::peer_message message;
+    message.__set_bundle_pushed(push);
+    this->send(from, std::move(message));
+}
+
+void dispatcher::on_heartbeat(const std::string& from,
+                              const schema::heartbeat& beat,
+                              support::instant now)
+{
+    const bool was_stopping = this->peers.find(from)->stopping;
+    this->peers.heartbeat(from, beat);
+    this->submissions.tasks().peer_has_idle(from, beat.idle_slots);
+    if (beat.stopping != was_stopping)
+        this->peers_changed(now);
+    if (beat.bundle_version <= this->current_bundle.version() ||
+        now - this->bundle_requested_at < bundle_request_interval)
+        return;
+    this->bundle_requested_at = now;
+    schema::bundle_request request;
+    request.known_version = this->current_bundle.version();
+    schema::peer_message message;
+    message.__set_bundle_requested(request);
+    this->send(from, std::move(message));
+}
+
+schema::answer dispatcher::answer_as_witness(const support::submission_id& id,
+                                             const std::string& digest,
+                                             const std::string& kind)
+{
+    const schema::kind_rule* const rule = this->current_bundle.kind(kind);
+    const claim_rule claims = rule != nullptr && !rule->repeatable
+                                  ? claim_rule::always_claimed
+                                  : claim_rule::may_be_unclaimed;
+    return this->witnessed.answer_for(id, digest, claims, this->current_time);
+}
+
+void dispatcher::on_witness_query(const std::string& from,
+                                  const schema::witness_query& query)
+{
+    const schema::incarnation sender = this->peers.find(from)->who;
+    const waiter who =
+        peer_waiter{.who = sender, .call = query.call, .is_offer = false};
+    const auto id = support::parse_submission_id(query.id);
+    if (!id || !id->where || id->where->witness != this->peers.self())
+    {
+        this->reply(who, status_answer(query.id, error_kind::undetermined,
+                                       "this host is not its witness"));
+        return;
+    }
+    this->reply(who, this->answer_as_witness(*id, query.digest, query.kind));
+}
+
+void dispatcher::send_heartbeats(support::instant now)
+{
+    if (now < this->next_heartbeat)
+        return;
+    this->next_heartbeat = now + this->peers.heartbeat_interval();
+    schema::heartbeat beat;
+    beat.bundle_version = this->current_bundle.version();
+    beat.stopping = this->is_stopping();
+    beat.ready = this->is_ready();
+    const scheduler& tasks = this->submissions.tasks();
+    beat.idle_slots =
+        tasks.waiting_tasks() > 0 ? 0 : tasks.endpoints().idle_slots();
+    schema::peer_message message;
+    message.__set_beat(beat);
+    for (const auto& [host, peer] : this->peers.peers())
+        this->send(host, message);
+}
+
+void dispatcher::send_speed_report(support::instant now)
+{
+    if (now < this->next_speed_report)
+        return;
+    const std::size_t receivers = this->peers.domain_hosts().size() - 1;
+    const std::size_t endpoints =
+        this->submissions.tasks().endpoints().endpoints().size();
+    const support::milliseconds paced(
+        static_cast<std::int64_t>(receivers * endpoints * speed_sample_bytes *
+                                  1000 / speed_report_bytes_per_second));
+    this->next_speed_report = now + std::max(min_speed_report_interval, paced);
+    schema::peer_message message;
+    message.__set_speeds_reported(
+        this->submissions.tasks().endpoints().run_times().take_report());
+    if (message.speeds_reported.endpoints.empty())
+        return;
+    for (const auto& [host, peer] : this->peers.peers())
+        if (peer.domain == this->peers.domain())
+            this->send(host, message);
+}
+
+} // namespace chicorydrum::decision
--- a/decision/lib/scheduler.cpp
+++ b/decision/lib/scheduler.cpp
@@ -11,10 +11,6 @@
 {
 
 constexpr double default_kind_seconds = 0.2;
-/// Bounds of the learned ratio of used to declared size.
-constexpr double min_usage_ratio = 0.1;
-constexpr double max_usage_ratio = 10;
-constexpr double usage_gain = 0.1;
 /// An attempt that takes this many times its expected run time, and at least
 /// the minimum, is asked for over a fresh connection.
 constexpr double check_factor = 10;
@@ -64,8 +60,8 @@
     return this->pool.run_times().kind_seconds(kind, prior);
 }
 
-task_size scheduler::size_of(const schema::submission& work,
-                             std::size_t task) const
+task_size scheduler::declared_size(const schema::submission& work,
+                                   std::size_t task) const
 {
     const schema::task_spec& declared = work.tasks[task];
     const schema::kind_rule* const rule = this->bundle->kind(work.kind);
@@ -75,15 +71,15 @@
         size.millicores = rule->cores;
     if (size.memory_mb <= 0 && rule != nullptr)
         size.memory_mb = rule->memory;
-    const auto learned = this->usage.find(work.kind);
-    if (learned != this->usage.end())
-    {
-        size.millicores *= learned->second.millicores;
-        size.memory_mb *= learned->second.memory;
-    }
     return size;
 }
 
+task_size scheduler::size_of(const schema::submission& work,
+                             std::size_t task) const
+{
+    return this->usage.correct(work.kind, this->declared_size(work, task));
+}
+
 void scheduler::enqueue(const record_ptr& record)
 {
     this->queue.add(record);
@@ -482,36 +478,13 @@
     this->pool.finished(attempt.endpoint, attempt.slots);
     this->pool.learn(attempt.endpoint, kind, ended.outcome,
                      now - attempt.started, now);
-    this->learn_usage(attempt, ended);
+    this->usage.observe(
+        kind, this->declared_size(attempt.record->work, attempt.task),
+        {.millicores = static_cast<double>(ended.used_millicores),
+         .memory_mb = static_cast<double>(ended.used_memory_mb)});
     return attempt;
 }
 
-void scheduler::learn_usage(const running_attempt& attempt,
-                            const attempt_finished& ended)
-{
-    const schema::submission& work = attempt.record->work;
-    const schema::task_spec& declared = work.tasks[attempt.task];
-    const schema::kind_rule* const rule = this->bundle->kind(work.kind);
-    if (rule == nullptr || ended.used_millicores <= 0 ||
-        ended.used_memory_mb <= 0)
-        return;
-    const double cores =
-        declared.millicores > 0 ? declared.millicores : rule->cores;
-    const double memory =
-        declared.memory_mb > 0 ? declared.memory_mb : rule->memory;
-    usage_ratio& ratio = this->usage[work.kind];
-    const double gain =
-        std::max(usage_gain, 1.0 / static_cast<double>(++ratio.samples));
-    const auto learn = [gain](double& learned, double observed)
-    {
-        learned +=
-            gain *
-            (std::clamp(observed, min_usage_ratio, max_usage_ratio) - learned);
-    };
-    learn(ratio.millicores, ended.used_millicores / cores);
-    learn(ratio.memory, ended.used_memory_mb / memory);
-}
-
 void scheduler::requeue(const running_attempt& refused)
 {
     this->queue.put_back({.record = refused.record, .task = refused.task});
--- a/decision/lib/submission_owner.cpp
+++ b/decision/lib/submission_owner.cpp
@@ -8,30 +8,8 @@
 namespace chicorydrum::decision
 {
 
-namespace
-{
-
 using support::error_kind;
 
-/// Retries that may be saved up while everything succeeds.
-constexpr double max_retry_tokens = 20;
-/// Records in one batch to a witness.
-constexpr std::size_t max_batch_records = 256;
-
-schema::witness_record make_witness_record(const submission_record& record)
-{
-    schema::witness_record made;
-    made.id = record.work.id;
-    made.digest = record.work.digest;
-    made.witnessed = record.witnessed;
-    made.finished = record.finished();
-    if (made.finished)
-        made.result = record.outcome;
-    return made;
-}
-
-} // namespace
-
 submission_owner::submission_owner(submission_owner_options given,
                                    submission_owner_hooks told,
                                    const membership& peers,
@@ -58,7 +36,9 @@
                                       record->deadline);
                   },
                   .on_decision = this->hooks.log},
-                 peers, actions)
+                 peers, actions),
+      accepting(this->options.accepting, rules, this->scheduling),
+      notes(peers, actions)
 {
 }
 
@@ -79,61 +59,6 @@
     return record;
 }
 
-std::optional<schema::answer>
-submission_owner::find_refusal(const schema::submission& work,
-                               support::instant now)
-{
-    const auto refuse_with = [&work](error_kind kind, std::string detail)
-    {
-        return not_run_answer(work.id, kind, std::move(detail));
-    };
-    if (this->bundle.version() == 0)
-        return refuse_with(error_kind::bundle_missing,
-                           "the host has no bundle yet");
-    if (this->is_refusing)
-        return refuse_with(error_kind::stopping, "the host is stopping");
-    if (this->bundle.kind(work.kind) == nullptr)
-        return refuse_with(error_kind::bad_request,
-                           "unknown kind '" + work.kind + "'");
-    const schema::team_rule* const team = this->bundle.team(work.team);
-    if (team == nullptr)
-        return refuse_with(error_kind::bad_request,
-                           "unknown team '" + work.team + "'");
-    const auto most_tasks =
-        static_cast<std::size_t>(this->bundle.rules().routing.max_job_tasks);
-    if (work.tasks.empty() || work.tasks.size() > most_tasks)
-        return refuse_with(error_kind::bad_request,
-                           "a job has 1 to " + std::to_string(most_tasks) +
-                               " tasks");
-    if (work.deadline_ms <= 0)
-        return refuse_with(error_kind::deadline_passed,
-                           "its deadline has passed");
-    const endpoint_pool& endpoints = this->scheduling.endpoints();
-    if (!endpoints.endpoints().empty())
-        for (std::size_t task = 0; task < work.tasks.size(); ++task)
-            if (!endpoints.fits_somewhere(this->scheduling.size_of(work, task)))
-                return refuse_with(error_kind::never_fits,
-                                   "task " + std::to_string(task) +
-                                       " is larger than every worker");
-    if (this->table.open_bytes() > this->options.max_open_bytes)
-        return refuse_with(error_kind::no_capacity, "the host's queue is full");
-    if (this->options.sheds_predicted_late &&
-        this->scheduling.would_be_late(work))
-        return refuse_with(error_kind::shed,
-                           "it could not finish before its deadline");
-    const double rate = static_cast<double>(team->max_tasks_per_second) /
-                        static_cast<double>(this->quota_hosts);
-    rate_limiter& limiter = this->team_rates[work.team];
-    if (limiter.take(static_cast<double>(work.tasks.size()), rate, now))
-        return std::nullopt;
-    schema::answer refusal = refuse_with(
-        error_kind::over_quota, "team '" + work.team + "' is over its quota");
-    refusal.retry_after_ms = std::max<std::int64_t>(
-        refusal.retry_after_ms,
-        static_cast<std::int64_t>(limiter.seconds_until_positive(rate) * 1000));
-    return refusal;
-}
-
 void submission_owner::refuse(const waiter& who, const schema::answer& refusal)
 {
     ++this->totals.refused;
@@ -175,7 +100,8 @@
     case id_knowledge::fresh:
         break;
     }
-    const auto refusal = this->find_refusal(work, now);
+    const auto refusal =
+        this->accepting.find_refusal(work, this->table.open_bytes(), now);
     if (refusal)
     {
         this->table.remember_refusal(id, refusal->error, now);
@@ -226,7 +152,7 @@
     {
         this->activate(record);
         if (witness)
-            this->note_for_witness(*record);
+            this->notes.add(*record);
         return;
     }
     record->witnessed = true;
@@ -278,7 +204,8 @@
                                         schema::submission work,
                                         support::instant now)
 {
-    const auto refusal = this->find_refusal(work, now);
+    const auto refusal =
+        this->accepting.find_refusal(work, this->table.open_bytes(), now);
     if (refusal)
     {
         this->refuse(who, *refusal);
@@ -302,7 +229,7 @@
     work.id = "o" + std::to_string(this->next_anonymous++);
     const bool is_usable = work.tasks.size() == 1 && work.deadline_ms > 0 &&
                            this->bundle.kind(work.kind) != nullptr &&
-                           !this->is_refusing;
+                           !this->accepting.refuses_all();
     const record_ptr record = this->make_record(std::move(work), now);
     record->anonymous = true;
     // The offering host decides about repetitions.
@@ -360,152 +287,6 @@
         this->fail_open(record, error_kind::cancelled, "its caller left", now);
 }
 
-void submission_owner::attempt_ended(const attempt_finished& ended,
-                                     support::instant now)
-{
-    const auto attempt = this->scheduling.finish(ended, now);
-    if (!attempt)
-    {
-        if (this->out.logs())
-            this->hooks.log("", support::log_line("late_answer")
-                                    .add("attempt", static_cast<std::int64_t>(
-                                                        ended.attempt)));
-        return;
-    }
-    this->end_attempt(*attempt, ended, now);
-}
-
-void submission_owner::attempt_checked_at(const attempt_checked& check,
-                                          support::instant now)
-{
-    const auto ended = this->scheduling.checked(check, now);
-    if (ended)
-        this->attempt_ended(*ended, now);
-}
-
-void submission_owner::offer_replied(const std::string& from,
-                                     const schema::offer_reply& reply,
-                                     support::instant now)
-{
-    attempt_finished ended;
-    ended.attempt = static_cast<attempt_id>(reply.call);
-    if (reply.result.error == error_kind::none &&
-        reply.result.results.size() == 1)
-    {
-        ended.outcome = attempt_outcome::succeeded;
-        ended.result = reply.result.results.front();
-        this->scheduling.peer_has_slot_again(from);
-    }
-    else if (reply.result.not_run)
-    {
-        ended.outcome = attempt_outcome::refused;
-        this->scheduling.peer_refused(from);
-    }
-    else
-        ended.outcome = attempt_outcome::failed;
-    this->attempt_ended(ended, now);
-}
-
-void submission_owner::end_attempt(const running_attempt& attempt,
-                                   const attempt_finished& ended,
-                                   support::instant now)
-{
-    submission_record& record = *attempt.record;
-    --record.running;
-    if (ended.outcome == attempt_outcome::refused)
-        --record.maybe_run;
-    if (record.finished())
-        return;
-    switch (ended.outcome)
-    {
-    case attempt_outcome::succeeded:
-        this->task_succeeded(attempt, ended.result, now);
-        return;
-    case attempt_outcome::refused:
-        if (this->out.logs())
-            this->hooks.log(
-                record.work.id,
-                support::log_line("refused_attempt")
-                    .add("task", static_cast<std::int64_t>(attempt.task))
-                    .add("endpoint", attempt.endpoint)
-                    .add("host", attempt.peer));
-        for (const waiter& who : record.waiters)
-        {
-            const auto* const peer = std::get_if<peer_waiter>(&who);
-            if (peer == nullptr || !peer->is_offer)
-                continue;
-            this->finish(attempt.record,
-                         not_run_answer(record.work.id, error_kind::no_capacity,
-                                        "the endpoint refused it"),
-                         now);
-            return;
-        }
-        this->scheduling.requeue(attempt);
-        return;
-    case attempt_outcome::failed:
-    case attempt_outcome::lost:
-        this->task_failed(attempt, ended.outcome, now);
-        return;
-    }
-}
-
-void submission_owner::task_succeeded(const running_attempt& attempt,
-                                      std::string result, support::instant now)
-{
-    submission_record& record = *attempt.record;
-    const double earned =
-        static_cast<double>(this->bundle.rules().routing.retry_budget) / 100;
-    this->retry_tokens =
-        std::min(max_retry_tokens, this->retry_tokens + earned);
-    record.results[attempt.task] = std::move(result);
-    ++record.succeeded;
-    if (record.succeeded < record.work.tasks.size())
-        return;
-    schema::answer outcome;
-    outcome.id = record.work.id;
-    outcome.error = error_kind::none;
-    outcome.tasks_maybe_run = static_cast<std::int32_t>(record.maybe_run);
-    this->finish(attempt.record, std::move(outcome), now);
-}
-
-bool submission_owner::may_retry(const submission_record& record)
-{
-    // The tasks of a submission with an id start once, whatever the kind.
-    if (!record.anonymous || !record.repeatable || this->retry_tokens < 1)
-        return false;
-    this->retry_tokens -= 1;
-    return true;
-}
-
-void submission_owner::task_failed(const running_attempt& attempt,
-                                   attempt_outcome outcome,
-                                   support::instant now)
-{
-    submission_record& record = *attempt.record;
-    if (this->out.logs())
-        this->hooks.log(
-            record.work.id,
-            support::log_line("failed_attempt")
-                .add("task", static_cast<std::int64_t>(attempt.task))
-                .add("endpoint", attempt.endpoint)
-                .add("host", attempt.peer)
-                .add("outcome",
-                     outcome == attempt_outcome::lost ? "lost" : "failed"));
-    if (now < record.deadline && this->may_retry(record))
-    {
-        ++record.retries;
-        ++this->totals.retries;
-        this->scheduling.requeue(attempt);
-        return;
-    }
-    this->fail_open(attempt.record, error_kind::endpoint_failed,
-                    "task " + std::to_string(attempt.task) + " " +
-                        (outcome == attempt_outcome::lost
-                             ? "got no whole answer"
-                             : "failed on its endpoint"),
-                    now);
-}
-
 void submission_owner::fail_open(const record_ptr& record, error_kind kind,
                                  const std::string& detail,
                                  support::instant now)
@@ -544,7 +325,7 @@
         record->outcome.results = std::move(record->results);
     }
     else
-        this->note_for_witness(*record);
+        this->notes.add(*record);
     if (this->out.logs())
         this->hooks.log(
             record->work.id,
@@ -561,35 +342,9 @@
     }
 }
 
-void submission_owner::note_for_witness(const submission_record& record)
-{
-    const auto id = support::parse_submission_id(record.work.id);
-    if (!id || !id->where || !id->where->witness ||
-        !this->members.is_up(*id->where->witness))
-        return;
-    std::vector<schema::witness_record>& batch =
-        this->notes[id->where->witness->host];
-    batch.push_back(make_witness_record(record));
-    if (batch.size() >= max_batch_records)
-        this->flush_notes();
-}
-
-void submission_owner::flush_notes()
-{
-    for (auto& [host, records] : this->notes)
-    {
-        schema::record_batch batch;
-        batch.records = std::move(records);
-        schema::peer_message message;
-        message.__set_recorded(batch);
-        this->out.push(send_to_peer{.host = host, .message = message});
-    }
-    this->notes.clear();
-}
-
 void submission_owner::peer_left(const std::string& host, support::instant now)
 {
-    this->notes.erase(host);
+    this->notes.peer_left(host);
     this->scheduling.market().peer_left(host, now);
     for (const attempt_id attempt : this->scheduling.attempts_on_peer(host))
     {
@@ -636,7 +391,7 @@
             this->fail_open(record, error_kind::home_gone,
                             "the witness did not answer; use a new id", now);
     }
-    this->flush_notes();
+    this->notes.flush();
     this->table.purge(now);
     this->scheduling.tick(now);
 }
@@ -662,10 +417,10 @@
         {
             const auto id = support::parse_submission_id(record->work.id);
             if (id->where->witness && id->where->witness->host == host)
-                this->note_for_witness(*record);
+                this->notes.add(*record);
         }
     }
-    this->flush_notes();
+    this->notes.flush();
     schema::handover table_end;
     table_end.owner = self;
     table_end.purged_generation = this->table.forgotten_generation();
@@ -685,7 +440,7 @@
 
 void submission_owner::set_quota_hosts(std::size_t hosts)
 {
-    this->quota_hosts = std::max<std::size_t>(1, hosts);
+    this->accepting.set_quota_hosts(hosts);
     this->scheduling.set_quota_hosts(hosts);
 }
 
--- /dev/null
+++ b/decision/lib/witness_notes.cpp
@@ -0,0 +1,51 @@
+#include "chicorydrum/decision/witness_notes.hpp"
+
+namespace chicorydrum::decision
+{
+
+namespace
+{
+
+constexpr std::size_t max_batch_records = 256;
+
+} // namespace
+
+schema::witness_record make_witness_record(const submission_record& record)
+{
+    schema::witness_record made;
+    made.id = record.work.id;
+    made.digest = record.work.digest;
+    made.witnessed = record.witnessed;
+    made.finished = record.finished();
+    if (made.finished)
+        made.result = record.outcome;
+    return made;
+}
+
+void witness_notes::add(const submission_record& record)
+{
+    const auto id = support::parse_submission_id(record.work.id);
+    if (!id || !id->where || !id->where->witness ||
+        !this->members.is_up(*id->where->witness))
+        return;
+    std::vector<schema::witness_record>& batch =
+        this->waiting[id->where->witness->host];
+    batch.push_back(make_witness_record(record));
+    if (batch.size() >= max_batch_records)
+        this->flush();
+}
+
+void witness_notes::flush()
+{
+    for (auto& [host, records] : this->waiting)
+    {
+        schema::record_batch batch;
+        batch.records = std::move(records);
+        schema::peer_message message;
+        message.__set_recorded(batch);
+        this->out.push(send_to_peer{.host = host, .message = message});
+    }
+    this->waiting.clear();
+}
+
+} // namespace chicorydrum::decision
