Leave slow endpoints to the flood while it has a backlog

Change: while other kinds have tasks waiting for every slot, a task passes over endpoints 1.2 times slower than the fastest for at most its expected run time. The stand-ins share their main loop (standin.hpp).

--- a/decision/include/chicorydrum/decision/endpoint_pool.hpp
+++ b/decision/include/chicorydrum/decision/endpoint_pool.hpp
@@ -152,6 +152,8 @@
     int idle_slots() const;
     /// Slots that this host may use, busy or not.
     int usable_slots() const;
+    /// Slowness of the fastest endpoint that takes work; 1 if there is none.
+    double fastest_slowness() const;
 
 private:
     int share_of(const endpoint_listing& endpoint) const;
--- a/decision/include/chicorydrum/decision/fair_queue.hpp
+++ b/decision/include/chicorydrum/decision/fair_queue.hpp
@@ -72,6 +72,9 @@
     std::size_t waiting_tasks(const std::string& kind,
                               const std::string& team) const;
 
+    /// Tasks that wait in all flows of other kinds.
+    std::size_t waiting_tasks_of_others(const std::string& kind) const;
+
     /// The part of all service that the flow is sure to get while every flow
     /// that now has work keeps having it, and it has work itself.
     double guaranteed_part(const std::string& kind,
--- a/decision/include/chicorydrum/decision/scheduler.hpp
+++ b/decision/include/chicorydrum/decision/scheduler.hpp
@@ -170,6 +170,11 @@
     bool is_late(const submission_record& record, support::instant now) const;
     bool reserve_allows(const std::string& kind, int idle) const;
     bool quota_allows(const std::string& team) const;
+    /// Whether the record leaves a slow slot to a backlog of other kinds and
+    /// waits a little for a faster one.
+    bool waits_for_faster(const submission_record& record,
+                          const endpoint_state& endpoint,
+                          support::instant now) const;
     void release_stale_hold();
     /// Runs the queue policy over the flows that may start now.
     record_ptr next_allowed(const std::set<std::string>& blocked_kinds,
--- a/decision/lib/endpoint_pool.cpp
+++ b/decision/lib/endpoint_pool.cpp
@@ -276,6 +276,16 @@
                            });
 }
 
+double endpoint_pool::fastest_slowness() const
+{
+    const endpoint_state* fastest = nullptr;
+    for (const auto& [name, state] : this->states)
+        if (state.may_start() &&
+            (fastest == nullptr || state.slowness < fastest->slowness))
+            fastest = &state;
+    return fastest == nullptr ? 1 : fastest->slowness;
+}
+
 int endpoint_pool::usable_slots() const
 {
     return std::accumulate(this->states.begin(), this->states.end(), 0,
--- a/decision/lib/fair_queue.cpp
+++ b/decision/lib/fair_queue.cpp
@@ -167,6 +167,14 @@
     return flow == found->second.teams.end() ? 0 : flow->second.tasks;
 }
 
+std::size_t fair_queue::waiting_tasks_of_others(const std::string& kind) const
+{
+    const auto found = this->kinds.find(kind);
+    const std::size_t own =
+        found == this->kinds.end() ? 0 : found->second.tasks;
+    return this->task_count - own;
+}
+
 double fair_queue::guaranteed_part(const std::string& kind,
                                    const std::string& team) const
 {
--- a/decision/lib/scheduler.cpp
+++ b/decision/lib/scheduler.cpp
@@ -18,6 +18,10 @@
 /// Fresh connections without an answer after which an attempt is given up.
 constexpr int max_unreachable_checks = 2;
 constexpr support::milliseconds unreachable_interval{1000};
+/// A task passes over endpoints that are slower than the fastest by this
+/// factor for at most this part of its expected run time.
+constexpr double slow_endpoint_factor = 1.2;
+constexpr double patience_part = 1.0;
 /// Recent starts and offers fade by this factor with each tick.
 constexpr double recent_decay = 0.99;
 
@@ -140,6 +144,22 @@
         });
 }
 
+bool scheduler::waits_for_faster(const submission_record& record,
+                                 const endpoint_state& endpoint,
+                                 support::instant now) const
+{
+    // The slot must not stay empty: others have work for all slots.
+    const auto usable =
+        static_cast<std::size_t>(std::max(1, this->pool.usable_slots()));
+    if (this->queue.waiting_tasks_of_others(record.work.kind) < usable)
+        return false;
+    const double waited = support::in_seconds(now - record.arrived);
+    if (waited > patience_part * this->cost_of(record.work.kind))
+        return false;
+    return endpoint.slowness >
+           slow_endpoint_factor * this->pool.fastest_slowness();
+}
+
 void scheduler::release_stale_hold()
 {
     const record_ptr holder = this->held_for.lock();
@@ -200,6 +220,11 @@
             this->hold_endpoint_for(record, size);
             continue;
         }
+        if (!is_holder && this->waits_for_faster(*record, *endpoint, now))
+        {
+            blocked_kinds.insert(record->work.kind);
+            continue;
+        }
         if (is_holder)
         {
             this->held_for.reset();
--- a/test/standins/endpoint_standin.cpp
+++ b/test/standins/endpoint_standin.cpp
@@ -1,10 +1,9 @@
 /// \file
 /// Stand-in for endpoints: each port is one endpoint with slots, a speed and
 /// the modes ok, fail_all, silent, lose_answers and refuse. See
-/// docs/ENDPOINTS.md.
-#include "chicorydrum/transport/http_server.hpp"
+/// docs/PLATFORM.md.
+#include "standin.hpp"
 
-#include <csignal>
 #include <map>
 #include <memory>
 #include <vector>
@@ -32,8 +31,6 @@
   --address IP  Address to listen on [default: 127.0.0.1].
 )";
 
-volatile std::sig_atomic_t stop_signalled = 0;
-
 /// Run time of a payload `sleep=MS`; other payloads take this long.
 constexpr int default_run_ms = 20;
 
@@ -172,12 +169,6 @@
 int main(int argc, char** argv)
 {
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
-    const auto stop = [](int)
-    {
-        stop_signalled = 1;
-    };
-    std::signal(SIGTERM, stop);
-    std::signal(SIGINT, stop);
     transport::event_loop loop({});
     std::vector<std::unique_ptr<endpoint_standin>> endpoints;
     for (long i = 0; i < arguments.at("--count").asLong(); ++i)
@@ -185,9 +176,6 @@
             loop, arguments.at("--address").asString(),
             static_cast<int>(arguments.at("--port").asLong() + i),
             static_cast<int>(arguments.at("--slots").asLong())));
-    transport::timer poll =
-        loop.make_timer([&poll] { poll.start(support::milliseconds(50)); });
-    poll.start(support::milliseconds(50));
-    loop.run_until([] { return stop_signalled != 0; });
+    standin::run_until_signalled(loop);
     return 0;
 }
--- a/test/standins/platform_standin.cpp
+++ b/test/standins/platform_standin.cpp
@@ -1,9 +1,8 @@
 /// \file
 /// Stand-in for the platform's service: table, object store and host list,
 /// with the modes slow, down, silent and lose_answers. See docs/PLATFORM.md.
-#include "chicorydrum/transport/http_server.hpp"
+#include "standin.hpp"
 
-#include <csignal>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -30,8 +29,6 @@
   --address IP  Address to listen on [default: 127.0.0.1].
 )";
 
-volatile std::sig_atomic_t stop_signalled = 0;
-
 struct row
 {
     std::string value;
@@ -202,19 +199,10 @@
 int main(int argc, char** argv)
 {
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
-    const auto stop = [](int)
-    {
-        stop_signalled = 1;
-    };
-    std::signal(SIGTERM, stop);
-    std::signal(SIGINT, stop);
     transport::event_loop loop({});
     const platform_standin standin(
         loop, arguments.at("--address").asString(),
         static_cast<int>(arguments.at("--port").asLong()));
-    transport::timer poll =
-        loop.make_timer([&poll] { poll.start(support::milliseconds(50)); });
-    poll.start(support::milliseconds(50));
-    loop.run_until([] { return stop_signalled != 0; });
+    standin::run_until_signalled(loop);
     return 0;
 }
--- /dev/null
+++ b/test/standins/standin.hpp
@@ -0,0 +1,47 @@
+/// \file
+/// What the stand-ins' processes share.
+#pragma once
+
+#include "chicorydrum/transport/http_server.hpp"
+
+#include <csignal>
+
+namespace chicorydrum::standin
+{
+
+inline volatile std::sig_atomic_t stop_signalled = 0;
+
+/// Serves until SIGTERM or SIGINT.
+inline void run_until_signalled(transport::event_loop& loop)
+{
+    const auto stop = [](int)
+    {
+        stop_signalled = 1;
+    };
+    std::signal(SIGTERM, stop);
+    std::signal(SIGINT, stop);
+    // A signal does not wake the loop by itself.
+    static constexpr support::milliseconds look_interval{50};
+    transport::timer look =
+        loop.make_timer([&look] { look.start(look_interval); });
+    look.start(look_interval);
+    loop.run_until([] { return stop_signalled != 0; });
+}
+
+/// A server whose requests go to \p on_request.
+inline transport::http_server_options serve(
+    transport::event_loop& loop, const std::string& address, int port,
+    std::function<void(transport::exchange_id, const transport::http_request&)>
+        on_request)
+{
+    return {.loop = loop,
+            .address = address,
+            .port = port,
+            .on_request = std::move(on_request),
+            .on_rejected = [](transport::rejection)
+            {
+                return transport::http_response{.status = 413};
+            }};
+}
+
+} // namespace chicorydrum::standin
