--- a/decision/lib/dispatcher_peers.cpp
+++ b/decision/lib/dispatcher_peers.cpp
@@ -1,8 +1,9 @@
 /// \file
 /// What peers say, and what this host tells them at intervals.
-#include "chicorydrum/decision/answers.hpp"
 #include "chicorydrum/decision/dispatcher.hpp"
 
+#include "chicorydrum/decision/answers.hpp"
+
 #include <algorithm>
 
 namespace chicorydrum::decision
--- a/decision/lib/scheduler.cpp
+++ b/decision/lib/scheduler.cpp
@@ -25,6 +25,34 @@
 /// Recent starts and offers fade by this factor with each tick.
 constexpr double recent_decay = 0.99;
 
+/// Names for a log line: the first few, and how many more there are.
+class name_list
+{
+public:
+    void add(const std::string& name)
+    {
+        constexpr std::size_t max_names = 4;
+        if (++this->count > max_names)
+            return;
+        this->names += (this->names.empty() ? "" : ",") + name;
+        this->shown = this->count;
+    }
+
+    std::string text() const
+    {
+        if (this->count == 0)
+            return "none";
+        if (this->count == this->shown)
+            return this->names;
+        return this->names + ",+" + std::to_string(this->count - this->shown);
+    }
+
+private:
+    std::string names;
+    std::size_t count = 0;
+    std::size_t shown = 0;
+};
+
 } // namespace
 
 scheduler::scheduler(scheduler_options given, scheduler_hooks told,
@@ -293,20 +321,22 @@
 void scheduler::log_start(const running_attempt& attempt,
                           const endpoint_state& endpoint) const
 {
-    int busy = 0;
-    int unhealthy = 0;
-    int leaving = 0;
+    name_list busy;
+    name_list unhealthy;
+    name_list leaving;
     for (const auto& [name, state] : this->pool.endpoints())
     {
         const bool is_healthy =
             this->pool.health().state(name, attempt.started) ==
             health_state::healthy;
+        if (name == attempt.endpoint)
+            continue;
         if (!state.may_start())
-            ++leaving;
+            leaving.add(name);
         else if (!is_healthy)
-            ++unhealthy;
+            unhealthy.add(name);
         else if (state.free() <= 0)
-            ++busy;
+            busy.add(name);
     }
     this->hooks.on_decision(
         attempt.record->work.id,
@@ -316,9 +346,9 @@
             .add("reason", "fastest_free")
             .add("slowness", endpoint.slowness)
             .add("slots", attempt.slots)
-            .add("passed_over_busy", busy)
-            .add("passed_over_unhealthy", unhealthy)
-            .add("passed_over_leaving", leaving));
+            .add("passed_over_busy", busy.text())
+            .add("passed_over_unhealthy", unhealthy.text())
+            .add("passed_over_leaving", leaving.text()));
 }
 
 support::decision_clock::duration
--- a/decision/lib/submission_owner_attempts.cpp
+++ b/decision/lib/submission_owner_attempts.cpp
@@ -1,8 +1,9 @@
 /// \file
 /// What the end of an attempt means for its submission.
-#include "chicorydrum/decision/answers.hpp"
 #include "chicorydrum/decision/submission_owner.hpp"
 
+#include "chicorydrum/decision/answers.hpp"
+
 #include <algorithm>
 
 namespace chicorydrum::decision
