Give the end of a refused attempt a function of its own

Cause: read as a newcomer, end_attempt() mixed three matters, one of them a loop over waiters that finishes an offer.

Change: task_refused(); no behaviour.

--- a/decision/include/chicorydrum/decision/submission_owner.hpp
+++ b/decision/include/chicorydrum/decision/submission_owner.hpp
@@ -139,6 +139,7 @@
                      const attempt_finished& ended, support::instant now);
     void task_succeeded(const running_attempt& attempt, std::string result,
                         support::instant now);
+    void task_refused(const running_attempt& attempt, support::instant now);
     void task_failed(const running_attempt& attempt, attempt_outcome outcome,
                      support::instant now);
     bool may_retry(const submission_record& record);
--- a/decision/lib/submission_owner_attempts.cpp
+++ b/decision/lib/submission_owner_attempts.cpp
@@ -81,25 +81,7 @@
         this->task_succeeded(attempt, ended.result, now);
         return;
     case attempt_outcome::refused:
-        if (this->out.logs())
-            this->hooks.log(
-                record.work.id,
-                support::log_line("refused_attempt")
-                    .add("task", static_cast<std::int64_t>(attempt.task))
-                    .add("endpoint", attempt.endpoint)
-                    .add("host", attempt.peer));
-        for (const waiter& who : record.waiters)
-        {
-            const auto* const peer = std::get_if<peer_waiter>(&who);
-            if (peer == nullptr || !peer->is_offer)
-                continue;
-            this->finish(attempt.record,
-                         not_run_answer(record.work.id, error_kind::no_capacity,
-                                        "the endpoint refused it"),
-                         now);
-            return;
-        }
-        this->scheduling.requeue(attempt);
+        this->task_refused(attempt, now);
         return;
     case attempt_outcome::failed:
     case attempt_outcome::lost:
@@ -108,6 +90,36 @@
     }
 }
 
+void submission_owner::task_refused(const running_attempt& attempt,
+                                    support::instant now)
+{
+    const submission_record& record = *attempt.record;
+    if (this->out.logs())
+        this->hooks.log(
+            record.work.id,
+            support::log_line("refused_attempt")
+                .add("task", static_cast<std::int64_t>(attempt.task))
+                .add("endpoint", attempt.endpoint)
+                .add("host", attempt.peer));
+    const bool is_offer =
+        std::any_of(record.waiters.begin(), record.waiters.end(),
+                    [](const waiter& who)
+                    {
+                        const auto* const peer = std::get_if<peer_waiter>(&who);
+                        return peer != nullptr && peer->is_offer;
+                    });
+    if (!is_offer)
+    {
+        this->scheduling.requeue(attempt);
+        return;
+    }
+    // The offering host decides where the task goes next.
+    this->finish(attempt.record,
+                 not_run_answer(record.work.id, error_kind::no_capacity,
+                                "the endpoint refused it"),
+                 now);
+}
+
 void submission_owner::task_succeeded(const running_attempt& attempt,
                                       std::string result, support::instant now)
 {
