Shed an overloaded backlog by a plan; look for overdue answers at once

(1) The wait that decided refusals counted all waiting work, also that with later targets: the most urgent kind was refused 40 of 40 times a second, for a flood of the least urgent one. (2) Orders without answer (7 in 100 there) held their room and task for 250 to 800 ms: a list was already held open, so that the look that settles them waited for it. (3) Runs whose end was seen late taught run times, 2 to 4 times too long. Besides, an endpoint in another life was asked every 25 ms.

Ruled out: lack of room (58 of 110 slots were busy in second 7); the callers' estimates (blending them with learned lengths gained nothing in the model).

Change. backlog_plan simulates list scheduling and sheds, of the jobs that make one late, the newest of the route that takes most for its urgency. An answer that is 50 ms overdue is looked for by another list; a start that the list lacks is stopped, and its task goes elsewhere as soon as a later list proves it. Confirmations are ordered by order number, not by time. Only runs without silence teach.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -30,9 +30,10 @@
     /// None for a run that an earlier owner has started.
     std::optional<schema::resources> need = {};
     support::instant started_at = {};
-    /// When the endpoint confirmed the start or the stop. A list that was
-    /// asked for later and lacks the run proves that it is gone.
-    std::optional<support::instant> confirmed_at = {};
+    /// The last order that had been given when the endpoint confirmed the start
+    /// or the stop. A list that was ordered later and lacks the run proves
+    /// that it is gone.
+    std::optional<order_id> confirmed_after = {};
     /// When an unconfirmed stop is sent again.
     support::instant next_stop = {};
     order_id last_order = 0;
@@ -108,21 +109,21 @@
     }
 
     void add_run(const task_key& task, endpoint_run run);
+    /// \p last_order is the last order that has been given to anyone.
     void start_answered(const task_key& task, order_status status,
-                        support::instant now);
+                        order_id last_order);
     void begin_stop(const task_key& task, support::instant repeat_at);
     /// Runs whose stop got no answer in time.
     std::vector<task_key> stops_due(support::instant now) const;
     /// An accepted stop means that a run that is not there never starts.
-    void stop_answered(const task_key& task, support::instant now);
+    void stop_answered(const task_key& task, order_id last_order);
     /// Gives a run of an earlier owner its needs.
     void adopt_run(const task_key& task, const schema::resources& need);
 
-    /// Takes in a list that was asked for at \p asked_at; returns the runs
+    /// Takes in a list; \p last_order is the last order given. Returns the runs
     /// that ended, also those that no start of this owner began.
     std::vector<run_gone> take_list(const runs_listed& list,
-                                    support::instant asked_at,
-                                    support::instant now);
+                                    order_id last_order);
 
     /// Takes in the endpoint's clock as it was when an answer left.
     void note_clock(std::int64_t clock_ms, support::instant now);
@@ -138,8 +139,7 @@
     };
 
     std::vector<run_gone> take_ends(const runs_listed& list);
-    std::vector<run_gone> drop_missing(const runs_listed& list,
-                                       support::instant asked_at);
+    std::vector<run_gone> drop_missing(const runs_listed& list);
 
     schema::endpoint_entry registered;
     lease_rules rules;
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -21,6 +21,8 @@
 class owned_job;
 struct owned_task;
 struct endpoint_record;
+struct planned_job;
+struct planned_room;
 
 struct shard_hooks
 {
@@ -53,6 +55,9 @@
     /// How long a list request waits for an end; each renews the lease, so
     /// that a third of it is always left when an answer gets lost.
     support::milliseconds list_wait{300};
+    /// An answer that takes longer is looked for by a list. Round trips take
+    /// one or two milliseconds, a busy host's some tens.
+    support::milliseconds answer_patience{50};
     /// Between list requests to an endpoint that does not answer.
     support::milliseconds retry_interval{200};
     /// How long a run of an earlier owner waits for its job to be submitted
@@ -123,6 +128,12 @@
         std::string endpoint;
         task_key task;
     };
+    /// What a route's tasks have taken lately, as of a time.
+    struct recent_use
+    {
+        double core_ms = 0;
+        support::instant as_of;
+    };
     struct ended_job
     {
         std::string id;
@@ -143,7 +154,23 @@
     void drop_hopeless(support::instant now);
     void remember(const std::string& id, schema::job_result outcome);
 
+    // Overload.
+    void note_use(const std::string& route, double core_ms,
+                  support::instant now);
+    /// When room for tasks of \p millicores is expected to be free in a pool.
+    std::vector<planned_room> expected_rooms(const std::string& pool,
+                                             double millicores,
+                                             support::instant now) const;
+    /// Ends jobs that have not run and for which there is no room in time.
+    void shed_overload(support::instant now);
+    std::vector<std::size_t> plan_shedding(const std::string& pool,
+                                           const std::vector<owned_job*>& queue,
+                                           support::instant now) const;
+    planned_job plan_of(const owned_job& job, support::instant now) const;
+
     // Placement.
+    /// Jobs with waiting tasks, in the order in which they are served.
+    std::vector<owned_job*> waiting_queue(support::instant now) const;
     void place(support::instant now);
     bool place_job(owned_job& job, support::instant now);
     bool may_place(const owned_job& job, support::instant now) const;
@@ -183,6 +210,11 @@
     void drop_life(endpoint_record& record, const std::string& reason,
                    support::instant now);
     void tick_endpoint(endpoint_record& record, support::instant now);
+    /// Looks for answers that are overdue, by another list.
+    void notice_overdue(endpoint_record& record, support::instant now);
+    /// Stops starts without answer that a later list does not show, so that
+    /// they can never be carried out.
+    void settle_starts(endpoint_record& record, support::instant now);
     void request_list(endpoint_record& record, support::instant now);
     /// Asks every endpoint for a list at once.
     void look_at_all(support::instant now);
@@ -199,6 +231,7 @@
     /// Ends of runs whose job has not been submitted to this owner yet.
     std::map<task_key, support::instant> unclaimed_done;
     decision::run_time_model run_times;
+    std::map<std::string, recent_use> uses;
     bool needs_placing = false;
 };
 
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -16,16 +16,25 @@
     bool is_listed = true;
     /// Whether its last call was answered.
     bool answers = true;
-    /// A list is wanted although nothing is known to run there.
+    /// A list is wanted at once, whatever is known to run there.
     bool needs_list = false;
     /// The last list had ends that the endpoint still keeps.
     bool has_unacknowledged = false;
     /// The list request on its way, or 0.
     order_id list_order = 0;
     support::instant list_asked_at = {};
+    /// The endpoint holds that request open until a run ends.
+    bool list_is_held = false;
+    /// When its answer is overdue.
+    support::instant list_due = {};
+    /// Requests in a row whose answer was overdue.
+    int overdue_lists = 0;
     /// When the last list that was answered had been asked for.
     support::instant listed_as_of = {};
     support::instant next_list = {};
+    /// When a call got no answer last. Ends of runs that began before may have
+    /// been seen late, so that their length tells nothing.
+    support::instant last_silence = {};
     /// Gets no new tasks until then.
     support::instant quarantined_until = {};
     int consecutive_failures = 0;
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -116,7 +116,7 @@
 }
 
 void leased_endpoint::start_answered(const task_key& task, order_status status,
-                                     support::instant now)
+                                     order_id last_order)
 {
     const auto found = this->held.find(task);
     if (found == this->held.end())
@@ -124,9 +124,11 @@
     endpoint_run& run = found->second;
     if (status == order_status::accepted)
     {
-        run.confirmed_at = now;
-        if (run.state != run_state::stopping)
-            run.state = run_state::running;
+        // What is being stopped waits for the confirmation of its stop.
+        if (run.state == run_state::stopping)
+            return;
+        run.confirmed_after = last_order;
+        run.state = run_state::running;
     }
     else if (status == order_status::no_answer)
     {
@@ -146,7 +148,7 @@
     if (found == this->held.end())
         return;
     found->second.state = run_state::stopping;
-    found->second.confirmed_at.reset();
+    found->second.confirmed_after.reset();
     found->second.next_stop = repeat_at;
 }
 
@@ -154,17 +156,17 @@
 {
     std::vector<task_key> due;
     for (const auto& [task, run] : this->held)
-        if (run.state == run_state::stopping && !run.confirmed_at &&
+        if (run.state == run_state::stopping && !run.confirmed_after &&
             now >= run.next_stop)
             due.push_back(task);
     return due;
 }
 
-void leased_endpoint::stop_answered(const task_key& task, support::instant now)
+void leased_endpoint::stop_answered(const task_key& task, order_id last_order)
 {
     const auto found = this->held.find(task);
     if (found != this->held.end())
-        found->second.confirmed_at = now;
+        found->second.confirmed_after = last_order;
 }
 
 void leased_endpoint::adopt_run(const task_key& task,
@@ -176,15 +178,14 @@
 }
 
 std::vector<run_gone> leased_endpoint::take_list(const runs_listed& list,
-                                                 support::instant asked_at,
-                                                 support::instant now)
+                                                 order_id last_order)
 {
     this->known = true;
     if (list.born_ms != this->listed_life)
         this->last_end = 0;
     this->listed_life = list.born_ms;
     std::vector<run_gone> gone = this->take_ends(list);
-    for (run_gone& missing : this->drop_missing(list, asked_at))
+    for (run_gone& missing : this->drop_missing(list))
         gone.push_back(std::move(missing));
     for (const listed_run& listed : list.running)
     {
@@ -195,7 +196,7 @@
                                        .state = run_state::running,
                                        .need = std::nullopt,
                                        .started_at = {},
-                                       .confirmed_at = now,
+                                       .confirmed_after = last_order,
                                        .percent = listed.percent};
             continue;
         }
@@ -208,7 +209,7 @@
         if (was_open)
         {
             run.state = run_state::running;
-            run.confirmed_at = now;
+            run.confirmed_after = last_order;
         }
     }
     return gone;
@@ -234,8 +235,7 @@
     return gone;
 }
 
-std::vector<run_gone> leased_endpoint::drop_missing(const runs_listed& list,
-                                                    support::instant asked_at)
+std::vector<run_gone> leased_endpoint::drop_missing(const runs_listed& list)
 {
     std::set<task_key> present;
     for (const listed_run& listed : list.running)
@@ -245,7 +245,8 @@
     {
         const endpoint_run& run = entry->second;
         const bool is_gone = !present.contains(entry->first) &&
-                             run.confirmed_at && *run.confirmed_at < asked_at;
+                             run.confirmed_after &&
+                             *run.confirmed_after < list.order;
         if (!is_gone)
         {
             ++entry;
--- /dev/null
+++ b/shard/lib/overload.cpp
@@ -0,0 +1,141 @@
+/// \file
+/// What an overloaded shard gives up at once instead of too late.
+#include "chicorydrum/shard/shard_owner.hpp"
+
+#include "backlog_plan.hpp"
+#include "endpoint_record.hpp"
+#include "owned_job.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicorydrum::shard
+{
+
+namespace
+{
+
+using support::instant;
+
+/// How fast what a route has taken is forgotten: half of a long target, so
+/// that a flood counts while it lasts.
+constexpr double use_decay_seconds = 1.0;
+/// Assumed for what is overdue or being stopped.
+constexpr support::milliseconds soon{25};
+
+support::decision_clock::duration span_of(double milliseconds)
+{
+    return support::microseconds(
+        static_cast<std::int64_t>(milliseconds * 1000));
+}
+
+} // namespace
+
+void shard_owner::note_use(const std::string& route, double core_ms,
+                           instant now)
+{
+    recent_use& use = this->uses[route];
+    const double passed = support::in_seconds(now - use.as_of);
+    use.core_ms = use.core_ms * std::exp(-passed / use_decay_seconds) + core_ms;
+    use.as_of = now;
+}
+
+std::vector<planned_room> shard_owner::expected_rooms(const std::string& pool,
+                                                      double millicores,
+                                                      instant now) const
+{
+    std::vector<planned_room> rooms;
+    for (const auto& [id, record] : this->endpoints)
+    {
+        const schema::endpoint_entry& endpoint = record->lease.entry();
+        const bool is_usable = record->is_listed && record->answers &&
+                               record->lease.is_known() &&
+                               !endpoint.is_draining && endpoint.pool == pool &&
+                               now >= record->quarantined_until;
+        if (!is_usable)
+            continue;
+        const double slowness = this->run_times.slowness(id);
+        const auto count = static_cast<std::size_t>(
+            static_cast<double>(endpoint.capacity.millicores) / millicores);
+        std::size_t used = 0;
+        for (const auto& [task, run] : record->lease.runs())
+        {
+            ++used;
+            const auto job = this->jobs.find(task.job);
+            const bool has_length = job != this->jobs.end() && run.need &&
+                                    run.state != run_state::stopping;
+            const instant end =
+                has_length
+                    ? run.started_at + span_of(this->expected_ms(
+                                           *job->second, task.group, endpoint))
+                    : now;
+            rooms.push_back(
+                {.free_at = std::max(end, now + soon), .slowness = slowness});
+        }
+        for (; used < count; ++used)
+            rooms.push_back({.free_at = now, .slowness = slowness});
+    }
+    return rooms;
+}
+
+void shard_owner::shed_overload(instant now)
+{
+    std::vector<owned_job*> waiting = this->waiting_queue(now);
+    std::vector<std::string> shed;
+    while (!waiting.empty())
+    {
+        // One pool of endpoints at a time.
+        const std::string pool = waiting.front()->terms.pool;
+        const auto others = std::stable_partition(
+            waiting.begin(), waiting.end(),
+            [&pool](const owned_job* job) { return job->terms.pool == pool; });
+        const std::vector<owned_job*> queue(waiting.begin(), others);
+        waiting.erase(waiting.begin(), others);
+        for (const std::size_t index : this->plan_shedding(pool, queue, now))
+            shed.push_back(queue[index]->id());
+    }
+    for (const std::string& id : shed)
+        this->finish(id, schema::job_result::not_run, "overload", now);
+}
+
+std::vector<std::size_t>
+shard_owner::plan_shedding(const std::string& pool,
+                           const std::vector<owned_job*>& queue,
+                           instant now) const
+{
+    std::vector<planned_job> planned;
+    double millicores = 0;
+    int tasks = 0;
+    for (const owned_job* const job : queue)
+    {
+        planned.push_back(this->plan_of(*job, now));
+        millicores += static_cast<double>(job->waiting_millicores());
+        tasks += job->waiting_tasks();
+    }
+    std::vector<route_use> used;
+    for (const auto& [route, use] : this->uses)
+        used.push_back({.route = route,
+                        .core_ms = use.core_ms * std::exp(-support::in_seconds(
+                                                              now - use.as_of) /
+                                                          use_decay_seconds)});
+    return jobs_to_shed(
+        planned, this->expected_rooms(pool, millicores / tasks, now), used);
+}
+
+planned_job shard_owner::plan_of(const owned_job& job, instant now) const
+{
+    const double task_ms = static_cast<double>(job.longest_estimate_ms()) *
+                           this->run_times.kind_seconds(job.work.route, 1.0);
+    const int tasks = job.waiting_tasks();
+    return {.route = job.work.route,
+            .priority = job.terms.priority,
+            .tasks = tasks,
+            .task_ms = task_ms,
+            .cores =
+                static_cast<double>(job.waiting_millicores()) / 1000.0 / tasks,
+            .due = job.is_late(now) ? job.useless : job.due(),
+            .arrived = job.arrived,
+            .may_be_shed = !job.has_started() && !job.may_run};
+}
+
+} // namespace chicorydrum::shard
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -14,6 +14,10 @@
 /// How far the real run time may exceed the estimate before the owner may
 /// call a job hopeless.
 constexpr double estimate_margin = 1.5;
+/// How far past its target a job may be expected to end before it is given up
+/// for others: run times and targets come from the callers' estimates, which
+/// are off by about this factor.
+constexpr double due_margin = 1.3;
 
 support::decision_clock::duration target_span(const schema::job_terms& terms,
                                               double longest_ms)
@@ -115,6 +119,20 @@
     return longest + chained;
 }
 
+bool owned_job::is_late(support::instant now) const
+{
+    return now + support::milliseconds(this->longest_estimate_ms()) >
+           this->target;
+}
+
+support::instant owned_job::due() const
+{
+    const auto span =
+        static_cast<double>((this->target - this->arrived).count());
+    return this->arrived +
+           support::microseconds(static_cast<std::int64_t>(span * due_margin));
+}
+
 double owned_job::waiting_core_ms() const
 {
     double total = 0;
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -62,6 +62,10 @@
     /// Whether all groups that \p group comes after are done.
     bool is_ready(int group) const;
     std::int64_t longest_estimate_ms() const;
+    /// Whether it can't meet its target any more if its estimate is right.
+    bool is_late(support::instant now) const;
+    /// By when it is to end as planned, so that it is worth its room.
+    support::instant due() const;
     /// Run time times cores of the tasks that still wait.
     double waiting_core_ms() const;
     std::int64_t waiting_millicores() const;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -56,29 +56,29 @@
            (is_far ? this->options.far_factor : 1.0);
 }
 
-void shard_owner::place(instant now)
+std::vector<owned_job*> shard_owner::waiting_queue(instant now) const
 {
-    this->needs_placing = false;
     std::vector<owned_job*> queue;
     for (const auto& [id, job] : this->jobs)
         if (job->waiting_tasks() > 0 && this->may_place(*job, now))
             queue.push_back(job.get());
     // Earliest target first among jobs that can still meet it, then the rest.
-    const auto is_late = [now](const owned_job& job)
-    {
-        return now + support::milliseconds(job.longest_estimate_ms()) >
-               job.target;
-    };
     std::sort(queue.begin(), queue.end(),
-              [&is_late](const owned_job* left, const owned_job* right)
+              [now](const owned_job* left, const owned_job* right)
               {
-                  const bool left_late = is_late(*left);
-                  const bool right_late = is_late(*right);
+                  const bool left_late = left->is_late(now);
+                  const bool right_late = right->is_late(now);
                   if (left_late != right_late)
                       return right_late;
                   return left->target < right->target;
               });
-    for (owned_job* const job : queue)
+    return queue;
+}
+
+void shard_owner::place(instant now)
+{
+    this->needs_placing = false;
+    for (owned_job* const job : this->waiting_queue(now))
         this->place_job(*job, now);
 }
 
@@ -192,6 +192,10 @@
                                .last_order = order});
     state.endpoint = where.lease.entry().id;
     job.set_state(state, task_state::placed);
+    this->note_use(job.work.route,
+                   this->expected_ms(job, task.group, where.lease.entry()) *
+                       static_cast<double>(group.need.millicores) / 1000.0,
+                   now);
     this->orders[order] = {.endpoint = state.endpoint, .task = task};
     this->hooks.log(
         log_line("task_started")
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -25,6 +25,8 @@
 /// Added to a run's number that an earlier owner has used; owners change
 /// rarely, so that one step usually passes all their numbers.
 constexpr std::int64_t stale_run_step = 8;
+/// So many lists in a row without answer mean that the endpoint is silent.
+constexpr int max_overdue_lists = 2;
 
 } // namespace
 
@@ -95,16 +97,18 @@
 void shard_owner::drop_life(endpoint_record& record, const std::string& reason,
                             instant now)
 {
-    this->hooks.log(
-        log_line("endpoint_runs_dropped", support::log_level::warning)
-            .add("endpoint", record.lease.entry().id)
-            .add("reason", reason)
-            .add("runs",
-                 static_cast<std::int64_t>(record.lease.runs().size())));
+    if (record.lease.is_known() || !record.lease.runs().empty())
+        this->hooks.log(
+            log_line("endpoint_runs_dropped", support::log_level::warning)
+                .add("endpoint", record.lease.entry().id)
+                .add("reason", reason)
+                .add("runs",
+                     static_cast<std::int64_t>(record.lease.runs().size())));
     const std::vector<run_gone> gone = record.lease.drop_runs();
     record.list_order = 0;
     record.has_unacknowledged = false;
-    record.next_list = now;
+    // Another life answers at the address until the platform lists the change.
+    record.next_list = now + this->options.retry_interval;
     for (const run_gone& run : gone)
         this->run_ended(record, run, now);
 }
@@ -121,6 +125,7 @@
                   });
     this->drop_hopeless(now);
     this->place(now);
+    this->shed_overload(now);
 }
 
 void shard_owner::tick_endpoint(endpoint_record& record, instant now)
@@ -133,13 +138,64 @@
     this->stop_stalled(record, now);
     for (const task_key& task : record.lease.stops_due(now))
         this->send_stop(record, task, now);
+    this->notice_overdue(record, now);
     const bool needs_list = record.needs_list || record.has_unacknowledged ||
                             !record.lease.is_known() ||
                             !record.lease.runs().empty();
-    if (needs_list && record.list_order == 0 && now >= record.next_list)
+    // A list that is wanted at once does not wait for one that is held open.
+    const bool may_ask =
+        record.list_order == 0 || (record.needs_list && record.list_is_held);
+    if (needs_list && may_ask && now >= record.next_list)
         this->request_list(record, now);
 }
 
+void shard_owner::notice_overdue(endpoint_record& record, instant now)
+{
+    const bool has_overdue_start =
+        std::any_of(record.lease.runs().begin(), record.lease.runs().end(),
+                    [this, &record, now](const auto& entry)
+                    {
+                        const endpoint_run& run = entry.second;
+                        const instant due =
+                            run.started_at + this->options.answer_patience;
+                        return run.state == run_state::ordered && now >= due &&
+                               record.list_asked_at < due;
+                    });
+    if (has_overdue_start)
+        record.needs_list = true;
+    if (record.list_order == 0 || now < record.list_due)
+        return;
+    ++record.overdue_lists;
+    record.last_silence = now;
+    record.list_order = 0;
+    record.needs_list = true;
+    if (record.overdue_lists < max_overdue_lists)
+        return;
+    if (record.answers)
+        this->hooks.log(log_line("endpoint_lost", support::log_level::warning)
+                            .add("endpoint", record.lease.entry().id)
+                            .add("status", "overdue"));
+    record.answers = false;
+    record.next_list = now + this->options.retry_interval;
+}
+
+void shard_owner::settle_starts(endpoint_record& record, instant now)
+{
+    std::vector<task_key> missing;
+    for (const auto& [task, run] : record.lease.runs())
+        if (run.state == run_state::ordered &&
+            run.started_at + this->options.answer_patience <=
+                record.listed_as_of)
+            missing.push_back(task);
+    for (const task_key& task : missing)
+    {
+        this->hooks.log(log_line("start_overdue", support::log_level::warning)
+                            .add("task", to_text(task))
+                            .add("endpoint", record.lease.entry().id));
+        this->stop_run(record, task, now);
+    }
+}
+
 void shard_owner::request_list(endpoint_record& record, instant now)
 {
     const bool has_runs = !record.lease.runs().empty();
@@ -153,15 +209,20 @@
         request.acknowledged_end = record.lease.last_end_number();
     record.has_unacknowledged = false;
     const bool is_urgent = std::exchange(record.needs_list, false);
+    record.list_is_held = false;
     // An endpoint that does not answer is not extended: its runs lapse.
     if (record.answers && record.lease.is_known() && has_runs)
     {
         request.lease_end_ms = record.lease.extend_lease(now);
         if (!is_urgent)
+        {
             request.wait = this->options.list_wait;
+            record.list_is_held = true;
+        }
     }
     record.list_order = request.order;
     record.list_asked_at = now;
+    record.list_due = now + request.wait + this->options.answer_patience;
     this->orders[request.order] = {.endpoint = request.to.id, .task = {}};
     this->hooks.list(request);
 }
@@ -194,6 +255,7 @@
                     .add("endpoint", id)
                     .add("status", name_of(list.status)));
         record->answers = false;
+        record->last_silence = now;
         record->next_list = now + this->options.retry_interval;
         if (list.status == order_status::stale_token)
             this->hooks.fenced(id);
@@ -205,17 +267,19 @@
     if (!record->answers)
         this->hooks.log(log_line("endpoint_regained").add("endpoint", id));
     record->answers = true;
+    record->overdue_lists = 0;
     record->listed_as_of = record->list_asked_at;
     if (list.clock_ms)
         record->lease.note_clock(*list.clock_ms, now);
     const bool was_known = record->lease.is_known();
     const std::vector<run_gone> gone =
-        record->lease.take_list(list, record->list_asked_at, now);
+        record->lease.take_list(list, this->hooks.next_order());
     record->has_unacknowledged = !list.ended.empty();
     if (!was_known)
         this->endpoint_became_known(*record, now);
     for (const run_gone& run : gone)
         this->run_ended(*record, run, now);
+    this->settle_starts(*record, now);
     record->next_list = now;
     this->needs_placing = true;
     this->place(now);
@@ -330,7 +394,12 @@
         run->second.last_order != answer.order)
         return;
     const std::int64_t number = run->second.run;
-    record->lease.start_answered(target.task, answer.status, now);
+    // A start that was not confirmed in time is settled by its stop.
+    if (answer.status == order_status::no_answer &&
+        run->second.state != run_state::ordered)
+        return;
+    record->lease.start_answered(target.task, answer.status,
+                                 this->hooks.next_order());
     if (answer.status == order_status::accepted)
     {
         record->answers = true;
@@ -346,6 +415,7 @@
     {
         // Whether it runs is settled by a stop of exactly this run.
         record->answers = false;
+        record->last_silence = now;
         this->stop_run(*record, target.task, now);
         return;
     }
@@ -392,7 +462,13 @@
         run->second.state != run_state::stopping)
         return;
     if (answer.status == order_status::accepted)
-        record->lease.stop_answered(target.task, now);
+    {
+        record->lease.stop_answered(target.task, this->hooks.next_order());
+        // A list that lacks the run frees its room.
+        record->needs_list = true;
+        record->next_list = now;
+        this->tick_endpoint(*record, now);
+    }
     else if (answer.status == order_status::stale_token)
         this->hooks.fenced(target.endpoint);
     else if (answer.status == order_status::other_life)
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -96,20 +96,9 @@
         this->finish(added.id(), schema::job_result::completed, "", now);
         return;
     }
-    // Estimates are rough, so a job is only refused for the queue before it.
-    const support::milliseconds wait = this->predicted_wait();
-    const bool is_hopeless =
-        !added.has_started() && !added.may_run &&
-        now + wait + support::milliseconds(added.longest_estimate_ms() / 2) >
-            added.useless;
-    if (is_hopeless)
-    {
-        this->jobs.erase(job.work.id);
-        this->refuse(host, job, "queue_too_long", wait);
-        return;
-    }
-    this->needs_placing = true;
     this->place(now);
+    if (added.waiting_tasks() > 0)
+        this->shed_overload(now);
 }
 
 bool shard_owner::rebind(const std::string& host,
@@ -341,10 +330,11 @@
 void shard_owner::learn(const owned_job& job, const run_gone& gone,
                         const endpoint_record& where, instant now)
 {
-    const bool has_start = gone.started_at != instant();
+    const bool was_seen_in_time =
+        gone.started_at != instant() && gone.started_at > where.last_silence;
     const schema::task_group& group =
         job.work.groups[static_cast<std::size_t>(gone.task.group)];
-    if (!has_start || group.estimate_ms <= 0)
+    if (!was_seen_in_time || group.estimate_ms <= 0)
         return;
     // The model learns how many times its estimate a task takes, so that
     // routes and endpoints of any size compare.
--- /dev/null
+++ b/shard/unittests/backlog_plan_test.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// What an overloaded shard sheds. Patterns: load shedding, bulkhead.
+#include "backlog_plan.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shard
+{
+
+namespace
+{
+
+using support::instant;
+using support::milliseconds;
+
+const instant start(milliseconds(1000));
+
+std::vector<planned_room> rooms(std::size_t count)
+{
+    return std::vector<planned_room>(count,
+                                     {.free_at = start, .slowness = 1.0});
+}
+
+planned_job make_job(const std::string& route, int priority, int tasks,
+                     double task_ms, milliseconds due)
+{
+    return {.route = route,
+            .priority = priority,
+            .tasks = tasks,
+            .task_ms = task_ms,
+            .cores = 1,
+            .due = start + due,
+            .arrived = start,
+            .may_be_shed = true};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backlog_plan)
+
+BOOST_AUTO_TEST_CASE(keeps_what_ends_in_time)
+{
+    const std::vector<planned_job> jobs = {
+        make_job("quote", 0, 2, 50, milliseconds(100)),
+        make_job("print", 1, 2, 50, milliseconds(100))};
+    BOOST_TEST(jobs_to_shed(jobs, rooms(2), {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(sheds_the_flood_before_others)
+{
+    // Four large jobs of one kind fill all rooms until the small one is late.
+    std::vector<planned_job> jobs;
+    for (int i = 0; i < 4; ++i)
+        jobs.push_back(make_job("check", 2, 2, 400, milliseconds(900)));
+    jobs.push_back(make_job("quote", 0, 2, 50, milliseconds(1000)));
+    const auto shed = jobs_to_shed(jobs, rooms(2), {});
+    BOOST_TEST(shed.size() == 2);
+    for (const std::size_t index : shed)
+        BOOST_TEST(jobs[index].route == "check");
+}
+
+BOOST_AUTO_TEST_CASE(counts_what_a_route_has_taken_lately)
+{
+    const std::vector<planned_job> jobs = {
+        make_job("flood", 0, 1, 100, milliseconds(100)),
+        make_job("other", 0, 1, 100, milliseconds(100))};
+    const auto shed =
+        jobs_to_shed(jobs, rooms(1), {{.route = "flood", .core_ms = 1000}});
+    BOOST_TEST_REQUIRE(shed.size() == 1);
+    BOOST_TEST(jobs[shed[0]].route == "flood");
+}
+
+BOOST_AUTO_TEST_CASE(gives_the_urgent_the_larger_share)
+{
+    // Twice the work of the less urgent kind, which has half its share.
+    const std::vector<planned_job> jobs = {
+        make_job("late", 2, 1, 100, milliseconds(100)),
+        make_job("urgent", 0, 1, 100, milliseconds(100))};
+    const auto shed =
+        jobs_to_shed(jobs, rooms(1),
+                     {{.route = "urgent", .core_ms = 100},
+                      {.route = "late", .core_ms = 50}});
+    BOOST_TEST_REQUIRE(shed.size() == 1);
+    BOOST_TEST(jobs[shed[0]].route == "late");
+}
+
+BOOST_AUTO_TEST_CASE(sheds_the_newest_of_a_route)
+{
+    std::vector<planned_job> jobs = {
+        make_job("print", 0, 1, 100, milliseconds(100)),
+        make_job("print", 0, 1, 100, milliseconds(100))};
+    jobs[0].arrived = start + milliseconds(1);
+    const auto shed = jobs_to_shed(jobs, rooms(1), {});
+    BOOST_TEST_REQUIRE(shed.size() == 1);
+    BOOST_TEST(shed[0] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(carries_started_jobs_through)
+{
+    std::vector<planned_job> jobs = {
+        make_job("check", 2, 1, 400, milliseconds(100)),
+        make_job("quote", 0, 1, 50, milliseconds(1000))};
+    jobs[0].may_be_shed = false;
+    BOOST_TEST(jobs_to_shed(jobs, rooms(1), {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(decides_nothing_without_endpoints)
+{
+    const std::vector<planned_job> jobs = {
+        make_job("quote", 0, 1, 50, milliseconds(10))};
+    BOOST_TEST(jobs_to_shed(jobs, {}, {}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shard
--- /dev/null
+++ b/test/shards/load_day.cpp
@@ -0,0 +1,220 @@
+#include "load_day.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using support::instant;
+using support::milliseconds;
+
+constexpr milliseconds warm_up{3000};
+constexpr milliseconds settling{8000};
+constexpr milliseconds window{2000};
+/// The routes of shard_fleet's configuration.
+constexpr double target_slack_ms = 60;
+constexpr double target_stretch = 1.6;
+constexpr double useful_targets = 3;
+/// Callers wait a little longer than an answer is worth something.
+constexpr milliseconds patience_margin{500};
+
+struct sent_job
+{
+    std::string id;
+    const load_kind* kind = nullptr;
+    double work_ms = 0;
+    double core_ms = 0;
+    instant sent;
+    std::string domain;
+};
+
+/// Callers' jobs, drawn from one seed so that policies meet the same load.
+class load_source
+{
+public:
+    load_source(const load_options& given, std::uint64_t seed)
+        : options(given),
+          random(static_cast<std::minstd_rand::result_type>(seed * 31 + 7))
+    {
+    }
+
+    milliseconds next_gap(const load_kind& kind, milliseconds now)
+    {
+        double rate = kind.per_second;
+        for (const load_burst& burst : this->options.bursts)
+            if (burst.route == kind.route && now >= burst.from &&
+                now < burst.from + burst.length)
+                rate *= burst.factor;
+        std::exponential_distribution<double> gap(rate / 1000.0);
+        return milliseconds(
+            std::max<std::int64_t>(1, std::llround(gap(this->random))));
+    }
+
+    job_shape next_shape(const load_kind& kind)
+    {
+        const double work = this->vary(kind.mean_work_ms, this->options.spread);
+        const double cores = std::min(this->vary(kind.mean_millicores, 0.2),
+                                      kind.mean_millicores * 1.47);
+        const double declared = this->vary(work, this->options.estimate_error);
+        return {.tasks =
+                    std::max(1, static_cast<int>(std::lround(this->vary(
+                                    kind.mean_tasks, this->options.spread)))),
+                .millicores = std::llround(cores),
+                .work = milliseconds(std::max(1LL, std::llround(work))),
+                .estimate = milliseconds(std::max(1LL, std::llround(declared))),
+                .patience = milliseconds(std::llround(
+                                useful_targets *
+                                (target_slack_ms + target_stretch * work))) +
+                            patience_margin,
+                .route = kind.route};
+    }
+
+    std::size_t pick(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(
+            this->random);
+    }
+
+private:
+    double vary(double mean, double deviation)
+    {
+        const double median = mean * std::exp(-deviation * deviation / 2);
+        std::lognormal_distribution<double> drawn(std::log(median), deviation);
+        return std::min(drawn(this->random), mean * 4);
+    }
+
+    const load_options& options;
+    std::minstd_rand random;
+};
+
+void count(credit& group, const sent_job& job, const caller_record& caller,
+           double worth, double late_share)
+{
+    ++group.jobs;
+    group.owed += worth;
+    if (caller.answer == shard::answer_kind::not_run)
+        ++group.refused;
+    if (caller.answer != shard::answer_kind::completed)
+        return;
+    const double took_ms =
+        support::in_seconds(caller.answered - job.sent) * 1000.0;
+    const double target_ms = target_slack_ms + target_stretch * job.work_ms;
+    if (took_ms <= target_ms)
+    {
+        ++group.in_time;
+        group.earned += worth;
+    }
+    else if (took_ms <= useful_targets * target_ms)
+    {
+        ++group.late;
+        group.earned += worth * late_share;
+    }
+}
+
+} // namespace
+
+double load_result::worst_windows() const
+{
+    std::vector<double> shares;
+    for (const auto& [start, group] : this->by_window)
+        shares.push_back(group.share());
+    std::sort(shares.begin(), shares.end());
+    return shares.size() < 2 ? 1 : (shares[0] + shares[1]) / 2;
+}
+
+load_options busy_day(std::uint64_t seed)
+{
+    load_options options;
+    options.fleet = {.domains = 3,
+                     .hosts_per_domain = 2,
+                     .endpoints_per_domain = 16,
+                     .seed = seed,
+                     .keeps_log = false,
+                     .profiles = {{.millicores = 16000, .slowness = 1 / 0.7},
+                                  {.millicores = 16000, .slowness = 1 / 0.7},
+                                  {.millicores = 24000, .slowness = 1 / 1.7}}};
+    // The kinds earn alike, as much a second each.
+    options.kinds = {{.route = "quote",
+                      .per_second = 37,
+                      .mean_tasks = 8,
+                      .mean_work_ms = 60,
+                      .worth = 1 / 34.4},
+                     {.route = "print",
+                      .per_second = 107,
+                      .mean_tasks = 2,
+                      .mean_work_ms = 200,
+                      .worth = 1 / 100.0},
+                     {.route = "check",
+                      .per_second = 6.7,
+                      .mean_tasks = 4,
+                      .mean_work_ms = 900,
+                      .worth = 1 / 6.25}};
+    return options;
+}
+
+load_result play(const load_options& options)
+{
+    shard_fleet fleet(options.fleet);
+    std::vector<std::string> routes;
+    for (const load_kind& kind : options.kinds)
+        routes.push_back(kind.route);
+    fleet.set_config(2, routes);
+    fleet.run_for(warm_up);
+    const instant start = fleet.now();
+    const std::vector<std::string> hosts = fleet.host_names();
+    load_source source(options, options.fleet.seed);
+    std::vector<sent_job> sent;
+    // One arrival of each kind stands in the queue and sends the next one.
+    std::vector<std::function<void()>> arrivals(options.kinds.size());
+    for (std::size_t i = 0; i < options.kinds.size(); ++i)
+    {
+        const load_kind& kind = options.kinds[i];
+        arrivals[i] = [&, i]
+        {
+            const auto passed =
+                support::duration_cast<milliseconds>(fleet.now() - start);
+            if (passed >= options.length)
+                return;
+            const job_shape shape = source.next_shape(kind);
+            const std::string& host = hosts[source.pick(hosts.size())];
+            const double work_ms = static_cast<double>(shape.work.count());
+            sent.push_back({.id = fleet.submit(host, shape),
+                            .kind = &kind,
+                            .work_ms = work_ms,
+                            .core_ms = work_ms * shape.tasks *
+                                       static_cast<double>(shape.millicores) /
+                                       1000.0,
+                            .sent = fleet.now(),
+                            .domain = host.substr(0, host.find('-'))});
+            const auto now = support::duration_cast<milliseconds>(
+                fleet.now().time_since_epoch());
+            fleet.at(now + source.next_gap(kind, passed), arrivals[i]);
+        };
+        arrivals[i]();
+    }
+    fleet.run_for(options.length + settling);
+    load_result result;
+    for (const sent_job& job : sent)
+    {
+        const load_kind& kind = *job.kind;
+        const caller_record& caller = fleet.caller(job.id);
+        const double mean_core_ms =
+            kind.mean_tasks * kind.mean_work_ms * kind.mean_millicores / 1000.0;
+        const double size = job.core_ms / mean_core_ms;
+        const double worth = kind.worth * std::min(4.0, 0.3 + 0.7 * size);
+        const auto slot =
+            support::duration_cast<milliseconds>(job.sent - start) / window;
+        for (credit* const group :
+             {&result.whole, &result.by_kind[kind.route],
+              &result.by_domain[job.domain], &result.by_window[slot * 2]})
+            count(*group, job, caller, worth, options.late_share);
+    }
+    result.violations = fleet.violations();
+    return result;
+}
+
+} // namespace chicorydrum::shards
--- /dev/null
+++ b/test/shards/measure.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// Plays load days in virtual time and prints what they earned.
+#include "load_day.hpp"
+
+#include <cstdio>
+#include <iostream>
+
+#include <docopt/docopt.h>
+
+namespace
+{
+
+using namespace chicorydrum::shards;
+using chicorydrum::support::milliseconds;
+
+constexpr const char* usage =
+    R"(Load days of entry hosts in virtual time, and the credit that they earn.
+
+Usage: shard_measure [--seeds RANGE] [--burst ROUTE] [--factor F] [--windows]
+
+Options:
+  --seeds RANGE  Seeds as FIRST..LAST [default: 1..3].
+  --burst ROUTE  Kind that floods from second 6 to 12: quote, print, check,
+                 all or none [default: check].
+  --factor F     How many times its rate [default: 2.4].
+  --windows      Print the credit of each two seconds of the first seed.
+)";
+
+void print_row(const std::string& name, const credit& group)
+{
+    std::printf("%-10s jobs=%-6d share=%.3f in_time=%.3f late=%.3f "
+                "refused=%.3f\n",
+                name.c_str(), group.jobs, group.share(),
+                static_cast<double>(group.in_time) / group.jobs,
+                static_cast<double>(group.late) / group.jobs,
+                static_cast<double>(group.refused) / group.jobs);
+}
+
+void add(credit& to, const credit& from)
+{
+    to.owed += from.owed;
+    to.earned += from.earned;
+    to.jobs += from.jobs;
+    to.in_time += from.in_time;
+    to.late += from.late;
+    to.refused += from.refused;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const std::string range = arguments.at("--seeds").asString();
+    const std::size_t dots = range.find("..");
+    if (dots == std::string::npos)
+    {
+        std::cerr << usage;
+        return 2;
+    }
+    const std::uint64_t first = std::stoull(range.substr(0, dots));
+    const std::uint64_t last = std::stoull(range.substr(dots + 2));
+    const std::string burst = arguments.at("--burst").asString();
+    const double factor = std::stod(arguments.at("--factor").asString());
+    load_result sum;
+    double worst = 0;
+    for (std::uint64_t seed = first; seed <= last; ++seed)
+    {
+        load_options options = busy_day(seed);
+        for (const load_kind& kind : options.kinds)
+            if (burst == kind.route || burst == "all")
+                options.bursts.push_back({.route = kind.route,
+                                          .from = milliseconds(6000),
+                                          .length = milliseconds(6000),
+                                          .factor = factor});
+        const load_result result = play(options);
+        add(sum.whole, result.whole);
+        for (const auto& [name, group] : result.by_kind)
+            add(sum.by_kind[name], group);
+        worst += result.worst_windows();
+        for (const std::string& line : result.violations)
+            std::cout << "violation " << line << "\n";
+        if (seed == first && arguments.at("--windows").asBool())
+            for (const auto& [start, group] : result.by_window)
+                print_row("second " + std::to_string(start), group);
+    }
+    for (const auto& [name, group] : sum.by_kind)
+        print_row(name, group);
+    print_row("all", sum.whole);
+    std::printf("worst_windows=%.3f\n",
+                worst / static_cast<double>(last - first + 1));
+    return sum.violations.empty() ? 0 : 1;
+}
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -460,6 +460,7 @@
     shard::routing_config config;
     config.version = version;
     config.document = std::to_string(version);
+    int priority = 0;
     for (const std::string& name : routes)
         config.routes.push_back({.name = name,
                                  .host = "host",
@@ -468,7 +469,7 @@
                                  .timeout_ms = 2000,
                                  .slack_ms = 60,
                                  .stretch = 1.6,
-                                 .priority = 0,
+                                 .priority = priority++,
                                  .max_attempts = 3});
     this->store_row(directory_table::config, "config", {.config = config});
 }
@@ -581,7 +582,11 @@
     entry.port = 1;
     entry.domain = domain;
     entry.labels = {"rack-" + std::to_string(number % 2)};
-    entry.capacity.millicores = 16000;
+    const auto& profiles = this->options.profiles;
+    const endpoint_profile& profile =
+        profiles[static_cast<std::size_t>(number - 1) % profiles.size()];
+    entry.capacity.millicores = profile.millicores;
+    wanted.slowness = profile.slowness;
     entry.capacity.memory_mb = 65536;
     entry.born_ms = 1;
     wanted.clock_slowness = 0.02 * (number % 2);
@@ -699,7 +704,8 @@
     schema::task_group group;
     group.count = shape.tasks;
     group.need.millicores = shape.millicores;
-    group.estimate_ms = shape.work.count();
+    group.estimate_ms =
+        (shape.estimate.count() > 0 ? shape.estimate : shape.work).count();
     work.groups.push_back(group);
     request.work = work;
     target.calls[request.call] = job;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -16,6 +16,14 @@
 namespace chicorydrum::shards
 {
 
+/// Size and speed of an endpoint.
+struct endpoint_profile
+{
+    std::int64_t millicores = 16000;
+    /// Run time of a task against its work: 2 takes twice as long.
+    double slowness = 1;
+};
+
 struct fleet_options
 {
     int domains = 1;
@@ -24,6 +32,8 @@
     int endpoints_per_shard = 32;
     std::uint64_t seed = 1;
     bool keeps_log = true;
+    /// Given to each domain's endpoints in turn.
+    std::vector<endpoint_profile> profiles = {{}};
 };
 
 /// What one caller saw of its job.
@@ -44,6 +54,8 @@
     int tasks = 4;
     std::int64_t millicores = 6800;
     support::milliseconds work{100};
+    /// What the caller declares; 0 is the true work.
+    support::milliseconds estimate{0};
     support::milliseconds patience{2000};
     std::string route = "quote";
     /// Added to the id in the path.
@@ -89,6 +101,7 @@
     void reset_links(const std::string& host);
     void set_store_up(bool is_up);
     void lose_history();
+    /// The first route is the most urgent.
     void set_config(std::int64_t version,
                     const std::vector<std::string>& routes);
     void add_endpoint(const std::string& domain, int number);
