Return to service sooner after all hosts were lost

The logs: hosts were up and linked 0.1 s after their start, but claimed shards only after 1.2 s of settling; and a dial to a host that had no power yet lost its opening packet, which the kernel repeats after a second.

Ruled out: the store (registration and reads took 40 ms), the endpoints (known 10 ms after the claim), the links themselves.

A host that finds its own earlier row in the table knows its domain's hosts: it has settled when all of them were heard, or after 500 ms. A dial that is not open after 200 ms is begun anew, with backoff. peer_network closes a dial that hangs, which it ignored before.

--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -2,6 +2,7 @@
 /// The task that owns the links between entry hosts that share shards.
 #pragma once
 
+#include "chicorydrum/daemon/dial_patience.hpp"
 #include "chicorydrum/schema/generated/shard_types.h"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/transport/peer_network.hpp"
@@ -61,7 +62,15 @@
         support::instant last_heard;
     };
 
+    struct known_host
+    {
+        schema::host_record record;
+        dial_patience patience;
+    };
+
     void check();
+    /// Closes links that have said nothing and dials that take too long.
+    void close_silent(support::instant now);
     void dial_missing();
     void opened(transport::link_id id);
     void received(transport::link_id id, const std::string& frame);
@@ -72,7 +81,7 @@
     shard_links_options options;
     transport::peer_network network;
     transport::timer checker;
-    std::map<std::string, schema::host_record> known;
+    std::map<std::string, known_host> known;
     std::unordered_map<transport::link_id, open_link> links;
     std::map<std::string, transport::link_id> link_of_host;
     std::int64_t sent_bytes = 0;
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -44,27 +44,44 @@
 void shard_links::host_known(const std::string& host,
                              const schema::host_record& record)
 {
-    this->known[host] = record;
+    known_host& entry = this->known[host];
+    if (entry.record.nonce != record.nonce)
+        entry.patience.reset();
+    entry.record = record;
     this->dial_missing();
 }
 
 void shard_links::check()
 {
     this->checker.start(this->options.check_interval);
-    const support::instant now = transport::event_loop::now();
+    this->close_silent(transport::event_loop::now());
+    this->dial_missing();
+}
+
+void shard_links::close_silent(support::instant now)
+{
     std::vector<transport::link_id> silent;
     for (const auto& [id, link] : this->links)
-        if (!link.host.empty() &&
-            now - link.last_heard > this->options.silence_limit)
+    {
+        const bool is_slow_dial =
+            link.host.empty() && !link.dialled.empty() &&
+            this->known[link.dialled].patience.is_over(now);
+        const bool is_silent =
+            !link.host.empty() &&
+            now - link.last_heard > this->options.silence_limit;
+        if (is_slow_dial)
+            this->known[link.dialled].patience.failed();
+        if (is_slow_dial || is_silent)
             silent.push_back(id);
+    }
     for (const transport::link_id id : silent)
     {
         support::write_log(
             support::log_line("link_silent", support::log_level::warning)
-                .add("peer", this->links[id].host));
+                .add("peer", this->links[id].host)
+                .add("dialled", this->links[id].dialled));
         this->network.close(id);
     }
-    this->dial_missing();
 }
 
 bool shard_links::is_dialling(const std::string& host) const
@@ -77,14 +94,15 @@
 
 void shard_links::dial_missing()
 {
-    for (const auto& [name, record] : this->known)
+    for (auto& [name, host] : this->known)
     {
         if (name <= this->options.self.name ||
             this->link_of_host.contains(name) || this->is_dialling(name))
             continue;
         const transport::link_id id =
-            this->network.dial(record.address, record.peer_port);
+            this->network.dial(host.record.address, host.record.peer_port);
         this->links[id].dialled = name;
+        host.patience.dialled(transport::event_loop::now());
     }
 }
 
@@ -149,6 +167,9 @@
         this->network.close(old_id);
     }
     this->links[id].host = hello.host;
+    if (const auto known_peer = this->known.find(hello.host);
+        known_peer != this->known.end())
+        known_peer->second.patience.reset();
     this->link_of_host[hello.host] = id;
     this->options.on_connected({.name = hello.host,
                                 .domain = hello.domain,
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -112,6 +112,9 @@
     std::function<void(const std::string&, const schema::host_record&)>
         host_read;
     std::function<void(std::int64_t version)> registered;
+    /// All hosts of the table have been read for the first time. With a row of
+    /// an earlier process of this host, the table knows its peers.
+    std::function<void(bool has_earlier_row)> hosts_complete;
     std::function<void(const support::log_line&)> log;
 };
 
@@ -192,6 +195,8 @@
     bool available = false;
     bool is_registered = false;
     bool is_writing = false;
+    bool hosts_are_complete = false;
+    bool found_earlier_row = false;
     std::int64_t own_version = 0;
     support::instant next_write;
     support::milliseconds write_backoff{0};
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -71,6 +72,9 @@
     support::milliseconds division_window{5000};
     /// After the start nothing is claimed for so long.
     support::milliseconds settling_time{1200};
+    /// The same once the table's hosts of the domain are known: time to dial
+    /// them twice. Less if all of them were heard.
+    support::milliseconds known_settling_time{500};
 };
 
 class host_view
@@ -83,6 +87,10 @@
     /// Returns whether the peer said anything new about ownership.
     void beat(const std::string& peer, const schema::shard_beat& beat,
               support::instant now);
+    /// The table lists a host of the own domain.
+    void host_listed(const std::string& host);
+    /// All hosts that the domain had before this process started are listed.
+    void listing_complete();
     void set_stopping();
     /// What this process owns now.
     void set_owned(std::vector<schema::ownership> now_owned);
@@ -132,6 +140,7 @@
         bool is_connected = false;
         support::instant last_heard;
         support::instant disconnected_at;
+        bool has_beat = false;
         schema::shard_beat last_beat;
     };
 
@@ -140,11 +149,15 @@
     /// The hosts that should own the domain's shards that have no owner.
     std::map<int, std::string> candidates(const shard_owners& current) const;
     void note_token(fencing_token token);
+    /// Whether a claim would meet no owner that this process has not heard.
+    bool has_settled(support::instant now) const;
 
     host_view_options options;
     support::instant started;
     support::instant current_time;
     std::map<std::string, peer_state> peers;
+    std::set<std::string> listed;
+    bool listing_is_complete = false;
     std::vector<schema::ownership> owned;
     int shards = 1;
     std::optional<support::instant> divided_at;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -145,6 +145,12 @@
         if (row.record)
             this->hooks.host_read(row.name, *row.record);
     }
+    if (rows.is_whole && !this->hosts_are_complete)
+    {
+        this->hosts_are_complete = true;
+        // An own row with another nonce, or one that stood in the way.
+        this->hooks.hosts_complete(own_is_lost || this->found_earlier_row);
+    }
     own_is_lost = own_is_lost || (rows.is_whole && !has_own);
     if (!own_is_lost || !this->is_registered)
         return;
@@ -236,6 +242,7 @@
     if (answer.status == write_status::conflict)
     {
         // The row of an earlier process of this host.
+        this->found_earlier_row = true;
         this->own_version = answer.version;
         this->next_write = now;
         return;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -81,9 +81,22 @@
              .write = this->hooks.write,
              .config_read = [this](routing_config config)
              { this->take_config(std::move(config), "store"); },
-             .host_read = this->hooks.host_known,
+             .host_read =
+                 [this](const std::string& host,
+                        const schema::host_record& record)
+             {
+                 if (record.domain == this->options.self.domain)
+                     this->view.host_listed(host);
+                 this->hooks.host_known(host, record);
+             },
              .registered = [this](std::int64_t version)
              { this->view.set_registration(version); },
+             .hosts_complete =
+                 [this](bool has_earlier_row)
+             {
+                 if (has_earlier_row)
+                     this->view.listing_complete();
+             },
              .log = this->hooks.log},
             now)
 {
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -33,7 +33,10 @@
     peer_state& state = this->peers[peer.name];
     // What an earlier process of the host said does not hold any more.
     if (state.identity.nonce != peer.nonce)
+    {
         state.last_beat = {};
+        state.has_beat = false;
+    }
     state.identity = peer;
     state.is_connected = true;
     state.last_heard = now;
@@ -56,6 +59,7 @@
         return;
     found->second.last_heard = now;
     found->second.last_beat = beat;
+    found->second.has_beat = true;
     for (const schema::ownership& owned_there : beat.owned)
         this->note_token(owned_there.token);
     if (found->second.identity.domain == this->options.self.domain)
@@ -67,6 +71,32 @@
     this->highest_epoch = std::max(this->highest_epoch, epoch_of(token));
 }
 
+void host_view::host_listed(const std::string& host)
+{
+    this->listed.insert(host);
+}
+
+void host_view::listing_complete()
+{
+    this->listing_is_complete = true;
+}
+
+bool host_view::has_settled(instant now) const
+{
+    const auto age = now - this->started;
+    if (!this->listing_is_complete)
+        return age >= this->options.settling_time;
+    return age >= this->options.known_settling_time ||
+           std::all_of(this->listed.begin(), this->listed.end(),
+                       [this](const std::string& host)
+                       {
+                           const auto found = this->peers.find(host);
+                           return found != this->peers.end() &&
+                                  found->second.is_connected &&
+                                  found->second.has_beat;
+                       });
+}
+
 void host_view::set_stopping()
 {
     this->stopping = true;
@@ -219,7 +249,7 @@
     this->tick(now);
     std::vector<int> wanted;
     if (this->stopping || this->without_owner_since.empty() ||
-        now - this->started < this->options.settling_time)
+        !this->has_settled(now))
         return wanted;
     for (const auto& [shard, host] : this->candidates(this->owners()))
         if (host == this->options.self.name &&
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -260,6 +260,42 @@
     check_kept(fleet);
 }
 
+// Pattern: cold restart; peers that are all heard from again need no
+// settling time.
+BOOST_AUTO_TEST_CASE(all_hosts_restarted)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    for (const std::string& host : fleet.host_names())
+        fleet.kill(host);
+    fleet.run_for(milliseconds(500));
+    for (const std::string& host : fleet.host_names())
+        fleet.start(host);
+    // Links, one read of the table and the claim delay.
+    fleet.run_for(milliseconds(400));
+    BOOST_TEST(fleet.owners_of("D1") == 1);
+    const auto jobs = load(fleet, 5, milliseconds(50));
+    fleet.run_for(milliseconds(1500));
+    BOOST_TEST(fleet.answered(answer_kind::completed) == 5);
+    check_kept(fleet);
+}
+
+// Pattern: cold restart without a host that is gone for good.
+BOOST_AUTO_TEST_CASE(hosts_restarted_without_one)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    for (const std::string& host : fleet.host_names())
+        fleet.kill(host);
+    fleet.run_for(milliseconds(500));
+    fleet.start("D1-h2");
+    fleet.start("D1-h3");
+    // Two dials, and the claim delay.
+    fleet.run_for(milliseconds(700));
+    BOOST_TEST(fleet.owners_of("D1") == 1);
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
--- a/transport/lib/peer_network.cpp
+++ b/transport/lib/peer_network.cpp
@@ -22,7 +22,10 @@
 struct link
 {
     link_id id = 0;
+    /// Null until the link is open.
     lws* connection = nullptr;
+    /// A dial that has not ended yet.
+    lws* dialling = nullptr;
     std::string received;
     std::size_t received_used = 0;
     std::string unsent;
@@ -180,6 +183,7 @@
         if (known == nullptr)
             return -1;
         known->connection = connection;
+        known->dialling = nullptr;
         lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
         self->open(*known);
         return 0;
@@ -232,8 +236,9 @@
     // No hook runs for links that end with the network.
     state& self = *this->owned_state;
     for (auto& [id, open] : self.links)
-        if (open->connection != nullptr)
-            lws_set_opaque_user_data(open->connection, nullptr);
+        for (lws* const one : {open->connection, open->dialling})
+            if (one != nullptr)
+                lws_set_opaque_user_data(one, nullptr);
     self.links.clear();
     lws_vhost_destroy(self.vhost);
 }
@@ -253,10 +258,14 @@
     info.local_protocol_name = "peer";
     info.opaque_user_data = &dialled;
     dialled.connecting = true;
-    const bool is_connecting = lws_client_connect_via_info(&info) != nullptr;
+    lws* const dialling = lws_client_connect_via_info(&info);
     dialled.connecting = false;
-    if (is_connecting && !dialled.ended_while_connecting)
+    if (dialling != nullptr && !dialled.ended_while_connecting)
+    {
+        if (dialled.connection == nullptr)
+            dialled.dialling = dialling;
         return id;
+    }
     dialled.early_end = std::make_unique<timer>(
         self.options.loop.make_timer([&self, id] { self.end(id); }));
     dialled.early_end->start(support::microseconds(1));
@@ -283,11 +292,14 @@
 void peer_network::close(link_id id)
 {
     link* const target = this->owned_state->find(id);
-    if (target == nullptr || target->connection == nullptr)
+    if (target == nullptr || target->closing)
+        return;
+    lws* const ended =
+        target->connection != nullptr ? target->connection : target->dialling;
+    if (ended == nullptr)
         return;
     target->closing = true;
-    lws_set_timeout(target->connection, PENDING_TIMEOUT_USER_REASON_BASE,
-                    LWS_TO_KILL_ASYNC);
+    lws_set_timeout(ended, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
 }
 
 std::size_t peer_network::unsent_bytes() const
