Keep log lines in bounded memory and write them in batches

Ruled out: a non-blocking standard output, since the library's stream stays broken after the first line that does not fit.

Change. log_buffer takes the finished lines and writes what a pipe is sure to take, at each tick or at 4 KB; lines beyond 256 KB are dropped, counted and told. Besides, answers are overdue after 25 ms instead of 50.

--- a/daemon/lib/daemon.cpp
+++ b/daemon/lib/daemon.cpp
@@ -268,6 +268,7 @@
     this->ticker.start(tick_interval);
     this->follow_signals();
     this->post(decision::ticked{});
+    support::flush_log();
 }
 
 void daemon::tasks::follow_signals()
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -414,6 +414,7 @@
     const support::instant now = transport::event_loop::now();
     this->follow_signals(now);
     this->host.tick(now);
+    support::flush_log();
 }
 
 void entry_daemon::tasks::follow_signals(support::instant now)
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -56,8 +56,8 @@
     /// that a third of it is always left when an answer gets lost.
     support::milliseconds list_wait{300};
     /// An answer that takes longer is looked for by a list. Round trips take
-    /// one or two milliseconds, a busy host's some tens.
-    support::milliseconds answer_patience{50};
+    /// one or two milliseconds.
+    support::milliseconds answer_patience{25};
     /// Between list requests to an endpoint that does not answer.
     support::milliseconds retry_interval{200};
     /// How long a run of an earlier owner waits for its job to be submitted
--- a/support/include/chicorydrum/support/log.hpp
+++ b/support/include/chicorydrum/support/log.hpp
@@ -47,9 +47,14 @@
 };
 
 /// Sets up the process-wide log: lines of at least \p level go to standard
-/// error with a time and the level in front.
+/// output with a time and the level in front. They are kept until flush_log()
+/// or until some kilobytes have come together; lines that a slow reader does
+/// not take are dropped and counted, so that logging never blocks.
 void start_logging(std::string_view level);
 
+/// Writes the lines that are kept, as far as that does not block.
+void flush_log();
+
 /// Writes \p line to the process-wide log.
 void write_log(const log_line& line);
 
--- a/support/lib/log.cpp
+++ b/support/lib/log.cpp
@@ -1,7 +1,14 @@
 #include "chicorydrum/support/log.hpp"
 
+#include "log_buffer.hpp"
+
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <cstdlib>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <easylogging++.h>
 
@@ -32,6 +39,37 @@
     text += '"';
 }
 
+/// Writes to standard output at most what a pipe is sure to take at once when
+/// it is writable.
+std::size_t write_to_output(std::string_view text)
+{
+    constexpr std::size_t sure_bytes = 4096;
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+        return 0;
+    const ssize_t written =
+        ::write(STDOUT_FILENO, text.data(), std::min(text.size(), sure_bytes));
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+log_buffer& output_buffer()
+{
+    static log_buffer buffer({.write_some = write_to_output});
+    return buffer;
+}
+
+/// Takes the library's finished lines in place of its own writer.
+class buffered_dispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        const el::LogMessage* const message = data->logMessage();
+        output_buffer().add(
+            message->logger()->logBuilder()->build(message, true));
+    }
+};
+
 } // namespace
 
 log_line::log_line(std::string_view event, log_level level) : severity(level)
@@ -99,6 +137,20 @@
     if (level == "error")
         silence(el::Level::Warning);
     el::Loggers::reconfigureLogger("default", configuration);
+    constexpr const char* own_writer = "buffered_dispatch";
+    if (el::Helpers::installLogDispatchCallback<buffered_dispatch>(own_writer))
+    {
+        el::Helpers::uninstallLogDispatchCallback<
+            el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+        // Made first, so that it is still there at the exit.
+        output_buffer();
+        std::atexit(flush_log);
+    }
+}
+
+void flush_log()
+{
+    output_buffer().flush();
 }
 
 void write_log(const log_line& line)
--- /dev/null
+++ b/support/lib/log_buffer.cpp
@@ -0,0 +1,40 @@
+#include "log_buffer.hpp"
+
+namespace chicorydrum::support
+{
+
+log_buffer::log_buffer(log_buffer_options given) : options(std::move(given))
+{
+}
+
+void log_buffer::add(std::string_view line)
+{
+    if (this->waiting.size() + line.size() > this->options.max_waiting_bytes)
+    {
+        ++this->dropped;
+        ++this->untold;
+        return;
+    }
+    this->waiting += line;
+    if (this->waiting.size() >= this->options.batch_bytes)
+        this->flush();
+}
+
+void log_buffer::flush()
+{
+    while (!this->waiting.empty())
+    {
+        const std::size_t written = this->options.write_some(this->waiting);
+        if (written == 0)
+            return;
+        this->waiting.erase(0, written);
+    }
+    if (this->untold == 0)
+        return;
+    const std::string note =
+        "event=log_lines_dropped count=" + std::to_string(this->untold) + "\n";
+    this->untold = 0;
+    this->add(note);
+}
+
+} // namespace chicorydrum::support
