Look before stopping a start whose answer was lost

Ruled out: leaving such a start alone (it may be carried out seconds later, when its task runs elsewhere).

A start without answer is doubtful; a list that is asked for at once confirms it, or lacks it, and then it is stopped as before.

--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -183,10 +183,16 @@
 {
     std::vector<task_key> missing;
     for (const auto& [task, run] : record.lease.runs())
-        if (run.state == run_state::ordered &&
+    {
+        const bool is_overdue =
+            run.state == run_state::ordered &&
             run.started_at + this->options.answer_patience <=
-                record.listed_as_of)
+                record.listed_as_of;
+        const bool is_doubtful = run.state == run_state::doubtful &&
+                                 record.last_silence <= record.listed_as_of;
+        if (is_overdue || is_doubtful)
             missing.push_back(task);
+    }
     for (const task_key& task : missing)
     {
         this->hooks.log(log_line("start_overdue", support::log_level::warning)
@@ -413,10 +419,12 @@
                         .add("status", name_of(answer.status)));
     if (answer.status == order_status::no_answer)
     {
-        // Whether it runs is settled by a stop of exactly this run.
+        // A list that is asked for now tells whether it runs.
         record->answers = false;
         record->last_silence = now;
-        this->stop_run(*record, target.task, now);
+        record->needs_list = true;
+        record->next_list = now;
+        this->tick_endpoint(*record, now);
         return;
     }
     this->start_refused(*record, target.task, answer.status, now);
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -296,6 +296,20 @@
     check_kept(fleet);
 }
 
+// Pattern: read before retry; a start whose answer was lost goes on.
+BOOST_AUTO_TEST_CASE(endpoints_lose_answers)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    for (const std::string& id : fleet.endpoint_names())
+        fleet.endpoint(id).set_trouble(endpoint_trouble::loses_answers);
+    const std::string job = fleet.submit("D1-h1", {.work = milliseconds(600)});
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -66,6 +66,12 @@
 void virtual_endpoint::start(const shard::start_order& order,
                              std::function<void(order_answered)> reply)
 {
+    if (this->trouble == endpoint_trouble::loses_answers)
+    {
+        this->carry_out(order, {});
+        reply({.order = order.order, .status = order_status::no_answer});
+        return;
+    }
     if (this->trouble != endpoint_trouble::late_starts)
     {
         this->carry_out(order, std::move(reply));
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -39,6 +39,8 @@
     dead,
     /// Starts get no answer and are carried out late.
     late_starts,
+    /// Starts are carried out and their answers lost with the connection.
+    loses_answers,
     /// Tasks stand still.
     hangs,
     /// Every task fails.
