Follow ownership at ticks and beats, not at each endpoint's answer

Cause. callgrind on shard_measure: 27% of the decisions' instructions went into follow_ownership after each start, stop and list, which changes nothing unless an endpoint has obeyed a higher token.

After an answer it is followed only if a shard was fenced.

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -138,6 +138,8 @@
     shard_owner* find_shard(const std::string& domain, int number);
     shard_hooks hooks_for_shard(int number);
     void follow_ownership(support::instant now);
+    /// The same if an endpoint has just obeyed a higher token.
+    void follow_fences(support::instant now);
     void claim(int number, support::instant now);
     void resign(int number, const std::string& reason, support::instant now);
     /// Tells the view what this host owns and how loaded that is.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -198,7 +198,7 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->start_answered(answer, now);
-    this->follow_ownership(now);
+    this->follow_fences(now);
 }
 
 void entry_host::stop_answered(const order_answered& answer, instant now)
@@ -207,7 +207,7 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->stop_answered(answer, now);
-    this->follow_ownership(now);
+    this->follow_fences(now);
 }
 
 void entry_host::runs_listed(const shard::runs_listed& list, instant now)
@@ -216,7 +216,13 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->listed(list, now);
-    this->follow_ownership(now);
+    this->follow_fences(now);
+}
+
+void entry_host::follow_fences(instant now)
+{
+    if (!this->fenced.empty())
+        this->follow_ownership(now);
 }
 
 // Peers.
