Give shards back to strong hosts after a rolling restart

An owner offers a shard when a host of the domain that has been seen for 3 s would give it twice the processor share; the strongest host claims it as in a planned stop. One shard at a time, kept if nobody claims within a second.

Test: shards_return_to_strong_hosts (red before: the weak host keeps it).

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -83,6 +83,8 @@
   /// What runs and waits there, against all that could run.
   4: i64 wanted_millicores
   5: i64 capacity_millicores
+  /// A much stronger host should claim it.
+  6: bool is_offered
 }
 
 struct shard_beat {
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -56,6 +56,8 @@
     /// cost their owner more; see docs/CAPACITY.md.
     int endpoints_per_shard = 32;
     int max_shards = 16;
+    /// How long a shard is offered to stronger hosts before it is kept.
+    support::milliseconds offer_time{1000};
     /// A tick that comes this much late means that the process was paused.
     support::milliseconds pause_limit{400};
 };
@@ -144,6 +146,9 @@
     void resign(int number, const std::string& reason, support::instant now);
     /// Tells the view what this host owns and how loaded that is.
     void update_owned();
+    std::vector<schema::ownership> owned_now() const;
+    /// Lets a much stronger host of the domain claim a shard of this one.
+    void offer_shard(support::instant now);
     void send_beats(support::instant now, bool to_all);
     schema::shard_beat make_beat() const;
     void update_shard_endpoints(support::instant now);
@@ -160,6 +165,8 @@
     directory table;
     /// By number; all are of this host's domain.
     std::map<int, std::unique_ptr<shard_owner>> shards;
+    std::optional<int> offered;
+    support::instant offer_ends;
     std::int64_t shard_endpoints_version = -1;
     bool stopping = false;
     /// Shards whose endpoints have obeyed a higher token than ours.
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -45,6 +45,7 @@
     fencing_token token = 0;
     std::int64_t wanted_millicores = 0;
     std::int64_t capacity_millicores = 0;
+    bool is_offered = false;
 
     bool is_same(const shard_owner_ref& other) const
     {
@@ -67,6 +68,12 @@
     /// How long a domain must be without owner before one is claimed, so that
     /// hosts that start together see each other first.
     support::milliseconds claim_delay{100};
+    /// A host is offered shards once it has been seen for so long; a rolling
+    /// restart has then gone on to the next one.
+    support::milliseconds offer_delay{3000};
+    /// How many times the processor share for a shard an offer must bring, so
+    /// that shards move rarely.
+    double offer_gain = 2;
     /// How long after a division the owners are careful: all hosts have heard
     /// of it, and all leases of before have lapsed.
     support::milliseconds division_window{5000};
@@ -120,6 +127,9 @@
     shard_owners owners() const;
     /// The shards of its own domain that this host should claim now.
     std::vector<int> shards_to_claim(support::instant now);
+    /// A shard of this host that a much stronger host of the domain should
+    /// claim, if any.
+    std::optional<int> shard_to_offer(support::instant now) const;
     /// A token above all that were seen, unique to this process.
     fencing_token next_token();
     /// An endpoint refused a token that nobody here has outbid.
@@ -138,6 +148,7 @@
     {
         host_identity identity;
         bool is_connected = false;
+        support::instant connected_at;
         support::instant last_heard;
         support::instant disconnected_at;
         bool has_beat = false;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -428,6 +428,7 @@
     this->table.tick(now);
     this->update_shard_endpoints(now);
     this->update_owned();
+    this->offer_shard(now);
     this->follow_ownership(now);
     for (const auto& [number, shard] : this->shards)
         shard->tick(now);
@@ -537,17 +538,41 @@
             .add("reason", reason)
             .add("open_jobs", static_cast<std::int64_t>(shard.open_jobs())));
     this->shards.erase(number);
+    if (this->offered == number)
+        this->offered.reset();
     this->update_owned();
     this->table.set_owner(!this->shards.empty());
     this->send_beats(now, true);
 }
 
 void entry_host::update_owned()
+{
+    this->view.set_owned(this->owned_now());
+}
+
+std::vector<schema::ownership> entry_host::owned_now() const
 {
     std::vector<schema::ownership> owned;
     for (const auto& [number, shard] : this->shards)
+    {
         owned.push_back(shard->load());
-    this->view.set_owned(std::move(owned));
+        owned.back().is_offered = this->offered == number;
+    }
+    return owned;
+}
+
+void entry_host::offer_shard(instant now)
+{
+    if (this->offered && now < this->offer_ends)
+        return;
+    const bool had_offer = this->offered.has_value();
+    this->offered = had_offer ? std::nullopt : this->view.shard_to_offer(now);
+    if (!this->offered)
+        return;
+    this->offer_ends = now + this->options.offer_time;
+    this->hooks.log(log_line("shard_offered").add("shard", *this->offered));
+    this->update_owned();
+    this->send_beats(now, true);
 }
 
 schema::shard_beat entry_host::make_beat() const
@@ -557,12 +582,10 @@
     beat.is_stopping = this->stopping;
     beat.config_version = this->settings_in_force.version();
     beat.shard_count = this->view.shard_count();
+    beat.owned = this->owned_now();
     for (const auto& [number, shard] : this->shards)
-    {
-        beat.owned.push_back(shard->load());
         for (const auto& [route, count] : shard->waiting_by_route())
             beat.waiting[route] += count;
-    }
     return beat;
 }
 
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -36,6 +36,7 @@
     {
         state.last_beat = {};
         state.has_beat = false;
+        state.connected_at = now;
     }
     state.identity = peer;
     state.is_connected = true;
@@ -142,8 +143,9 @@
     {
         const auto found =
             current.find({.domain = this->options.self.domain, .shard = shard});
-        const bool is_owned =
-            found != current.end() && !this->is_stopping(found->second.host);
+        const bool is_owned = found != current.end() &&
+                              !found->second.is_offered &&
+                              !this->is_stopping(found->second.host);
         if (is_owned)
             this->without_owner_since.erase(shard);
         else
@@ -183,7 +185,8 @@
         best[name] = {.host = host,
                       .token = claim.token,
                       .wanted_millicores = claim.wanted_millicores,
-                      .capacity_millicores = claim.capacity_millicores};
+                      .capacity_millicores = claim.capacity_millicores,
+                      .is_offered = claim.is_offered};
     };
     for (const schema::ownership& claim : this->owned)
         consider(this->options.self.name, claim);
@@ -259,6 +262,32 @@
     return wanted;
 }
 
+std::optional<int> host_view::shard_to_offer(instant now) const
+{
+    // One move at a time, while all shards of the domain have owners.
+    if (this->stopping || this->owned.empty() ||
+        !this->without_owner_since.empty())
+        return std::nullopt;
+    std::map<std::string, int> shards_of;
+    for (const auto& [shard, owner] : this->owners())
+        ++shards_of[owner.host];
+    const double own_share =
+        this->options.self.power / static_cast<double>(this->owned.size());
+    for (const auto& [name, peer] : this->peers)
+    {
+        const bool is_settled =
+            peer.is_connected && peer.has_beat &&
+            now - peer.connected_at >= this->options.offer_delay;
+        if (!is_settled || peer.identity.domain != this->options.self.domain ||
+            peer.last_beat.is_stopping || !this->is_live(peer))
+            continue;
+        const double share = peer.identity.power / (shards_of[name] + 1);
+        if (share >= own_share * this->options.offer_gain)
+            return this->owned.front().shard;
+    }
+    return std::nullopt;
+}
+
 fencing_token host_view::next_token()
 {
     this->highest_epoch =
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -310,6 +310,28 @@
     check_kept(fleet);
 }
 
+// Pattern: rebalancing with hysteresis; after a rolling restart the shards
+// go back from weak hosts to strong ones, and stay there.
+BOOST_AUTO_TEST_CASE(shards_return_to_strong_hosts)
+{
+    shard_fleet fleet({.hosts_per_domain = 3, .powers = {0.09, 0.09, 0.5}});
+    fleet.run_for(warm_up);
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h3");
+    fleet.stop_planned("D1-h3");
+    load(fleet, 30, milliseconds(100));
+    BOOST_TEST(fleet.owner_of("D1") != "D1-h3");
+    fleet.run_for(milliseconds(4000));
+    fleet.start("D1-h3");
+    load(fleet, 60, milliseconds(100));
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h3");
+    BOOST_TEST(fleet.owners_of("D1") == 1);
+    load(fleet, 30, milliseconds(100));
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h3");
+    BOOST_TEST(fleet.answered(answer_kind::completed) == fleet.submitted());
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -101,7 +101,7 @@
     wanted.self = {.name = name,
                    .domain = started.domain,
                    .nonce = static_cast<std::int64_t>(this->random()) + 1,
-                   .power = 0.25};
+                   .power = this->power_of(name)};
     wanted.record.domain = started.domain;
     wanted.record.address = "10.0.0.1";
     wanted.record.peer_port = 1;
@@ -113,6 +113,15 @@
     this->tick(name, started.life);
 }
 
+double shard_fleet::power_of(const std::string& host) const
+{
+    constexpr double usual_power = 0.25;
+    const std::size_t number = std::stoul(host.substr(host.find("-h") + 2));
+    return number <= this->options.powers.size()
+               ? this->options.powers[number - 1]
+               : usual_power;
+}
+
 void shard_fleet::tick(const std::string& name, int life)
 {
     this->deliver(name, life,
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -32,6 +32,8 @@
     int endpoints_per_shard = 32;
     std::uint64_t seed = 1;
     bool keeps_log = true;
+    /// Processor shares of each domain's hosts, by number; 0.25 for the rest.
+    std::vector<double> powers = {};
     /// Given to each domain's endpoints in turn.
     std::vector<endpoint_profile> profiles = {{}};
 };
@@ -165,6 +167,7 @@
     void connect(const std::string& one, const std::string& other);
     void drop_link(const std::string& one, const std::string& other);
     void keep_links();
+    double power_of(const std::string& host) const;
     void tick(const std::string& name, int life);
     void answer(const std::string& host, const shard::caller_answer& answer);
     void send_again(const std::string& job);
