Keep the shards of a stopping host until a strong one can take them

Ruled out: returning them sooner than 3 s after a link (each stop would move them twice).

A host that stops offers its shards at once only if others bring half of their processor share; otherwise after 2 s of the 2.5 s that it stays anyway.

Test: strong_hosts_stopped_one_after_the_other (red before: a weak host owns the shard 0.1 s after the stop).

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -147,6 +147,8 @@
     /// Tells the view what this host owns and how loaded that is.
     void update_owned();
     std::vector<schema::ownership> owned_now() const;
+    /// Begins the handover of a host that stops when it is time.
+    void follow_stop(support::instant now);
     /// Lets a much stronger host of the domain claim a shard of this one.
     void offer_shard(support::instant now);
     void send_beats(support::instant now, bool to_all);
@@ -165,6 +167,8 @@
     directory table;
     /// By number; all are of this host's domain.
     std::map<int, std::unique_ptr<shard_owner>> shards;
+    /// This host stops, and others may claim what it owns.
+    bool hands_over = false;
     std::optional<int> offered;
     support::instant offer_ends;
     std::int64_t shard_endpoints_version = -1;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -74,6 +74,11 @@
     /// How many times the processor share for a shard an offer must bring, so
     /// that shards move rarely.
     double offer_gain = 2;
+    /// A host that stops hands its shards over at once if that leaves them so
+    /// much of their processor share, and otherwise after handover_delay; by
+    /// then a stronger host may have come back.
+    double handover_share = 0.5;
+    support::milliseconds handover_delay{2000};
     /// How long after a division the owners are careful: all hosts have heard
     /// of it, and all leases of before have lapsed.
     support::milliseconds division_window{5000};
@@ -98,7 +103,7 @@
     void host_listed(const std::string& host);
     /// All hosts that the domain had before this process started are listed.
     void listing_complete();
-    void set_stopping();
+    void set_stopping(support::instant now);
     /// What this process owns now.
     void set_owned(std::vector<schema::ownership> now_owned);
     /// How many shards this host's view of the endpoints asks for. The count
@@ -130,6 +135,8 @@
     /// A shard of this host that a much stronger host of the domain should
     /// claim, if any.
     std::optional<int> shard_to_offer(support::instant now) const;
+    /// Whether this host, which stops, should hand its shards over now.
+    bool should_hand_over(support::instant now) const;
     /// A token above all that were seen, unique to this process.
     fencing_token next_token();
     /// An endpoint refused a token that nobody here has outbid.
@@ -156,7 +163,11 @@
     };
 
     bool is_live(const peer_state& peer) const;
-    bool is_stopping(const std::string& host) const;
+    /// The most processor share for one more shard that another host of the
+    /// domain has, of those that have been seen for \p span; 0 if there is
+    /// none.
+    double best_share_of_others(support::instant now,
+                                support::milliseconds span) const;
     /// The hosts that should own the domain's shards that have no owner.
     std::map<int, std::string> candidates(const shard_owners& current) const;
     void note_token(fencing_token token);
@@ -175,7 +186,7 @@
     std::int64_t registration = 0;
     std::int64_t highest_epoch = 0;
     std::int64_t epoch_step = 1;
-    bool stopping = false;
+    std::optional<support::instant> stopping_since;
     /// By shard of the own domain.
     std::map<int, support::instant> without_owner_since;
 };
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -404,10 +404,24 @@
 {
     this->current_time = now;
     this->stopping = true;
-    this->view.set_stopping();
+    this->view.set_stopping(now);
     this->hooks.log(
         log_line("stop_requested")
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
+    this->follow_stop(now);
+    this->update_owned();
+    this->send_beats(now, true);
+}
+
+void entry_host::follow_stop(instant now)
+{
+    if (this->hands_over || !this->view.should_hand_over(now))
+        return;
+    this->hands_over = true;
+    this->hooks.log(
+        log_line("shards_handed_over")
+            .add("shards", static_cast<std::int64_t>(this->shards.size())));
+    this->update_owned();
     this->send_beats(now, true);
 }
 
@@ -427,6 +441,7 @@
     this->last_tick = now;
     this->table.tick(now);
     this->update_shard_endpoints(now);
+    this->follow_stop(now);
     this->update_owned();
     this->offer_shard(now);
     this->follow_ownership(now);
@@ -556,7 +571,7 @@
     for (const auto& [number, shard] : this->shards)
     {
         owned.push_back(shard->load());
-        owned.back().is_offered = this->offered == number;
+        owned.back().is_offered = this->offered == number || this->hands_over;
     }
     return owned;
 }
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -98,9 +98,9 @@
                        });
 }
 
-void host_view::set_stopping()
+void host_view::set_stopping(instant now)
 {
-    this->stopping = true;
+    this->stopping_since = now;
 }
 
 void host_view::set_owned(std::vector<schema::ownership> now_owned)
@@ -143,9 +143,8 @@
     {
         const auto found =
             current.find({.domain = this->options.self.domain, .shard = shard});
-        const bool is_owned = found != current.end() &&
-                              !found->second.is_offered &&
-                              !this->is_stopping(found->second.host);
+        const bool is_owned =
+            found != current.end() && !found->second.is_offered;
         if (is_owned)
             this->without_owner_since.erase(shard);
         else
@@ -197,14 +196,6 @@
     return best;
 }
 
-bool host_view::is_stopping(const std::string& host) const
-{
-    if (host == this->options.self.name)
-        return this->stopping;
-    const auto found = this->peers.find(host);
-    return found != this->peers.end() && found->second.last_beat.is_stopping;
-}
-
 std::map<int, std::string>
 host_view::candidates(const shard_owners& current) const
 {
@@ -215,7 +206,7 @@
     };
     // In the order of names, so that all hosts settle ties alike.
     std::map<std::string, contender> contenders;
-    if (!this->stopping)
+    if (!this->stopping_since)
         contenders[this->options.self.name].power = this->options.self.power;
     for (const auto& [name, peer] : this->peers)
         if (peer.identity.domain == this->options.self.domain &&
@@ -251,7 +242,7 @@
 {
     this->tick(now);
     std::vector<int> wanted;
-    if (this->stopping || this->without_owner_since.empty() ||
+    if (this->stopping_since || this->without_owner_since.empty() ||
         !this->has_settled(now))
         return wanted;
     for (const auto& [shard, host] : this->candidates(this->owners()))
@@ -262,30 +253,51 @@
     return wanted;
 }
 
-std::optional<int> host_view::shard_to_offer(instant now) const
+double host_view::best_share_of_others(instant now,
+                                       support::milliseconds span) const
 {
-    // One move at a time, while all shards of the domain have owners.
-    if (this->stopping || this->owned.empty() ||
-        !this->without_owner_since.empty())
-        return std::nullopt;
     std::map<std::string, int> shards_of;
     for (const auto& [shard, owner] : this->owners())
         ++shards_of[owner.host];
-    const double own_share =
-        this->options.self.power / static_cast<double>(this->owned.size());
+    double best = 0;
     for (const auto& [name, peer] : this->peers)
     {
-        const bool is_settled =
-            peer.is_connected && peer.has_beat &&
-            now - peer.connected_at >= this->options.offer_delay;
-        if (!is_settled || peer.identity.domain != this->options.self.domain ||
+        const bool has_settled = peer.is_connected && peer.has_beat &&
+                                 now - peer.connected_at >= span;
+        if (!has_settled || peer.identity.domain != this->options.self.domain ||
             peer.last_beat.is_stopping || !this->is_live(peer))
             continue;
-        const double share = peer.identity.power / (shards_of[name] + 1);
-        if (share >= own_share * this->options.offer_gain)
-            return this->owned.front().shard;
+        best = std::max(best, peer.identity.power / (shards_of[name] + 1));
     }
-    return std::nullopt;
+    return best;
+}
+
+std::optional<int> host_view::shard_to_offer(instant now) const
+{
+    // One move at a time, while all shards of the domain have owners.
+    if (this->stopping_since || this->owned.empty() ||
+        !this->without_owner_since.empty())
+        return std::nullopt;
+    const double own_share =
+        this->options.self.power / static_cast<double>(this->owned.size());
+    const double other_share =
+        this->best_share_of_others(now, this->options.offer_delay);
+    if (other_share < own_share * this->options.offer_gain)
+        return std::nullopt;
+    return this->owned.front().shard;
+}
+
+bool host_view::should_hand_over(instant now) const
+{
+    if (!this->stopping_since)
+        return false;
+    if (now - *this->stopping_since >= this->options.handover_delay ||
+        this->owned.empty())
+        return true;
+    const double own_share =
+        this->options.self.power / static_cast<double>(this->owned.size());
+    return this->best_share_of_others(now, support::milliseconds(0)) >=
+           own_share * this->options.handover_share;
 }
 
 fencing_token host_view::next_token()
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -332,6 +332,29 @@
     check_kept(fleet);
 }
 
+// Pattern: deferred handover; a strong host that stops serves on for a while
+// if only weak ones could take over, and a strong one that returns does.
+BOOST_AUTO_TEST_CASE(strong_hosts_stopped_one_after_the_other)
+{
+    shard_fleet fleet(
+        {.hosts_per_domain = 4, .powers = {0.09, 0.09, 0.5, 0.5}});
+    fleet.run_for(warm_up);
+    const std::string first = fleet.owner_of("D1");
+    const std::string second = first == "D1-h3" ? "D1-h4" : "D1-h3";
+    fleet.stop_planned(second);
+    load(fleet, 10, milliseconds(100));
+    fleet.stop_planned(first);
+    load(fleet, 10, milliseconds(100));
+    BOOST_TEST(fleet.owner_of("D1") == first);
+    fleet.kill(second);
+    fleet.start(second);
+    load(fleet, 15, milliseconds(100));
+    BOOST_TEST(fleet.owner_of("D1") == second);
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST(fleet.owner_of("D1") == second);
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
