Bound the rooms that the plan gives an endpoint; take one copy of its steps

Read in the diff: a backlog of tasks that need no cores divides an endpoint's cores by zero, and the result was turned into a count, which is undefined; here it came out as 0, so that tasks_without_cores passed before as well and is kept as a regression test.

--- a/shard/lib/backlog_plan.hpp
+++ b/shard/lib/backlog_plan.hpp
@@ -31,7 +31,7 @@
     double task_ms = 0;
     /// Cores of one task.
     double cores = 0;
-    /// When it was due to be answered at the latest to be worth its room.
+    /// It is worth its room only if it ends by then.
     support::instant due;
     support::instant arrived;
     /// A job with tasks that have run is carried through.
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -17,26 +17,28 @@
 
 using support::instant;
 
-/// How fast what a route has taken is forgotten: half of a long target, so
-/// that a flood counts while it lasts.
+/// Time constant with which a route's use is forgotten: about one long target,
+/// so that a flood counts while it lasts.
 constexpr double use_decay_seconds = 1.0;
+/// Tasks that need less are planned as if they needed so much, which bounds
+/// the rooms of an endpoint.
+constexpr double min_room_millicores = 250;
 /// Assumed for what is overdue or being stopped.
 constexpr support::milliseconds soon{25};
 
-support::decision_clock::duration span_of(double milliseconds)
+} // namespace
+
+double shard_owner::decayed_use(const recent_use& use, instant now)
 {
-    return support::microseconds(
-        static_cast<std::int64_t>(milliseconds * 1000));
+    const double passed = support::in_seconds(now - use.as_of);
+    return use.core_ms * std::exp(-passed / use_decay_seconds);
 }
 
-} // namespace
-
 void shard_owner::note_use(const std::string& route, double core_ms,
                            instant now)
 {
     recent_use& use = this->uses[route];
-    const double passed = support::in_seconds(now - use.as_of);
-    use.core_ms = use.core_ms * std::exp(-passed / use_decay_seconds) + core_ms;
+    use.core_ms = decayed_use(use, now) + core_ms;
     use.as_of = now;
 }
 
@@ -66,7 +68,7 @@
                                     run.state != run_state::stopping;
             const instant end =
                 has_length
-                    ? run.started_at + span_of(this->expected_ms(
+                    ? run.started_at + support::span_of_ms(this->expected_ms(
                                            *job->second, task.group, endpoint))
                     : now;
             rooms.push_back(
@@ -114,12 +116,9 @@
     }
     std::vector<route_use> used;
     for (const auto& [route, use] : this->uses)
-        used.push_back({.route = route,
-                        .core_ms = use.core_ms * std::exp(-support::in_seconds(
-                                                              now - use.as_of) /
-                                                          use_decay_seconds)});
-    return jobs_to_shed(
-        planned, this->expected_rooms(pool, millicores / tasks, now), used);
+        used.push_back({.route = route, .core_ms = decayed_use(use, now)});
+    const double room = std::max(millicores / tasks, min_room_millicores);
+    return jobs_to_shed(planned, this->expected_rooms(pool, room, now), used);
 }
 
 planned_job shard_owner::plan_of(const owned_job& job, instant now) const
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -22,12 +22,6 @@
 /// deviations of the callers' estimates.
 constexpr double hopeless_part = 0.5;
 
-support::decision_clock::duration span_of(double milliseconds)
-{
-    return support::microseconds(
-        static_cast<std::int64_t>(milliseconds * 1000));
-}
-
 /// Whether \p record may run tasks of \p group at all, room aside.
 bool is_suitable(const endpoint_record& record, const owned_job& job,
                  const schema::task_group& group)
@@ -169,8 +163,9 @@
     }
     if (best == nullptr)
         return nullptr;
-    const bool meets_target = now + span_of(best_ms) <= job.target;
-    const bool faster_could = now + span_of(fastest_ms) < job.target;
+    const bool meets_target = now + support::span_of_ms(best_ms) <= job.target;
+    const bool faster_could =
+        now + support::span_of_ms(fastest_ms) < job.target;
     return meets_target || !faster_could ? best : nullptr;
 }
 
@@ -239,7 +234,7 @@
         }
         longest_ms = std::max(longest_ms, fastest_ms);
     }
-    return span_of(longest_ms * hopeless_part);
+    return support::span_of_ms(longest_ms * hopeless_part);
 }
 
 support::milliseconds shard_owner::predicted_wait() const
--- a/support/include/chicorydrum/support/clock.hpp
+++ b/support/include/chicorydrum/support/clock.hpp
@@ -36,4 +36,10 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/// A span of so many milliseconds, rounded down to microseconds.
+constexpr decision_clock::duration span_of_ms(double span)
+{
+    return decision_clock::duration(static_cast<std::int64_t>(span * 1000));
+}
+
 } // namespace chicorydrum::support
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -355,6 +355,18 @@
     check_kept(fleet);
 }
 
+// Pattern: extreme input; a backlog of tasks that need memory and no cores.
+BOOST_AUTO_TEST_CASE(tasks_without_cores)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    load(fleet, 5, milliseconds(5), {.millicores = 0, .memory_mb = 40000});
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST(fleet.unanswered() == 0);
+    BOOST_TEST(fleet.answered(answer_kind::completed) > 0);
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -713,6 +713,7 @@
     schema::task_group group;
     group.count = shape.tasks;
     group.need.millicores = shape.millicores;
+    group.need.memory_mb = shape.memory_mb;
     group.estimate_ms =
         (shape.estimate.count() > 0 ? shape.estimate : shape.work).count();
     work.groups.push_back(group);
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -55,6 +55,7 @@
 {
     int tasks = 4;
     std::int64_t millicores = 6800;
+    std::int64_t memory_mb = 0;
     support::milliseconds work{100};
     /// What the caller declares; 0 is the true work.
     support::milliseconds estimate{0};
