Tell the intake of ended jobs only after the shard has returned

A host may own several shards. A shard that gives jobs up for overload collects their ids and ends them one after the other. The end of a job of an own caller went straight to the intake, which offers the job to another shard of the same host; that gave up jobs too, whose callers' offers came back to the first shard, which gave up jobs that were still on the first list. The outer loop then ended a job that was not there: it moved from and erased end(). Stack of the scenario under gdb, innermost first: std::map::erase <- shard_owner::finish <- shed_overload <- submit <- job_intake::send <- offer_elsewhere <- job_intake::ended <- shard_owner::finish <- shed_overload <- submit <- (the same once more) <- entry_host::submitted.

Ends of own callers' jobs wait in the entry host until the shard's call has returned, as ends for other hosts wait in their links. Nothing can enter a shard while one of its methods runs. Order and answers stay the same.

The same class elsewhere, looked at by reading: job_intake (send may end the job; nothing uses it after), shard_owner::submit and the loops over endpoints (hooks answer later), entry_host (shards are resigned only outside their calls), shard_links and peer_network (links end later, by timer), directory, http_server (exchanges are found anew by id; timers copy their hook).

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -10,6 +10,7 @@
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -133,8 +134,11 @@
     void deliver_submission(const std::string& owner,
                             const schema::job_submitted& job,
                             support::instant now);
-    void report_end(const std::string& host, const schema::job_ended& end,
-                    support::instant now);
+    void decline(const std::string& peer, const schema::job_submitted& job);
+    void report_end(const std::string& host, const schema::job_ended& end);
+    /// Tells the intake what owned shards have reported; called last by all
+    /// that calls a shard or makes the intake submit.
+    void take_own_ends(support::instant now);
     void notice_pause(support::instant now);
     /// The owned shard called \p name, or null.
     shard_owner* find_shard(const std::string& domain, int number);
@@ -176,6 +180,10 @@
     /// Shards whose endpoints have obeyed a higher token than ours.
     std::set<int> fenced;
     order_id last_order = 0;
+    /// Ends of this host's own callers' jobs. The intake may submit a job to
+    /// another shard at once, so that it learns of them only after the shard
+    /// that has reported them has returned.
+    std::deque<schema::job_ended> own_ends;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -31,7 +31,8 @@
     std::function<void(const start_order&)> start;
     std::function<void(const stop_order&)> stop;
     std::function<void(const list_request&)> list;
-    /// Tells the entry host \p host how a job of it ended.
+    /// Tells the entry host \p host how a job of it ended. Must not call the
+    /// shard before that has returned.
     std::function<void(const std::string& host, const schema::job_ended&)>
         report;
     /// Whether the endpoints that are listed are all that live.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -150,6 +150,7 @@
     this->intake.submit(request.call, std::move(work),
                         this->settings_in_force.terms_of(*match->route),
                         patience, now);
+    this->take_own_ends(now);
 }
 
 void entry_host::queried(const caller_query& query, instant now)
@@ -198,6 +199,7 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->start_answered(answer, now);
+    this->take_own_ends(now);
     this->follow_fences(now);
 }
 
@@ -207,6 +209,7 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->stop_answered(answer, now);
+    this->take_own_ends(now);
     this->follow_fences(now);
 }
 
@@ -216,6 +219,7 @@
     // Only the shard that gave the order knows its number.
     for (const auto& [number, shard] : this->shards)
         shard->listed(list, now);
+    this->take_own_ends(now);
     this->follow_fences(now);
 }
 
@@ -239,6 +243,7 @@
     this->hooks.send(peer.name, message);
     // What was sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
+    this->take_own_ends(now);
 }
 
 void entry_host::peer_lost(const std::string& peer, instant now)
@@ -259,17 +264,9 @@
         shard_owner* const shard =
             this->find_shard(said.submitted.domain, said.submitted.shard);
         if (shard != nullptr)
-        {
             shard->submit(peer, said.submitted, now);
-            return;
-        }
-        schema::job_not_owned refusal;
-        refusal.call = said.submitted.call;
-        refusal.domain = said.submitted.domain;
-        refusal.shard = said.submitted.shard;
-        schema::shard_message message;
-        message.__set_not_owned(refusal);
-        this->hooks.send(peer, message);
+        else
+            this->decline(peer, said.submitted);
     }
     else if (said.__isset.withdrawn)
     {
@@ -283,6 +280,19 @@
         this->hooks.log(log_line("owner_declined").add("peer", peer));
     else if (said.__isset.config)
         this->on_config(said.config, now);
+    this->take_own_ends(now);
+}
+
+void entry_host::decline(const std::string& peer,
+                         const schema::job_submitted& job)
+{
+    schema::job_not_owned refusal;
+    refusal.call = job.call;
+    refusal.domain = job.domain;
+    refusal.shard = job.shard;
+    schema::shard_message message;
+    message.__set_not_owned(refusal);
+    this->hooks.send(peer, message);
 }
 
 void entry_host::on_beat(const std::string& peer,
@@ -348,11 +358,11 @@
 }
 
 void entry_host::report_end(const std::string& host,
-                            const schema::job_ended& end, instant now)
+                            const schema::job_ended& end)
 {
     if (host == this->options.self.name)
     {
-        this->intake.ended(host, end, now);
+        this->own_ends.push_back(end);
         return;
     }
     schema::shard_message message;
@@ -360,6 +370,16 @@
     this->hooks.send(host, message);
 }
 
+void entry_host::take_own_ends(instant now)
+{
+    while (!this->own_ends.empty())
+    {
+        const schema::job_ended end = std::move(this->own_ends.front());
+        this->own_ends.pop_front();
+        this->intake.ended(this->options.self.name, end, now);
+    }
+}
+
 // The store.
 
 void entry_host::rows_read(const table_rows& rows, instant now)
@@ -396,6 +416,7 @@
     this->view.ask_for_shards(wanted, now);
     for (const auto& [number, shard] : this->shards)
         shard->update_endpoints(listed, now);
+    this->take_own_ends(now);
 }
 
 // Time and ownership.
@@ -447,6 +468,7 @@
     this->follow_ownership(now);
     for (const auto& [number, shard] : this->shards)
         shard->tick(now);
+    this->take_own_ends(now);
     this->intake.tick(now);
     this->send_beats(now, false);
 }
@@ -503,6 +525,7 @@
         if (!this->shards.contains(number))
             this->claim(number, now);
     this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
+    this->take_own_ends(now);
 }
 
 shard_hooks entry_host::hooks_for_shard(int number)
@@ -513,7 +536,7 @@
         .stop = this->hooks.stop,
         .list = this->hooks.list,
         .report = [this](const std::string& host, const schema::job_ended& end)
-        { this->report_end(host, end, this->current_time); },
+        { this->report_end(host, end); },
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
         .fenced =
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -7,6 +7,7 @@
 #include "owned_job.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 
 namespace chicorydrum::shard
@@ -235,6 +236,7 @@
                          const std::string& reason, instant now)
 {
     const auto found = this->jobs.find(id);
+    assert(found != this->jobs.end() && "only a job that is there can end");
     const std::unique_ptr<owned_job> job = std::move(found->second);
     this->jobs.erase(found);
     this->stop_runs_of(*job, now);
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -108,6 +108,32 @@
     check_kept(fleet);
 }
 
+// Pattern: reentrancy; one host owns several shards, each of which refuses
+// jobs for want of room while the others hand it what they have refused.
+BOOST_AUTO_TEST_CASE(overloaded_shards_of_one_host)
+{
+    shard_fleet fleet({.hosts_per_domain = 1,
+                       .endpoints_per_domain = 8,
+                       .endpoints_per_shard = 2});
+    fleet.run_for(warm_up);
+    BOOST_TEST(fleet.shards_of("D1") > 1);
+    const std::string host = fleet.owner_of("D1");
+    for (int wave = 0; wave < 12; ++wave)
+    {
+        for (int i = 0; i < 20; ++i)
+            fleet.submit(host, {.tasks = 1 + i % 5,
+                                .work = milliseconds(60 + 90 * (i % 7))});
+        // Less room all at once, so that each shard gives up several jobs.
+        const std::string hit = "D1-e" + std::to_string(1 + wave % 8);
+        fleet.endpoint(hit).set_trouble(endpoint_trouble::dead);
+        fleet.run_for(milliseconds(150));
+        fleet.endpoint(hit).set_trouble(endpoint_trouble::none);
+    }
+    fleet.run_for(milliseconds(5000));
+    BOOST_TEST(fleet.unanswered() == 0);
+    check_kept(fleet);
+}
+
 // Pattern: graceful handover during a rolling restart.
 BOOST_AUTO_TEST_CASE(planned_stop_of_the_owner)
 {
