Do not touch a request, or the state of a client, after their end

AddressSanitizer, heap-use-after-free, in unit.transport, at the first kept request: http_client::state::receive read open.timed_out after lws_http_client_read(), which leads to LWS_CALLBACK_COMPLETED_CLIENT_HTTP, so that complete() had destroyed the request. It happened at each answer on a kept connection. Without the sanitizer the byte usually kept its old value; another value closed the kept connection. With that mended, a second one: forget_idle() on a client that was gone, from lws_context_destroy(), at the end of a process.

The second: the library keeps connections, and the protocol table that lay in the client, until its context goes; the client, the server and the peer network destroyed them earlier.

Change. receive() knows the connection only. Their states go to the event loop when they end, and are destroyed after the context. An idle connection is forgotten at its destruction also while a request was on it, and a lane keeps a newer one; both were seen by reading only.

--- a/transport/include/chicorydrum/transport/event_loop.hpp
+++ b/transport/include/chicorydrum/transport/event_loop.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct lws_context;
 
@@ -61,6 +62,13 @@
     /// A stopped timer that runs \p hook each time it fires.
     timer make_timer(std::function<void()> hook);
 
+    /// Takes over the state of an object that has ended. The library may hand
+    /// it to callbacks until the loop has closed its connections.
+    void retire(std::shared_ptr<void> state)
+    {
+        this->retired.push_back(std::move(state));
+    }
+
     lws_context* context() const
     {
         return this->native;
@@ -68,6 +76,8 @@
 
 private:
     lws_context* native;
+    /// Destroyed after the context.
+    std::vector<std::shared_ptr<void>> retired;
 };
 
 } // namespace chicorydrum::transport
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -100,7 +100,7 @@
     void connect(open_request& open);
     int append_headers(open_request& open, void* in, std::size_t length);
     int write_body(open_request& open);
-    int receive(open_request& open, lws* connection);
+    static int receive(lws* connection);
     int keep(open_request& open, const char* bytes, std::size_t length);
     void keep_headers(open_request& open, lws* connection);
     void time_out(std::uint64_t id);
@@ -109,6 +109,8 @@
     void finish(std::uint64_t id);
 
     http_client_options options;
+    /// The client is gone; its connections are still to be closed.
+    bool has_ended = false;
     lws_protocols protocols[2] = {};
     /// For requests with a connection of their own.
     lws_vhost* vhost = nullptr;
@@ -178,7 +180,9 @@
     const auto found = this->idle.find(connection);
     if (found == this->idle.end())
         return;
-    found->second->idle = nullptr;
+    // The lane may hold a newer connection by now.
+    if (found->second->idle == connection)
+        found->second->idle = nullptr;
     this->idle.erase(found);
 }
 
@@ -279,15 +283,14 @@
     return 0;
 }
 
-int http_client::state::receive(open_request& open, lws* connection)
+int http_client::state::receive(lws* connection)
 {
     std::array<char, LWS_PRE + read_chunk_bytes> buffer{};
     char* position = buffer.data() + LWS_PRE;
     int length = static_cast<int>(read_chunk_bytes);
-    // Leads to LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ for each piece.
-    if (lws_http_client_read(connection, &position, &length) < 0)
-        return -1;
-    return open.timed_out ? -1 : 0;
+    // Leads to LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ for each piece, and to
+    // LWS_CALLBACK_COMPLETED_CLIENT_HTTP, after which the request is gone.
+    return lws_http_client_read(connection, &position, &length) < 0 ? -1 : 0;
 }
 
 int http_client::state::keep(open_request& open, const char* bytes,
@@ -393,9 +396,10 @@
     auto* const self = static_cast<state*>(lws_vhost_user(vhost));
     auto* const open =
         static_cast<open_request*>(lws_get_opaque_user_data(connection));
-    if (self != nullptr && open == nullptr &&
-        reason == LWS_CALLBACK_WSI_DESTROY)
+    if (self != nullptr && reason == LWS_CALLBACK_WSI_DESTROY)
         self->forget_idle(connection);
+    if (self != nullptr && self->has_ended)
+        return 0;
     if (self == nullptr || open == nullptr)
         return lws_callback_http_dummy(connection, reason, user, in, length);
     // A request that has its outcome takes part in nothing but its closing.
@@ -418,7 +422,7 @@
         self->keep_headers(*open, connection);
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return self->receive(*open, connection);
+        return receive(connection);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
         return self->keep(*open, static_cast<const char*>(in), length);
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
@@ -460,6 +464,9 @@
     lws_vhost_destroy(this->owned_state->vhost);
     for (lws_vhost* const lane : this->owned_state->lanes)
         lws_vhost_destroy(lane);
+    this->owned_state->has_ended = true;
+    event_loop& loop = this->owned_state->options.loop;
+    loop.retire(std::move(this->owned_state));
 }
 
 void http_client::send(client_request request,
--- a/transport/lib/http_server.cpp
+++ b/transport/lib/http_server.cpp
@@ -129,6 +129,8 @@
     void forget(connection_data& data);
 
     http_server_options options;
+    /// The server is gone; its connections are still to be closed.
+    bool has_ended = false;
     lws_protocols protocols[3] = {};
     lws_vhost* vhost = nullptr;
     exchange_id next_id = 1;
@@ -338,7 +340,7 @@
         return 0;
     auto* const self = static_cast<state*>(lws_vhost_user(vhost));
     auto* const data = static_cast<connection_data*>(user);
-    if (self == nullptr)
+    if (self == nullptr || self->has_ended)
         return 0;
     switch (reason)
     {
@@ -403,6 +405,9 @@
     this->owned_state->exchanges.clear();
     if (this->owned_state->vhost != nullptr)
         lws_vhost_destroy(this->owned_state->vhost);
+    this->owned_state->has_ended = true;
+    event_loop& loop = this->owned_state->options.loop;
+    loop.retire(std::move(this->owned_state));
 }
 
 void http_server::respond(exchange_id id, http_response response)
--- a/transport/lib/peer_network.cpp
+++ b/transport/lib/peer_network.cpp
@@ -70,6 +70,8 @@
     void end(link_id id);
 
     peer_network_options options;
+    /// The network is gone; its connections are still to be closed.
+    bool has_ended = false;
     lws_protocols protocols[2] = {};
     lws_vhost* vhost = nullptr;
     link_id next_id = 1;
@@ -165,7 +167,7 @@
     if (vhost == nullptr)
         return 0;
     auto* const self = static_cast<state*>(lws_vhost_user(vhost));
-    if (self == nullptr)
+    if (self == nullptr || self->has_ended)
         return 0;
     auto* const known =
         static_cast<link*>(lws_get_opaque_user_data(connection));
@@ -241,6 +243,8 @@
                 lws_set_opaque_user_data(one, nullptr);
     self.links.clear();
     lws_vhost_destroy(self.vhost);
+    self.has_ended = true;
+    self.options.loop.retire(std::move(this->owned_state));
 }
 
 link_id peer_network::dial(const std::string& address, int port)
