Say where a process crashed

On SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT the daemon writes the log lines that still wait, event=crashed with signal, address, time and process, and the C library's backtrace, on a stack of its own and without allocating, then dies by the same signal. Frames of functions that are inlined need addr2line -i.

Test. process failure/crashed_host_says_where kills a host by SIGSEGV, reads the line and resolves a frame to event_loop::run_until; it failed while the command did not ask for inlined functions, and nothing wrote the line before.

--- a/support/lib/log.cpp
+++ b/support/lib/log.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/support/log.hpp"
 
 #include "log_buffer.hpp"
+#include "waiting_lines.hpp"
 
 #include <algorithm>
 #include <array>
@@ -153,6 +154,11 @@
     output_buffer().flush();
 }
 
+std::string_view waiting_lines()
+{
+    return output_buffer().pending();
+}
+
 void write_log(const log_line& line)
 {
     switch (line.level())
--- a/support/lib/log_buffer.hpp
+++ b/support/lib/log_buffer.hpp
@@ -32,6 +32,11 @@
     /// Takes in one line with its end.
     void add(std::string_view line);
     void flush();
+    /// What is not written yet.
+    std::string_view pending() const
+    {
+        return this->waiting;
+    }
     std::int64_t dropped_lines() const
     {
         return this->dropped;
--- /dev/null
+++ b/support/lib/waiting_lines.hpp
@@ -0,0 +1,14 @@
+/// \file
+/// The log's last lines for the crash report.
+#pragma once
+
+#include <string_view>
+
+namespace chicorydrum::support
+{
+
+/// The lines that the log has not written yet. May be called from a signal
+/// handler; the text may then end in the middle of a line.
+std::string_view waiting_lines();
+
+} // namespace chicorydrum::support
--- a/test/process/failure_test.cpp
+++ b/test/process/failure_test.cpp
@@ -268,4 +268,22 @@
     BOOST_TEST(failed <= 8);
 }
 
+// Pattern: crash report; the log names the signal and the places in the code.
+BOOST_AUTO_TEST_CASE(crashed_host_says_where)
+{
+    process_fleet fleet;
+    fleet.host(0).signal(SIGSEGV);
+    BOOST_TEST(
+        fleet.wait_for([&] { return fleet.host(0).exit_code().has_value(); }));
+    BOOST_TEST(fleet.host(0).exit_code().value_or(0) == -SIGSEGV);
+    const std::string log = fleet.log_of(0);
+    const std::size_t report = log.find("event=crashed signal=SIGSEGV ");
+    BOOST_REQUIRE(report != std::string::npos);
+    const std::size_t frame = log.find("/chicorydrumd(+0x", report);
+    BOOST_REQUIRE(frame != std::string::npos);
+    // The loop waits for events; one of the frames is its function's.
+    BOOST_TEST(process_fleet::functions_in(log.substr(report))
+                   .find("event_loop::run_until") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/process_fleet.cpp
+++ b/test/process/process_fleet.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <iterator>
+#include <regex>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -53,6 +55,23 @@
     return std::string(CHICORYDRUM_BIN_DIR) + "/" + name;
 }
 
+/// Runs \p command in a shell and waits for its end.
+command_result run_command(const std::string& command)
+{
+    command_result result;
+    FILE* const pipe = popen((command + " 2>&1").c_str(), "r");
+    std::array<char, 4096> buffer{};
+    while (true)
+    {
+        const std::size_t read = fread(buffer.data(), 1, buffer.size(), pipe);
+        if (read == 0)
+            break;
+        result.output.append(buffer.data(), read);
+    }
+    result.exit_code = WEXITSTATUS(pclose(pipe));
+    return result;
+}
+
 } // namespace
 
 int take_ports(int count)
@@ -347,20 +366,24 @@
 
 command_result process_fleet::run_cli(const std::string& arguments)
 {
-    const std::string command =
-        binary("chicorydrum") + " " + arguments + " 2>&1";
-    command_result result;
-    FILE* const pipe = popen(command.c_str(), "r");
-    std::array<char, 4096> buffer{};
-    while (true)
-    {
-        const std::size_t read = fread(buffer.data(), 1, buffer.size(), pipe);
-        if (read == 0)
-            break;
-        result.output.append(buffer.data(), read);
-    }
-    result.exit_code = WEXITSTATUS(pclose(pipe));
-    return result;
+    return run_command(binary("chicorydrum") + " " + arguments);
+}
+
+std::string process_fleet::log_of(int host) const
+{
+    std::ifstream file(this->work_directory + "/host" + std::to_string(host) +
+                       ".log");
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string process_fleet::functions_in(const std::string& backtrace)
+{
+    const std::regex frame(R"(/chicorydrumd\((\+0x[0-9a-f]+)\))");
+    std::string command = "addr2line -Cfpi -e " + binary("chicorydrumd");
+    for (std::sregex_iterator found(backtrace.begin(), backtrace.end(), frame);
+         found != std::sregex_iterator(); ++found)
+        command += " " + (*found)[1].str();
+    return run_command(command).output;
 }
 
 std::string job_body(const std::string& kind, int tasks,
--- a/test/process/process_fleet.hpp
+++ b/test/process/process_fleet.hpp
@@ -118,6 +118,12 @@
     /// Runs the command line against the given hosts, separated by commas.
     command_result run_cli(const std::string& arguments);
 
+    /// What \p host has written.
+    std::string log_of(int host) const;
+    /// The functions, with file and line, of a crash report's frames that lie
+    /// in the program itself.
+    static std::string functions_in(const std::string& backtrace);
+
     int http_port(int host) const
     {
         return this->host_ports.at(static_cast<std::size_t>(host));
--- a/tools/chicorydrumd/main.cpp
+++ b/tools/chicorydrumd/main.cpp
@@ -2,6 +2,7 @@
 /// The entry host's process.
 #include "chicorydrum/daemon/daemon.hpp"
 #include "chicorydrum/daemon/entry_daemon.hpp"
+#include "chicorydrum/support/crash_report.hpp"
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/support/yaml_reader.hpp"
 
@@ -70,6 +71,7 @@
     if (checks_only)
         return 0;
     chicorydrum::support::start_logging(settings->log_level);
+    chicorydrum::support::report_crashes();
     chicorydrum::daemon::daemon(*settings).run();
     return 0;
 }
@@ -87,6 +89,7 @@
     if (checks_only)
         return 0;
     chicorydrum::support::start_logging(settings->log_level);
+    chicorydrum::support::report_crashes();
     const auto reload = [path, read]() -> std::optional<entry_settings>
     {
         auto changed = load(path, read);
