Test a takeover without all endpoints so that it needs its mend

Now the hosts meet as soon as the predecessor is outbid, and the listed endpoints have room. With endpoints_are_complete() taken out of may_place it fails ("two runs of job1/0/0 at D1-e3 and D1-e1", three such); it passes with it.

--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -409,13 +409,22 @@
     fleet.run_for(milliseconds(1500));
     fleet.remove_endpoint("D1-e1");
     fleet.remove_endpoint("D1-e2");
-    const job_shape shape{.work = milliseconds(2500),
-                          .patience = milliseconds(6000)};
-    for (int i = 0; i < 3; ++i)
-        fleet.submit(owner, shape);
+    // The first job runs on endpoints that the other host does not know, the
+    // second one leaves room on those that it knows.
+    for (const int tasks : {4, 1})
+        fleet.submit(owner, {.tasks = tasks,
+                             .work = milliseconds(2500),
+                             .patience = milliseconds(9000)});
+    fleet.run_for(milliseconds(100));
+    BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 2U);
+    BOOST_TEST(fleet.endpoint("D1-e2").running_count() == 2U);
     fleet.set_store_up(true);
-    // Long enough to outbid the predecessor at the endpoints that it knows.
-    fleet.run_for(milliseconds(1000));
+    // The predecessor learns that it is outbid while its leases on the other
+    // endpoints still have most of their time, and hands its jobs over.
+    const std::string outbid = owner + " event=fenced";
+    for (int i = 0; i < 300 && !fleet.has_logged(outbid); ++i)
+        fleet.run_for(milliseconds(10));
+    BOOST_TEST(fleet.has_logged(outbid));
     fleet.heal();
     fleet.run_for(milliseconds(8000));
     BOOST_TEST(fleet.unanswered() == 0);
