--- /dev/null
+++ b/shard/lib/entry_host_ownership.cpp
@@ -0,0 +1,262 @@
+/// \file
+/// What an entry host owns as time passes: claims, handovers, beats.
+#include "chicorydrum/shard/entry_host.hpp"
+
+#include <algorithm>
+
+namespace chicorydrum::shard
+{
+
+using support::instant;
+using support::log_line;
+
+void entry_host::stop_requested(instant now)
+{
+    this->current_time = now;
+    this->stopping = true;
+    this->view.set_stopping(now);
+    this->hooks.log(
+        log_line("stop_requested")
+            .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
+    this->follow_stop(now);
+    this->update_owned();
+    this->send_beats(now, true);
+}
+
+void entry_host::follow_stop(instant now)
+{
+    if (this->hands_over || !this->view.should_hand_over(now))
+        return;
+    this->hands_over = true;
+    this->hooks.log(
+        log_line("shards_handed_over")
+            .add("shards", static_cast<std::int64_t>(this->shards.size())));
+    this->update_owned();
+    this->send_beats(now, true);
+}
+
+void entry_host::stop_forced(instant now)
+{
+    this->current_time = now;
+    this->hooks.log(
+        log_line("stop_forced")
+            .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
+    this->intake.end_all("host_stops");
+}
+
+void entry_host::tick(instant now)
+{
+    this->current_time = now;
+    this->notice_pause(now);
+    this->last_tick = now;
+    this->table.tick(now);
+    this->update_shard_endpoints(now);
+    this->follow_stop(now);
+    this->update_owned();
+    this->offer_shard(now);
+    this->follow_ownership(now);
+    for (const auto& [number, shard] : this->shards)
+        shard->tick(now);
+    this->take_own_ends(now);
+    this->intake.tick(now);
+    this->send_beats(now, false);
+}
+
+void entry_host::notice_pause(instant now)
+{
+    const auto gap = now - this->last_tick;
+    if (gap < this->options.pause_limit)
+        return;
+    this->hooks.log(log_line("pause_noticed", support::log_level::warning)
+                        .add("gap_ms", support::whole_ms(gap)));
+    this->view.forget_silence(now);
+    for (const auto& [number, shard] : this->shards)
+        shard->suspect_all(now);
+}
+
+shard_owner* entry_host::find_shard(const std::string& domain, int number)
+{
+    const auto found = this->shards.find(number);
+    const bool is_owned =
+        domain == this->options.self.domain && found != this->shards.end();
+    return is_owned ? found->second.get() : nullptr;
+}
+
+void entry_host::follow_ownership(instant now)
+{
+    this->view.tick(now);
+    for (const auto& [number, shard] : this->shards)
+        for (const std::string& host : shard->caller_hosts())
+            if (!this->view.is_live(host))
+                shard->withdraw_all(host, now);
+    const shard_owners best = this->view.owners();
+    std::vector<std::pair<int, std::string>> lost;
+    for (const auto& [number, shard] : this->shards)
+    {
+        const auto owner =
+            best.find({.domain = this->options.self.domain, .shard = number});
+        if (owner != best.end() && owner->second.token > shard->token())
+            lost.emplace_back(number, "outbid");
+        else if (this->fenced.contains(number))
+            lost.emplace_back(number, "fenced");
+        else if (shard->shard_count() != this->view.shard_count())
+            lost.emplace_back(number, "shards_divided");
+    }
+    this->fenced.clear();
+    for (const auto& [number, reason] : lost)
+    {
+        // Nobody that this host sees has the higher token.
+        if (reason == "fenced")
+            this->view.raise_epoch();
+        this->resign(number, reason, now);
+    }
+    for (const int number : this->view.shards_to_claim(now))
+        if (!this->shards.contains(number))
+            this->claim(number, now);
+    this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
+    this->take_own_ends(now);
+}
+
+shard_hooks entry_host::hooks_for_shard(int number)
+{
+    return {
+        .next_order = [this] { return ++this->last_order; },
+        .start = this->hooks.start,
+        .stop = this->hooks.stop,
+        .list = this->hooks.list,
+        .report = [this](const std::string& host, const schema::job_ended& end)
+        { this->report_end(host, end); },
+        .endpoints_are_complete = [this]
+        { return this->table.endpoints_are_complete(this->current_time); },
+        .fenced =
+            [this, number](const std::string& endpoint)
+        {
+            this->fenced.insert(number);
+            this->hooks.log(log_line("fenced")
+                                .add("shard", number)
+                                .add("endpoint", endpoint));
+        },
+        .log = this->hooks.log};
+}
+
+void entry_host::claim(int number, instant now)
+{
+    shard_options wanted = this->options.shard;
+    wanted.domain = this->options.self.domain;
+    wanted.shard = number;
+    wanted.shards = this->view.shard_count();
+    wanted.was_divided = this->view.was_divided_recently(now);
+    wanted.token = this->view.next_token();
+    auto made = std::make_unique<shard_owner>(
+        wanted, this->hooks_for_shard(number), now);
+    shard_owner& claimed = *made;
+    this->shards[number] = std::move(made);
+    this->update_owned();
+    this->table.set_owner(true);
+    this->send_beats(now, true);
+    claimed.update_endpoints(this->table.endpoints(), now);
+}
+
+void entry_host::resign(int number, const std::string& reason, instant now)
+{
+    const shard_owner& shard = *this->shards.at(number);
+    this->hooks.log(
+        log_line("shard_resigned")
+            .add("shard", number)
+            .add("token", shard.token())
+            .add("reason", reason)
+            .add("open_jobs", static_cast<std::int64_t>(shard.open_jobs())));
+    this->shards.erase(number);
+    if (this->offered == number)
+        this->offered.reset();
+    this->update_owned();
+    this->table.set_owner(!this->shards.empty());
+    this->send_beats(now, true);
+}
+
+void entry_host::update_owned()
+{
+    this->view.set_owned(this->owned_now());
+}
+
+std::vector<schema::ownership> entry_host::owned_now() const
+{
+    std::vector<schema::ownership> owned;
+    for (const auto& [number, shard] : this->shards)
+    {
+        owned.push_back(shard->load());
+        owned.back().is_offered = this->offered == number || this->hands_over;
+    }
+    return owned;
+}
+
+void entry_host::offer_shard(instant now)
+{
+    if (this->offered && now < this->offer_ends)
+        return;
+    const bool had_offer = this->offered.has_value();
+    this->offered = had_offer ? std::nullopt : this->view.shard_to_offer(now);
+    if (!this->offered)
+        return;
+    this->offer_ends = now + this->options.offer_time;
+    this->hooks.log(log_line("shard_offered").add("shard", *this->offered));
+    this->update_owned();
+    this->send_beats(now, true);
+}
+
+schema::shard_beat entry_host::make_beat() const
+{
+    schema::shard_beat beat;
+    beat.is_ready = this->is_ready();
+    beat.is_stopping = this->stopping;
+    beat.config_version = this->settings_in_force.version();
+    beat.shard_count = this->view.shard_count();
+    beat.owned = this->owned_now();
+    for (const auto& [number, shard] : this->shards)
+        for (const auto& [route, count] : shard->waiting_by_route())
+            beat.waiting[route] += count;
+    return beat;
+}
+
+void entry_host::send_beats(instant now, bool to_all)
+{
+    const bool near_is_due = to_all || now >= this->next_near_beat;
+    const bool far_is_due = to_all || now >= this->next_far_beat;
+    if (!near_is_due && !far_is_due)
+        return;
+    schema::shard_message message;
+    message.__set_beat(this->make_beat());
+    for (const std::string& peer : this->view.connected_peers())
+    {
+        const bool is_near =
+            this->view.domain_of(peer) == this->options.self.domain;
+        if (is_near ? near_is_due : far_is_due)
+            this->hooks.send(peer, message);
+    }
+    if (near_is_due)
+        this->next_near_beat = now + this->options.near_beat;
+    if (far_is_due)
+        this->next_far_beat = now + this->options.far_beat;
+}
+
+bool entry_host::is_ready() const
+{
+    const shard_owners owners = this->view.owners();
+    const bool domain_has_owner =
+        std::any_of(owners.begin(), owners.end(),
+                    [this](const auto& entry) {
+                        return entry.first.domain == this->options.self.domain;
+                    });
+    return !this->stopping && this->settings_in_force.version() > 0 &&
+           domain_has_owner;
+}
+
+bool entry_host::is_free_to_leave() const
+{
+    return this->open_jobs() == 0 &&
+           std::all_of(this->shards.begin(), this->shards.end(),
+                       [](const auto& entry)
+                       { return entry.second->open_jobs() == 0; });
+}
+
+} // namespace chicorydrum::shard
