Let hosts with greater names dial those that know nobody

A host that restarts while the store is away learns of no peers. Of each pair the smaller name dials, so that it got no links to hosts with greater names: no config from them, and it took itself for the only host; when the store came back both sides fenced each other.

A host that waits 800 ms for a smaller name's dial dials itself. If both dial at once, both sides keep the link that the smaller name has dialled, unless the other one is a new process or the link has been silent.

Test. unittests/shard_links_test.cpp is new, two hosts over loopback: of its four cases a_host_that_knows_nobody_is_dialled_by_greater_names failed before.

--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -26,13 +26,18 @@
     /// A link that has said nothing for so long is closed and dialled again;
     /// three far beats.
     support::milliseconds silence_limit{1500};
+    /// How long a host waits for one with a smaller name to dial before it
+    /// dials itself; several dials of the other side.
+    support::milliseconds reverse_dial_delay{800};
     std::function<void(const shard::host_identity&)> on_connected;
     std::function<void(const std::string& host)> on_lost;
     std::function<void(const std::string& host, const schema::shard_message&)>
         on_message;
 };
 
-/// Of each pair of hosts the one with the smaller name dials. A link counts
+/// Of each pair of hosts the one with the smaller name dials. If it does not,
+/// as after a restart without the store, the other one does; of two links that
+/// come of it, the one stays that the smaller name has dialled. A link counts
 /// once the other side has said hello.
 class shard_links
 {
@@ -59,6 +64,8 @@
         std::string host;
         /// The host that this side dialled, or empty.
         std::string dialled;
+        /// The life of the host that said hello.
+        std::int64_t nonce = 0;
         support::instant last_heard;
     };
 
@@ -66,6 +73,8 @@
     {
         schema::host_record record;
         dial_patience patience;
+        /// When the last link or dial ended, or the host became known.
+        support::instant unlinked_since;
     };
 
     void check();
@@ -77,6 +86,10 @@
     void accept_hello(transport::link_id id, const schema::shard_hello& hello);
     void closed(transport::link_id id);
     bool is_dialling(const std::string& host) const;
+    /// Whether \p former, an open link to the host that says \p hello on the
+    /// link \p id, is to stay in place of that.
+    bool outranks(const open_link& former, transport::link_id id,
+                  const schema::shard_hello& hello) const;
 
     shard_links_options options;
     transport::peer_network network;
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -44,7 +44,10 @@
 void shard_links::host_known(const std::string& host,
                              const schema::host_record& record)
 {
-    known_host& entry = this->known[host];
+    const auto [found, is_new] = this->known.try_emplace(host);
+    known_host& entry = found->second;
+    if (is_new)
+        entry.unlinked_since = transport::event_loop::now();
     if (entry.record.nonce != record.nonce)
         entry.patience.reset();
     entry.record = record;
@@ -94,15 +97,20 @@
 
 void shard_links::dial_missing()
 {
+    const support::instant now = transport::event_loop::now();
     for (auto& [name, host] : this->known)
     {
-        if (name <= this->options.self.name ||
+        if (name == this->options.self.name ||
             this->link_of_host.contains(name) || this->is_dialling(name))
             continue;
+        const bool other_should_dial = name < this->options.self.name;
+        if (other_should_dial &&
+            now < host.unlinked_since + this->options.reverse_dial_delay)
+            continue;
         const transport::link_id id =
             this->network.dial(host.record.address, host.record.peer_port);
         this->links[id].dialled = name;
-        host.patience.dialled(transport::event_loop::now());
+        host.patience.dialled(now);
     }
 }
 
@@ -161,12 +169,17 @@
     const auto former = this->link_of_host.find(hello.host);
     if (former != this->link_of_host.end())
     {
-        // The other side dialled anew, so the former link is dead.
+        if (this->outranks(this->links[former->second], id, hello))
+        {
+            this->network.close(id);
+            return;
+        }
         const transport::link_id old_id = former->second;
         this->links[old_id].host.clear();
         this->network.close(old_id);
     }
     this->links[id].host = hello.host;
+    this->links[id].nonce = hello.nonce;
     if (const auto known_peer = this->known.find(hello.host);
         known_peer != this->known.end())
         known_peer->second.patience.reset();
@@ -177,9 +190,24 @@
                                 .power = hello.power});
 }
 
+bool shard_links::outranks(const open_link& former, transport::link_id id,
+                           const schema::shard_hello& hello) const
+{
+    const bool is_same_life = former.nonce == hello.nonce;
+    const bool is_live = transport::event_loop::now() - former.last_heard <
+                         this->options.silence_limit;
+    const bool dialled_here = !this->links.at(id).dialled.empty();
+    const bool smaller_has_dialled =
+        dialled_here == (this->options.self.name < hello.host);
+    return is_same_life && is_live && !smaller_has_dialled;
+}
+
 void shard_links::closed(transport::link_id id)
 {
     const std::string host = this->links[id].host;
+    const std::string& other = host.empty() ? this->links[id].dialled : host;
+    if (const auto entry = this->known.find(other); entry != this->known.end())
+        entry->second.unlinked_since = transport::event_loop::now();
     this->links.erase(id);
     const auto found = this->link_of_host.find(host);
     if (found == this->link_of_host.end() || found->second != id)
--- /dev/null
+++ b/daemon/unittests/shard_links_test.cpp
@@ -0,0 +1,158 @@
+/// \file
+/// Links between entry hosts over loopback, when one or both sides dial.
+#include "chicorydrum/daemon/shard_links.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+
+namespace chicorydrum::daemon
+{
+
+namespace
+{
+
+using support::milliseconds;
+
+constexpr int first_port = 19460;
+
+/// A host's links and what they have told it.
+struct linked_host
+{
+    linked_host(transport::event_loop& loop, const std::string& name, int port,
+                milliseconds reverse_dial_delay)
+        : self{.name = name, .domain = "D1", .nonce = port},
+          links(
+              {.loop = loop,
+               .self = this->self,
+               .address = "127.0.0.1",
+               .peer_port = port,
+               .reverse_dial_delay = reverse_dial_delay,
+               .on_connected = [this](const shard::host_identity& /*peer*/)
+               { ++this->connected; },
+               .on_lost = [this](const std::string& /*peer*/) { ++this->lost; },
+               .on_message =
+                   [this](const std::string& /*peer*/,
+                          const schema::shard_message& /*message*/)
+               {
+                   ++this->messages;
+               }})
+    {
+        this->record.domain = this->self.domain;
+        this->record.address = "127.0.0.1";
+        this->record.peer_port = port;
+        this->record.nonce = this->self.nonce;
+    }
+
+    void learn(const linked_host& other)
+    {
+        this->links.host_known(other.self.name, other.record);
+    }
+
+    shard::host_identity self;
+    schema::host_record record;
+    int connected = 0;
+    int lost = 0;
+    int messages = 0;
+    shard_links links;
+};
+
+struct two_hosts
+{
+    explicit two_hosts(milliseconds delay = milliseconds(800))
+        : reverse_dial_delay(delay)
+    {
+    }
+
+    void run_for(milliseconds span)
+    {
+        bool is_over = false;
+        transport::timer end =
+            this->loop.make_timer([&is_over] { is_over = true; });
+        end.start(span);
+        this->loop.run_until([&is_over] { return is_over; });
+    }
+    bool are_linked() const
+    {
+        return this->one.connected > this->one.lost &&
+               this->other.connected > this->other.lost;
+    }
+    /// Serves until both are linked; false after ten seconds.
+    bool wait_for_link()
+    {
+        for (int i = 0; i < 200 && !this->are_linked(); ++i)
+            this->run_for(milliseconds(50));
+        return this->are_linked();
+    }
+
+    /// Serves for longer than either side waits before it dials, while both
+    /// have something to say.
+    void talk()
+    {
+        schema::shard_message message;
+        message.__set_beat({});
+        for (int i = 0; i < 30; ++i)
+        {
+            this->one.links.send("h2", message);
+            this->other.links.send("h1", message);
+            this->run_for(milliseconds(100));
+        }
+    }
+
+    milliseconds reverse_dial_delay;
+    transport::event_loop loop{{.max_connections = 50}};
+    linked_host one{this->loop, "h1", first_port, this->reverse_dial_delay};
+    linked_host other{this->loop, "h2", first_port + 1,
+                      this->reverse_dial_delay};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(links)
+
+BOOST_AUTO_TEST_CASE(the_smaller_name_dials)
+{
+    two_hosts hosts;
+    hosts.one.learn(hosts.other);
+    BOOST_TEST(hosts.wait_for_link());
+}
+
+// Pattern: restart without the registry. A host that has just started knows
+// nobody while the store is away; its peers know it, whatever their names.
+BOOST_AUTO_TEST_CASE(a_host_that_knows_nobody_is_dialled_by_greater_names)
+{
+    two_hosts hosts;
+    hosts.other.learn(hosts.one);
+    BOOST_TEST(hosts.wait_for_link());
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_know_each_other_keep_one_link)
+{
+    two_hosts hosts;
+    hosts.one.learn(hosts.other);
+    hosts.other.learn(hosts.one);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.talk();
+    BOOST_TEST(hosts.one.connected == 1);
+    BOOST_TEST(hosts.one.lost == 0);
+    BOOST_TEST(hosts.other.messages > 0);
+}
+
+BOOST_AUTO_TEST_CASE(of_two_dials_at_once_one_link_stays)
+{
+    two_hosts hosts(milliseconds(0));
+    hosts.one.learn(hosts.other);
+    hosts.other.learn(hosts.one);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.talk();
+    BOOST_TEST(hosts.are_linked());
+    BOOST_TEST(hosts.one.connected <= 2);
+    BOOST_TEST(hosts.other.connected <= 2);
+    BOOST_TEST(hosts.one.messages > 0);
+    BOOST_TEST(hosts.other.messages > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::daemon
