Refuse at once what arrives too late in a planned stop

At 5.2 s a host that stops gives those that still wait their last answers; at 5.6 s it ends. Requests that came in between were taken as usual, and cut off if they took longer than the rest.

Ruled out: an answer that was ready and not written (its job had no end); the balancer (the connection was an old one, and requests on it are allowed).

A stop names the time of its last answers. Requests that come later are refused at once, as not run; those before wait no longer than until then, which their owner is told, so that it refuses what can't end in time.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -423,7 +423,8 @@
     {
         this->stop_began = now;
         this->callers.close_after_responses();
-        this->host.stop_requested(now);
+        this->host.stop_requested(now + this->grace() - last_answers_margin,
+                                  now);
     }
     if (this->stop_began && !this->stop_was_forced &&
         now - *this->stop_began >= this->grace() - last_answers_margin)
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -90,7 +90,9 @@
     void registration_answered(const registration_written& answer,
                                support::instant now);
 
-    void stop_requested(support::instant now);
+    /// A planned stop begins. No caller is answered later than \p last_answers,
+    /// so that what can't end by then is refused at once.
+    void stop_requested(support::instant last_answers, support::instant now);
     /// The time for a planned stop is nearly over: gives every caller that
     /// still waits its final answer.
     void stop_forced(support::instant now);
@@ -177,6 +179,8 @@
     support::instant offer_ends;
     std::int64_t shard_endpoints_version = -1;
     bool stopping = false;
+    /// While it stops: when the last callers get their answers.
+    support::instant last_answers;
     /// Shards whose endpoints have obeyed a higher token than ours.
     std::set<int> fenced;
     order_id last_order = 0;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -145,11 +145,19 @@
         refuse(answer_kind::not_run, "stored_jobs_not_supported");
         return;
     }
+    milliseconds patience =
+        request.patience.value_or(milliseconds(match->route->timeout_ms));
+    if (this->stopping)
+        patience = std::min(patience, std::chrono::duration_cast<milliseconds>(
+                                          this->last_answers - now));
+    if (this->stopping && patience <= milliseconds(0))
+    {
+        refuse(answer_kind::not_run, "host_stops");
+        return;
+    }
     schema::job work = std::move(*request.work);
     work.id = match->rest;
     work.route = match->route->name;
-    const milliseconds patience =
-        request.patience.value_or(milliseconds(match->route->timeout_ms));
     this->intake.submit(request.call, std::move(work),
                         this->settings_in_force.terms_of(*match->route),
                         patience, now);
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -10,10 +10,11 @@
 using support::instant;
 using support::log_line;
 
-void entry_host::stop_requested(instant now)
+void entry_host::stop_requested(instant last, instant now)
 {
     this->current_time = now;
     this->stopping = true;
+    this->last_answers = last;
     this->view.set_stopping(now);
     this->hooks.log(
         log_line("stop_requested")
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -17,6 +17,8 @@
 
 /// Long enough for registration, links and the first owners.
 constexpr milliseconds warm_up{3000};
+/// A host that stops answers its last callers so long after the request.
+constexpr milliseconds last_answers{5200};
 /// A domain must be back at full service within a third of twelve seconds.
 constexpr milliseconds recovery_target{4000};
 
@@ -153,6 +155,36 @@
     check_kept(fleet);
 }
 
+// Pattern: late arrival during a graceful shutdown; a caller uses a connection
+// from before the stop when the host has almost no time left.
+BOOST_AUTO_TEST_CASE(requests_late_in_a_planned_stop)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string host = fleet.owner_of("D1");
+    fleet.stop_planned(host);
+    const support::instant began = fleet.now();
+    std::vector<std::string> late;
+    while (fleet.host(host) != nullptr)
+    {
+        const std::string job =
+            fleet.submit(host, {.tasks = 1, .work = milliseconds(60)});
+        if (fleet.now() - began > last_answers)
+            late.push_back(job);
+        fleet.run_for(milliseconds(10));
+    }
+    fleet.run_for(milliseconds(4000));
+    BOOST_TEST(!late.empty());
+    for (const std::string& job : late)
+    {
+        const caller_record& caller = fleet.caller(job);
+        BOOST_TEST((caller.answer == answer_kind::not_run));
+        BOOST_TEST((caller.answered - caller.sent < milliseconds(5)));
+    }
+    BOOST_TEST(fleet.unanswered() == 0);
+    check_kept(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(all_hosts_restarted_in_turn)
 {
     shard_fleet fleet({});
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -204,7 +204,11 @@
     stopping.stop_began = this->queue.now();
     this->deliver(name, stopping.life,
                   [this](shard::entry_host& host)
-                  { host.stop_requested(this->queue.now()); });
+                  {
+                      const support::instant now = this->queue.now();
+                      host.stop_requested(
+                          now + stop_grace - last_answers_margin, now);
+                  });
 }
 
 void shard_fleet::pause(const std::string& name, milliseconds span)
