Ask again at once after the first lost answer to a list

The end of a run is learned from a list that is held open. When that connection was reset, the endpoint was left alone for 200 ms, as one that is down, and the end waited there.

Ruled out: unanswered starts (no start_overdue line for these jobs), and the choice of endpoints.

The first loss is followed up at once; only the second one waits. A silent endpoint costs one more request.

Test. scenarios/lists_are_reset failed before (answers later than the target of 210 ms for 100 ms of work) and passes now; 37 of 37 scenarios pass.

--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -260,9 +260,16 @@
                 log_line("endpoint_lost", support::log_level::warning)
                     .add("endpoint", id)
                     .add("status", name_of(list.status)));
+        // A connection may be reset while the endpoint is well, and ends wait
+        // there to be listed, so that the first loss is followed up at once.
+        const bool is_first_loss =
+            record->answers && list.status == order_status::no_answer;
         record->answers = false;
         record->last_silence = now;
-        record->next_list = now + this->options.retry_interval;
+        record->next_list =
+            is_first_loss ? now : now + this->options.retry_interval;
+        if (is_first_loss)
+            this->tick_endpoint(*record, now);
         if (list.status == order_status::stale_token)
             this->hooks.fenced(id);
         // Whatever ran in the life that we knew is dead.
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -463,6 +463,34 @@
     check_kept(fleet);
 }
 
+// Pattern: retry without delay after the first loss; the end of a run is
+// learned from a list, whose connection is reset.
+BOOST_AUTO_TEST_CASE(lists_are_reset)
+{
+    constexpr milliseconds work(100);
+    // A target adds 60 ms and half of the work, as the tightest one does.
+    constexpr milliseconds target(60 + 150);
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 10; ++i)
+    {
+        jobs.push_back(fleet.submit("D1-h1", {.work = work}));
+        fleet.run_for(milliseconds(60));
+        for (const std::string& id : fleet.endpoint_names())
+            fleet.endpoint(id).reset_lists();
+        fleet.run_for(milliseconds(300));
+    }
+    for (const std::string& job : jobs)
+    {
+        BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+        BOOST_TEST(
+            (fleet.caller(job).answered - fleet.caller(job).sent <= target));
+        BOOST_TEST(fleet.starts_of(job) == 4);
+    }
+    check_kept(fleet);
+}
+
 // Pattern: a new life under an old id.
 BOOST_AUTO_TEST_CASE(endpoint_born_again)
 {
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -231,6 +231,19 @@
     this->queue.after(request.wait, [this] { this->answer_lists(); });
 }
 
+void virtual_endpoint::reset_lists()
+{
+    std::vector<waiting_list> lost = std::move(this->waiting);
+    this->waiting.clear();
+    for (waiting_list& one : lost)
+    {
+        shard::runs_listed none;
+        none.order = one.request.order;
+        none.status = order_status::no_answer;
+        one.reply(none);
+    }
+}
+
 void virtual_endpoint::answer_lists()
 {
     std::vector<waiting_list> answered = std::move(this->waiting);
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -74,6 +74,9 @@
     void list(const shard::list_request& request,
               std::function<void(shard::runs_listed)> reply);
 
+    /// The connections of lists that are held open are reset.
+    void reset_lists();
+
     bool is_up() const
     {
         return this->trouble != endpoint_trouble::dead;
