--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -96,6 +96,7 @@
     started.stopping = false;
     started.stop_was_forced = false;
     started.paused_until = this->queue.now();
+    started.clock_lag = {};
     started.deferred_events.clear();
     shard::entry_host_options wanted;
     wanted.self = {.name = name,
@@ -125,8 +126,8 @@
 void shard_fleet::tick(const std::string& name, int incarnation)
 {
     this->deliver(name, incarnation,
-                  [this](shard::entry_host& host)
-                  { host.tick(this->queue.now()); });
+                  [](shard::entry_host& host, support::instant now)
+                  { host.tick(now); });
     this->queue.after(
         tick_interval,
         [this, name, incarnation]
@@ -143,8 +144,8 @@
             {
                 running.stop_was_forced = true;
                 this->deliver(name, incarnation,
-                              [this](shard::entry_host& host)
-                              { host.stop_forced(this->queue.now()); });
+                              [](shard::entry_host& host, support::instant now)
+                              { host.stop_forced(now); });
             }
             if (running.stopping && (is_done || stopping_for >= stop_grace))
             {
@@ -161,7 +162,7 @@
 }
 
 void shard_fleet::deliver(const std::string& name, int incarnation,
-                          std::function<void(shard::entry_host&)> hook)
+                          host_event hook)
 {
     process& target = this->processes.at(name);
     if (!target.host || target.incarnation != incarnation)
@@ -173,7 +174,7 @@
             { this->deliver(name, incarnation, hook); });
         return;
     }
-    hook(*target.host);
+    hook(*target.host, this->queue.now() - target.clock_lag);
 }
 
 void shard_fleet::kill(const std::string& name)
@@ -204,13 +205,18 @@
         return;
     stopping.stopping = true;
     stopping.stop_began = this->queue.now();
-    this->deliver(name, stopping.incarnation,
-                  [this](shard::entry_host& host)
-                  {
-                      const support::instant now = this->queue.now();
-                      host.stop_requested(
-                          now + stop_grace - last_answers_margin, now);
-                  });
+    this->deliver(
+        name, stopping.incarnation,
+        [](shard::entry_host& host, support::instant now)
+        { host.stop_requested(now + stop_grace - last_answers_margin, now); });
+}
+
+void shard_fleet::suspend(const std::string& name, milliseconds span)
+{
+    this->pause(name, span);
+    process& suspended = this->processes.at(name);
+    // Events are handled at the end only, so that the clock may lag from now.
+    suspended.clock_lag += span;
 }
 
 void shard_fleet::pause(const std::string& name, milliseconds span)
@@ -221,6 +227,8 @@
                       [this, name]
                       {
                           process& resumed = this->processes.at(name);
+                          if (this->queue.now() < resumed.paused_until)
+                              return;
                           auto deferred_events =
                               std::move(resumed.deferred_events);
                           resumed.deferred_events.clear();
@@ -231,23 +239,36 @@
 
 // Links.
 
-bool shard_fleet::are_partitioned(const std::string& one,
-                                  const std::string& other) const
+bool shard_fleet::drops(const std::string& from, const std::string& to) const
 {
     return std::any_of(this->partitions.begin(), this->partitions.end(),
-                       [&one, &other](const auto& partition)
+                       [&from, &to](const partition_rule& rule)
                        {
-                           return (partition.first.contains(one) &&
-                                   partition.second.contains(other)) ||
-                                  (partition.first.contains(other) &&
-                                   partition.second.contains(one));
+                           const bool is_forward = rule.one.contains(from) &&
+                                                   rule.other.contains(to);
+                           const bool is_reverse = rule.one.contains(to) &&
+                                                   rule.other.contains(from);
+                           return is_forward ||
+                                  (is_reverse && !rule.is_one_way);
                        });
 }
 
+bool shard_fleet::are_partitioned(const std::string& one,
+                                  const std::string& other) const
+{
+    return this->drops(one, other) || this->drops(other, one);
+}
+
 void shard_fleet::partition(const std::set<std::string>& one,
                             const std::set<std::string>& other)
 {
-    this->partitions.emplace_back(one, other);
+    this->partitions.push_back({.one = one, .other = other});
+}
+
+void shard_fleet::partition_one_way(const std::set<std::string>& from,
+                                    const std::set<std::string>& to)
+{
+    this->partitions.push_back({.one = from, .other = to, .is_one_way = true});
 }
 
 void shard_fleet::heal()
@@ -292,10 +313,10 @@
     const auto greet = [this](const std::string& to, const std::string& from)
     {
         const auto& peer = *this->processes.at(from).host;
-        this->deliver(
-            to, this->processes.at(to).incarnation,
-            [this, identity = peer.identity()](shard::entry_host& host)
-            { host.peer_connected(identity, this->queue.now()); });
+        this->deliver(to, this->processes.at(to).incarnation,
+                      [identity = peer.identity()](shard::entry_host& host,
+                                                   support::instant now)
+                      { host.peer_connected(identity, now); });
     };
     greet(one, other);
     greet(other, one);
@@ -307,9 +328,10 @@
         return;
     for (const auto& [to, from] :
          {std::pair(one, other), std::pair(other, one)})
-        this->deliver(to, this->processes.at(to).incarnation,
-                      [this, peer = from](shard::entry_host& host)
-                      { host.peer_lost(peer, this->queue.now()); });
+        this->deliver(
+            to, this->processes.at(to).incarnation,
+            [peer = from](shard::entry_host& host, support::instant now)
+            { host.peer_lost(peer, now); });
 }
 
 void shard_fleet::reset_links(const std::string& name)
@@ -337,10 +359,10 @@
             {
                 if (std::exchange(*settled, true))
                     return;
-                this->deliver(
-                    name, incarnation,
-                    [handle_answer, no_answer](shard::entry_host& host)
-                    { handle_answer(host, no_answer); });
+                this->deliver(name, incarnation,
+                              [handle_answer, no_answer](
+                                  shard::entry_host& host, support::instant now)
+                              { handle_answer(host, no_answer, now); });
             });
         this->queue.after(
             link_delay,
@@ -348,27 +370,29 @@
              handle_answer]
             {
                 virtual_endpoint& target = *this->endpoints.at(id);
-                if (this->are_partitioned(name, id) || !target.is_up())
+                if (this->drops(name, id) || !target.is_up())
                     return;
-                send_request(target, order,
-                             [this, name, incarnation, id, settled,
-                              handle_answer](auto answer)
-                             {
-                                 this->queue.after(
-                                     link_delay,
-                                     [this, name, incarnation, id, settled,
-                                      handle_answer, answer]
-                                     {
-                                         if (this->are_partitioned(name, id) ||
-                                             std::exchange(*settled, true))
-                                             return;
-                                         this->deliver(
-                                             name, incarnation,
-                                             [handle_answer,
-                                              answer](shard::entry_host& host)
-                                             { handle_answer(host, answer); });
-                                     });
-                             });
+                send_request(
+                    target, order,
+                    [this, name, incarnation, id, settled,
+                     handle_answer](auto answer)
+                    {
+                        this->queue.after(
+                            link_delay,
+                            [this, name, incarnation, id, settled,
+                             handle_answer, answer]
+                            {
+                                if (this->drops(id, name) ||
+                                    std::exchange(*settled, true))
+                                    return;
+                                this->deliver(
+                                    name, incarnation,
+                                    [handle_answer,
+                                     answer](shard::entry_host& host,
+                                             support::instant now)
+                                    { handle_answer(host, answer, now); });
+                            });
+                    });
             });
     };
     hooks.start = [this, call](const shard::start_order& order)
@@ -377,8 +401,8 @@
             order.to.id, order, shard::order_answered{.order = order.order},
             [](virtual_endpoint& to, const auto& sent, auto reply)
             { to.start(sent, reply); },
-            [this](shard::entry_host& host, const auto& answer)
-            { host.start_answered(answer, this->queue.now()); },
+            [](shard::entry_host& host, const auto& answer,
+               support::instant now) { host.start_answered(answer, now); },
             order_timeout);
     };
     hooks.stop = [this, call](const shard::stop_order& order)
@@ -387,8 +411,8 @@
             order.to.id, order, shard::order_answered{.order = order.order},
             [](virtual_endpoint& to, const auto& sent, auto reply)
             { to.stop(sent, reply); },
-            [this](shard::entry_host& host, const auto& answer)
-            { host.stop_answered(answer, this->queue.now()); },
+            [](shard::entry_host& host, const auto& answer,
+               support::instant now) { host.stop_answered(answer, now); },
             order_timeout);
     };
     hooks.list = [this, call](const shard::list_request& request)
@@ -399,8 +423,8 @@
             request.to.id, request, no_answer,
             [](virtual_endpoint& to, const auto& sent, auto reply)
             { to.list(sent, reply); },
-            [this](shard::entry_host& host, const auto& answer)
-            { host.runs_listed(answer, this->queue.now()); },
+            [](shard::entry_host& host, const auto& answer,
+               support::instant now) { host.runs_listed(answer, now); },
             request.wait + list_slack);
     };
     hooks.answer = [this, name](const shard::caller_answer& response)
@@ -419,16 +443,14 @@
             [this, name, incarnation, peer, peer_incarnation, link, message]
             {
                 const bool arrives =
-                    this->links.contains(link) &&
-                    !this->are_partitioned(name, peer) &&
+                    this->links.contains(link) && !this->drops(name, peer) &&
                     this->processes.at(name).incarnation == incarnation;
                 if (arrives)
-                    this->deliver(peer, peer_incarnation,
-                                  [this, name, message](shard::entry_host& host)
-                                  {
-                                      host.peer_message_received(
-                                          name, message, this->queue.now());
-                                  });
+                    this->deliver(
+                        peer, peer_incarnation,
+                        [name, message](shard::entry_host& host,
+                                        support::instant now)
+                        { host.peer_message_received(name, message, now); });
             });
     };
     hooks.host_known = [](const std::string&, const schema::host_record&) {
@@ -551,14 +573,14 @@
                 rows.endpoints.push_back({.id = key, .entry = row.endpoint});
         }
     }
-    this->queue.after(delay,
-                      [this, name, incarnation, rows]
-                      {
-                          this->deliver(
-                              name, incarnation,
-                              [this, rows](shard::entry_host& host)
-                              { host.rows_read(rows, this->queue.now()); });
-                      });
+    this->queue.after(
+        delay,
+        [this, name, incarnation, rows]
+        {
+            this->deliver(name, incarnation,
+                          [rows](shard::entry_host& host, support::instant now)
+                          { host.rows_read(rows, now); });
+        });
 }
 
 void shard_fleet::write(const std::string& name, int incarnation,
@@ -595,8 +617,8 @@
         {
             this->deliver(
                 name, incarnation,
-                [this, written](shard::entry_host& host)
-                { host.registration_answered(written, this->queue.now()); });
+                [written](shard::entry_host& host, support::instant now)
+                { host.registration_answered(written, now); });
         });
 }
 
@@ -667,11 +689,20 @@
     this->store_row(directory_table::endpoints, id, {.is_removed = true});
 }
 
-void shard_fleet::restart_endpoint(const std::string& id)
+void shard_fleet::restart_endpoint(const std::string& id,
+                                   milliseconds listed_after,
+                                   std::optional<std::int64_t> clock_start_ms)
 {
-    this->endpoint(id).restart();
-    this->store_row(directory_table::endpoints, id,
-                    {.endpoint = this->endpoint(id).entry()});
+    this->endpoint(id).restart(clock_start_ms);
+    const auto list = [this, id]
+    {
+        this->store_row(directory_table::endpoints, id,
+                        {.endpoint = this->endpoint(id).entry()});
+    };
+    if (listed_after.count() == 0)
+        list();
+    else
+        this->queue.after(listed_after, list);
 }
 
 void shard_fleet::task_started(const std::string& id,
@@ -741,8 +772,8 @@
     request.work = work;
     target.calls[request.call] = job;
     this->deliver(host, target.incarnation,
-                  [this, request](shard::entry_host& entry)
-                  { entry.submitted(request, this->queue.now()); });
+                  [request](shard::entry_host& entry, support::instant now)
+                  { entry.submitted(request, now); });
 }
 
 void shard_fleet::resend(const std::string& job)
@@ -775,9 +806,10 @@
             continue;
         const shard::call_id closed_call = call->first;
         target.calls.erase(call);
-        this->deliver(record.host, target.incarnation,
-                      [this, closed_call](shard::entry_host& host)
-                      { host.caller_left(closed_call, this->queue.now()); });
+        this->deliver(
+            record.host, target.incarnation,
+            [closed_call](shard::entry_host& host, support::instant now)
+            { host.caller_left(closed_call, now); });
         return;
     }
 }
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -98,9 +98,14 @@
     void start(const std::string& host);
     void stop_gracefully(const std::string& host);
     void pause(const std::string& host, support::milliseconds span);
+    /// Pauses \p host like pause(), but its clock stands still meanwhile.
+    void suspend(const std::string& host, support::milliseconds span);
     /// Drops all messages between two sets of hosts, endpoints or "store".
     void partition(const std::set<std::string>& one,
                    const std::set<std::string>& other);
+    /// Drops messages from \p from to \p to only.
+    void partition_one_way(const std::set<std::string>& from,
+                           const std::set<std::string>& to);
     void heal();
     void reset_links(const std::string& host);
     void set_store_up(bool is_up);
@@ -111,7 +116,12 @@
     void add_endpoint(const std::string& domain, int number);
     void set_draining(const std::string& endpoint);
     void remove_endpoint(const std::string& endpoint);
-    void restart_endpoint(const std::string& endpoint);
+    /// Starts a new incarnation of \p endpoint, which the store lists after
+    /// \p listed_after. Its clock starts at \p clock_start_ms, if given.
+    void restart_endpoint(
+        const std::string& endpoint,
+        support::milliseconds listed_after = support::milliseconds(0),
+        std::optional<std::int64_t> clock_start_ms = std::nullopt);
     virtual_endpoint& endpoint(const std::string& id);
 
     // State queries.
@@ -148,6 +158,8 @@
         bool stop_was_forced = false;
         support::instant stop_began;
         support::instant paused_until;
+        /// How long the process was suspended; its clock is behind by this.
+        support::decision_clock::duration clock_lag{0};
         std::vector<std::function<void()>> deferred_events;
         std::map<shard::call_id, std::string> calls;
     };
@@ -163,10 +175,13 @@
     using row_table = std::map<std::string, stored_row>;
 
     shard::entry_host_hooks hooks_for(const std::string& name, int incarnation);
-    /// Runs \p hook on the host if it is still the same incarnation. A paused
-    /// host runs it when it resumes.
-    void deliver(const std::string& name, int incarnation,
-                 std::function<void(shard::entry_host&)> hook);
+    using host_event =
+        std::function<void(shard::entry_host&, support::instant now)>;
+    /// Runs \p hook on the host, with the time of the host's clock, if it is
+    /// still the same incarnation. A paused host runs it when it resumes.
+    void deliver(const std::string& name, int incarnation, host_event hook);
+    /// Returns whether messages from \p from to \p to are dropped.
+    bool drops(const std::string& from, const std::string& to) const;
     bool are_partitioned(const std::string& one,
                          const std::string& other) const;
     void connect(const std::string& one, const std::string& other);
@@ -198,8 +213,13 @@
     std::map<std::string, process> processes;
     std::map<std::string, std::unique_ptr<virtual_endpoint>> endpoints;
     std::set<std::pair<std::string, std::string>> links;
-    std::vector<std::pair<std::set<std::string>, std::set<std::string>>>
-        partitions;
+    struct partition_rule
+    {
+        std::set<std::string> one;
+        std::set<std::string> other;
+        bool is_one_way = false;
+    };
+    std::vector<partition_rule> partitions;
     std::array<row_table, shard::directory_tables> tables;
     std::int64_t store_version = 0;
     std::int64_t history_from = 0;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -16,10 +16,12 @@
 constexpr const char* usage =
     R"(Random days of entry hosts with faults, in virtual time.
 
-Usage: shard_soak [--seeds RANGE] [--verbose]
+Usage: shard_soak [--seeds RANGE] [--mix NAME] [--verbose]
 
 Options:
   --seeds RANGE  Seeds as FIRST..LAST [default: 1..200].
+  --mix NAME     Faults: "single", one at a time, or "chained", several at the
+                 same endpoints and hosts within seconds [default: single].
   --verbose      Print the log of each failing seed.
 )";
 
@@ -32,8 +34,9 @@
 class soak_session
 {
 public:
-    explicit soak_session(std::uint64_t seed)
-        : random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
+    soak_session(std::uint64_t seed, bool has_chains)
+        : is_chained(has_chains),
+          random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
           fleet({.domains = 2,
                  .hosts_per_domain = 3,
                  .endpoints_per_domain = 4,
@@ -68,7 +71,13 @@
     void plan_fault(milliseconds when);
     void plan_host_fault(milliseconds when, const std::string& host);
     void plan_endpoint_fault(milliseconds when);
+    void plan_chain(milliseconds when);
+    void plan_chained_endpoint_fault(milliseconds when, const std::string& id,
+                                     const std::set<std::string>& hosts);
+    void plan_chained_host_fault(milliseconds when, const std::string& host,
+                                 const std::set<std::string>& endpoints);
 
+    bool is_chained;
     std::minstd_rand random;
     shard_fleet fleet;
     std::int64_t config = 1;
@@ -217,12 +226,118 @@
     }
 }
 
+void soak_session::plan_chained_endpoint_fault(
+    milliseconds when, const std::string& id,
+    const std::set<std::string>& hosts)
+{
+    const milliseconds span =
+        this->pick_time(milliseconds(200), milliseconds(4000));
+    switch (this->pick(4))
+    {
+    case 0:
+    {
+        const late_order_rules rules{
+            .percent = 30 + this->pick(71),
+            .least = milliseconds(300 + this->pick(2000)),
+            .survive_restart = this->pick(2) == 0,
+            .lease_counts_from_execution = this->pick(2) == 0};
+        this->fleet.at(when, [this, id, rules]
+                       { this->fleet.endpoint(id).set_late_orders(rules); });
+        this->fleet.at(when + span, [this, id]
+                       { this->fleet.endpoint(id).set_late_orders({}); });
+        return;
+    }
+    case 1:
+    {
+        const milliseconds listed_after(this->pick(3000));
+        const std::int64_t clock_start = this->pick(200000);
+        this->fleet.at(
+            when, [this, id, listed_after, clock_start]
+            { this->fleet.restart_endpoint(id, listed_after, clock_start); });
+        return;
+    }
+    case 2:
+        this->fleet.at(when, [this, id, hosts]
+                       { this->fleet.partition_one_way({id}, hosts); });
+        this->fleet.at(when + span, [this] { this->fleet.heal(); });
+        return;
+    default:
+        this->fleet.at(when, [this, id, hosts]
+                       { this->fleet.partition({id}, hosts); });
+        this->fleet.at(when + span, [this] { this->fleet.heal(); });
+        return;
+    }
+}
+
+void soak_session::plan_chained_host_fault(
+    milliseconds when, const std::string& host,
+    const std::set<std::string>& endpoints)
+{
+    const milliseconds span =
+        this->pick_time(milliseconds(100), milliseconds(3000));
+    switch (this->pick(3))
+    {
+    case 0:
+        this->fleet.at(when,
+                       [this, host, span] { this->fleet.suspend(host, span); });
+        return;
+    case 1:
+    {
+        std::set<std::string> peers = endpoints;
+        for (const std::string& name : this->fleet.host_names())
+            if (name != host)
+                peers.insert(name);
+        const bool is_one_way = this->pick(2) == 0;
+        this->fleet.at(when,
+                       [this, host, peers, is_one_way]
+                       {
+                           if (is_one_way)
+                               this->fleet.partition_one_way({host}, peers);
+                           else
+                               this->fleet.partition({host}, peers);
+                       });
+        this->fleet.at(when + span, [this] { this->fleet.heal(); });
+        return;
+    }
+    default:
+        this->plan_host_fault(when, host);
+        return;
+    }
+}
+
+void soak_session::plan_chain(milliseconds when)
+{
+    const std::string domain = this->pick(2) == 0 ? "D1-" : "D2-";
+    std::set<std::string> hosts;
+    for (int i = 1; i <= 3; ++i)
+        if (this->pick(3) != 0)
+            hosts.insert(domain + "h" + std::to_string(i));
+    std::set<std::string> endpoints;
+    for (int i = 1; i <= 4; ++i)
+        if (this->pick(2) == 0)
+            endpoints.insert(domain + "e" + std::to_string(i));
+    for (const std::string& id : endpoints)
+        for (int left = 1 + this->pick(3); left > 0; --left)
+            this->plan_chained_endpoint_fault(
+                when + milliseconds(this->pick(3000)), id, hosts);
+    for (int left = this->pick(3); left > 0; --left)
+        this->plan_chained_host_fault(
+            when + milliseconds(this->pick(3000)),
+            domain + "h" + std::to_string(1 + this->pick(3)), endpoints);
+}
+
 std::vector<std::string> soak_session::run()
 {
     this->plan_load();
-    const int faults = 1 + this->pick(8);
+    const int faults = 1 + this->pick(this->is_chained ? 4 : 8);
     for (int i = 0; i < faults; ++i)
-        this->plan_fault(this->pick_time(start_of_load, end_of_faults));
+    {
+        const milliseconds when = this->pick_time(start_of_load, end_of_faults);
+        if (this->is_chained)
+            this->plan_chain(when);
+        else
+            this->plan_fault(when);
+    }
     this->fleet.at(end_of_faults,
                    [this]
                    {
@@ -261,10 +376,11 @@
     }
     const std::uint64_t first = std::stoull(range.substr(0, dots));
     const std::uint64_t last = std::stoull(range.substr(dots + 2));
+    const bool is_chained = arguments.at("--mix").asString() == "chained";
     std::uint64_t failing = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        soak_session session(seed);
+        soak_session session(seed, is_chained);
         const std::vector<std::string> found = session.run();
         if (found.empty())
             continue;
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -39,8 +39,10 @@
         one.hangs = one.hangs || new_fault == endpoint_fault::hangs;
 }
 
-void virtual_endpoint::restart()
+void virtual_endpoint::restart(std::optional<std::int64_t> clock_start_ms)
 {
+    this->options.clock_start_ms =
+        clock_start_ms.value_or(this->options.clock_start_ms);
     ++this->incarnation;
     for (const auto& [task, one] : this->running)
         this->on_ended(task, run_end::lapsed);
@@ -64,9 +66,47 @@
     return false;
 }
 
+bool virtual_endpoint::defer(std::function<void()> order)
+{
+    const late_order_rules& rules = this->late_orders;
+    if (std::uniform_int_distribution<int>(0, 99)(this->random) >=
+        rules.percent)
+        return false;
+    const milliseconds delay(std::uniform_int_distribution<std::int64_t>(
+        rules.least.count(), rules.most.count())(this->random));
+    this->queue.after(
+        delay,
+        [this, order = std::move(order), survives = rules.survive_restart,
+         expected_incarnation = this->incarnation]
+        {
+            const bool is_same = this->incarnation == expected_incarnation;
+            if (this->is_up() && (is_same || survives))
+                order();
+        });
+    return true;
+}
+
+std::int64_t
+virtual_endpoint::deferred_lease_end(std::int64_t wanted_end_ms,
+                                     std::int64_t received_ms) const
+{
+    return this->late_orders.lease_counts_from_execution
+               ? this->clock_ms() + wanted_end_ms - received_ms
+               : wanted_end_ms;
+}
+
 void virtual_endpoint::start(const shard::start_order& order,
                              std::function<void(order_answered)> reply)
 {
+    const auto execute_late = [this, order, received = this->clock_ms()]
+    {
+        shard::start_order late = order;
+        late.lease_end_ms =
+            this->deferred_lease_end(order.lease_end_ms, received);
+        this->execute_start(late, {});
+    };
+    if (this->late_orders.percent > 0 && this->defer(execute_late))
+        return;
     if (this->fault == endpoint_fault::loses_answers)
     {
         this->execute_start(order, {});
@@ -183,6 +223,18 @@
 
 void virtual_endpoint::stop(const shard::stop_order& order,
                             std::function<void(order_answered)> reply)
+{
+    const auto execute_late = [this, order]
+    {
+        this->execute_stop(order, [](const order_answered&) {});
+    };
+    if (this->late_orders.percent > 0 && this->defer(execute_late))
+        return;
+    this->execute_stop(order, std::move(reply));
+}
+
+void virtual_endpoint::execute_stop(const shard::stop_order& order,
+                                    std::function<void(order_answered)> reply)
 {
     order_answered answer{.order = order.order,
                           .status = order_status::accepted,
@@ -211,6 +263,24 @@
 
 void virtual_endpoint::list(const shard::list_request& request,
                             std::function<void(shard::runs_listed)> reply)
+{
+    const auto execute_late = [this, request, received = this->clock_ms()]
+    {
+        shard::list_request late = request;
+        late.wait = milliseconds(0);
+        if (request.lease_end_ms)
+            late.lease_end_ms =
+                this->deferred_lease_end(*request.lease_end_ms, received);
+        this->execute_list(late, [](const shard::runs_listed&) {});
+    };
+    if (this->late_orders.percent > 0 && this->defer(execute_late))
+        return;
+    this->execute_list(request, std::move(reply));
+}
+
+void virtual_endpoint::execute_list(
+    const shard::list_request& request,
+    std::function<void(shard::runs_listed)> reply)
 {
     if (this->token_is_stale(request.token))
     {
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -29,6 +29,21 @@
     support::milliseconds stop_time{50};
 };
 
+/// Orders that get no answer and are executed later, as the platform allows
+/// for every call.
+struct late_order_rules
+{
+    /// Share of the orders (starts, stops and lists) that are late.
+    int percent = 0;
+    support::milliseconds least{2000};
+    support::milliseconds most{12000};
+    /// An order that was sent to an earlier incarnation is executed by the
+    /// present one.
+    bool survive_restart = false;
+    /// The lease that an order grants is counted from its execution.
+    bool lease_counts_from_execution = false;
+};
+
 /// The fault injected into an endpoint.
 enum class endpoint_fault
 {
@@ -63,8 +78,13 @@
         return this->options.entry;
     }
     void set_fault(endpoint_fault fault);
-    /// Starts a new incarnation under the same id, without runs or tokens.
-    void restart();
+    void set_late_orders(late_order_rules rules)
+    {
+        this->late_orders = rules;
+    }
+    /// Starts a new incarnation under the same id, without runs or tokens. Its
+    /// clock starts at \p clock_start_ms, or as the previous one did.
+    void restart(std::optional<std::int64_t> clock_start_ms = std::nullopt);
 
     // Calls from hosts. A call may stay unanswered.
     void start(const shard::start_order& order,
@@ -118,6 +138,15 @@
     };
 
     std::int64_t clock_ms() const;
+    /// Returns whether the next order is late, and executes \p order then.
+    bool defer(std::function<void()> order);
+    /// Returns a lease end for an order that is executed late.
+    std::int64_t deferred_lease_end(std::int64_t wanted_end_ms,
+                                    std::int64_t received_ms) const;
+    void execute_stop(const shard::stop_order& order,
+                      std::function<void(shard::order_answered)> reply);
+    void execute_list(const shard::list_request& request,
+                      std::function<void(shard::runs_listed)> reply);
     /// Returns whether \p token is stale; adopts it otherwise.
     bool token_is_stale(shard::fencing_token token);
     void execute_start(const shard::start_order& order,
@@ -135,6 +164,7 @@
     std::function<void(const std::string&)> report_violation;
     std::minstd_rand random;
     endpoint_fault fault = endpoint_fault::none;
+    late_order_rules late_orders;
     int incarnation = 0;
     int start_count = 0;
     support::instant incarnation_began;
