Say in the logs why a run is known to have ended, and in which incarnation

The logs could not tell them apart: a run that was listed as lapsed, one that a list lacked and one whose endpoint went silent all ended as "how=lapsed", and no line named the endpoint's incarnation or the token under which a run was started.

run_ended now has the evidence, the state that was known of the run, and the incarnation; task_started, run_stopped, endpoint_known, endpoint_runs_lost and endpoint_restarted name token or incarnation, the last one also when a list shows the change first.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -24,6 +24,8 @@
     stopping,
 };
 
+std::string_view name_of(run_state state);
+
 struct endpoint_run
 {
     std::int64_t run = 0;
@@ -41,6 +43,22 @@
     int percent = 0;
 };
 
+/// Why a run is known to have ended.
+enum class end_evidence
+{
+    /// The endpoint listed its end.
+    listed,
+    /// A list that was requested after the start or the stop was confirmed
+    /// lacks it.
+    missing,
+    /// Nothing extended the endpoint's lease until it had certainly expired.
+    lease_lapsed,
+    /// The endpoint's incarnation has ended.
+    other_incarnation,
+};
+
+std::string_view name_of(end_evidence evidence);
+
 /// A run that occupies no capacity any more, and how it ended.
 struct ended_run
 {
@@ -48,6 +66,9 @@
     std::int64_t run = 0;
     run_end how = run_end::lapsed;
     support::instant started_at = {};
+    end_evidence evidence = end_evidence::listed;
+    /// The state that the run had at this owner; unset if it was not known.
+    std::optional<run_state> last_state = {};
 };
 
 struct lease_rules
@@ -130,9 +151,16 @@
     /// Records the endpoint's clock as it was when it sent an answer.
     void record_clock(std::int64_t clock_ms, support::instant now);
 
+    /// Returns the incarnation that the last list came from; 0 before the
+    /// first list.
+    std::int64_t last_listed_incarnation() const
+    {
+        return this->listed_incarnation;
+    }
+
     /// Drops and returns all runs: the lease has expired, or the incarnation
     /// has ended.
-    std::vector<ended_run> drop_runs();
+    std::vector<ended_run> drop_runs(end_evidence evidence);
 
 private:
     struct clock_sample
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -220,7 +220,7 @@
     endpoint_record* find_endpoint(const std::string& id);
     void add_endpoint(const schema::endpoint_registration& entry,
                       support::instant now);
-    void drop_endpoint_runs(endpoint_record& record, const std::string& reason,
+    void drop_endpoint_runs(endpoint_record& record, end_evidence evidence,
                             support::instant now);
     void tick_endpoint(endpoint_record& record, support::instant now);
     /// Requests a new list if an answer is overdue.
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/shard/leased_endpoint.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <cmath>
 #include <set>
@@ -26,6 +27,20 @@
 
 } // namespace
 
+std::string_view name_of(run_state state)
+{
+    static constexpr std::array<std::string_view, 4> names = {
+        "ordered", "unconfirmed", "running", "stopping"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+std::string_view name_of(end_evidence evidence)
+{
+    static constexpr std::array<std::string_view, 4> names = {
+        "listed", "missing", "lease_lapsed", "other_incarnation"};
+    return names[static_cast<std::size_t>(evidence)];
+}
+
 bool has_label(const schema::endpoint_registration& endpoint,
                const std::string& label)
 {
@@ -231,6 +246,7 @@
         if (found != this->active_runs.end() && found->second.run == end.run)
         {
             run.started_at = found->second.started_at;
+            run.last_state = found->second.state;
             this->active_runs.erase(found);
         }
         ended.push_back(std::move(run));
@@ -262,20 +278,24 @@
         ended.push_back({.task = entry->first,
                          .run = run.run,
                          .how = how,
-                         .started_at = run.started_at});
+                         .started_at = run.started_at,
+                         .evidence = end_evidence::missing,
+                         .last_state = run.state});
         entry = this->active_runs.erase(entry);
     }
     return ended;
 }
 
-std::vector<ended_run> leased_endpoint::drop_runs()
+std::vector<ended_run> leased_endpoint::drop_runs(end_evidence evidence)
 {
     std::vector<ended_run> ended;
     for (const auto& [task, run] : this->active_runs)
         ended.push_back({.task = task,
                          .run = run.run,
                          .how = run_end::lapsed,
-                         .started_at = run.started_at});
+                         .started_at = run.started_at,
+                         .evidence = evidence,
+                         .last_state = run.state});
     this->active_runs.clear();
     this->known = false;
     this->lapses_at.reset();
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -201,6 +201,8 @@
             .add("task", to_text(task))
             .add("run", run)
             .add("endpoint", state.endpoint)
+            .add("born_ms", where.lease.last_listed_incarnation())
+            .add("token", this->options.token)
             .add("expected_ms",
                  this->expected_ms(job, task.group, where.lease.entry()))
             .add("free_millicores", where.lease.free_capacity().millicores)
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -68,6 +68,8 @@
         {
             this->hooks.log(log_line("endpoint_restarted")
                                 .add("endpoint", entry.id)
+                                .add("source", "entry")
+                                .add("before_ms", before.born_ms)
                                 .add("born_ms", entry.born_ms));
             known->needs_list = true;
             known->next_list = now;
@@ -96,16 +98,18 @@
 }
 
 void shard_owner::drop_endpoint_runs(endpoint_record& record,
-                                     const std::string& reason, instant now)
+                                     end_evidence evidence, instant now)
 {
-    if (record.lease.is_known() || !record.lease.runs().empty())
+    const bool was_known = record.lease.is_known();
+    const std::vector<ended_run> ended = record.lease.drop_runs(evidence);
+    if (was_known || !ended.empty())
         this->hooks.log(
             log_line("endpoint_runs_lost", support::log_level::warning)
                 .add("endpoint", record.lease.entry().id)
-                .add("reason", reason)
-                .add("runs",
-                     static_cast<std::int64_t>(record.lease.runs().size())));
-    const std::vector<ended_run> ended = record.lease.drop_runs();
+                .add("reason", name_of(evidence))
+                .add("runs", static_cast<std::int64_t>(ended.size()))
+                .add("born_ms", record.lease.last_listed_incarnation())
+                .add("token", this->options.token));
     record.list_order = 0;
     record.has_unacknowledged = false;
     // Another incarnation answers at the address until the platform lists the
@@ -135,7 +139,7 @@
     const auto bound = record.lease.lease_bound();
     if (bound && now >= *bound && !record.lease.runs().empty() &&
         !record.is_responding)
-        this->drop_endpoint_runs(record, "lease_lapsed", now);
+        this->drop_endpoint_runs(record, end_evidence::lease_lapsed, now);
     this->stop_orphans(record, now);
     this->stop_stalled(record, now);
     for (const task_key& task : record.lease.stops_due(now))
@@ -197,9 +201,12 @@
     }
     for (const task_key& task : missing)
     {
-        this->hooks.log(log_line("start_overdue", support::log_level::warning)
-                            .add("task", to_text(task))
-                            .add("endpoint", record.lease.entry().id));
+        this->hooks.log(
+            log_line("start_overdue", support::log_level::warning)
+                .add("task", to_text(task))
+                .add("run", record.lease.runs().at(task).run)
+                .add("endpoint", record.lease.entry().id)
+                .add("born_ms", record.lease.last_listed_incarnation()));
         this->stop_run(record, task, now);
     }
 }
@@ -277,7 +284,8 @@
             this->hooks.fenced(id);
         // All runs of the known incarnation have ended.
         if (list.status == order_status::other_incarnation)
-            this->drop_endpoint_runs(*record, "other_incarnation", now);
+            this->drop_endpoint_runs(*record, end_evidence::other_incarnation,
+                                     now);
         return;
     }
     if (!record->is_responding)
@@ -288,6 +296,13 @@
     if (list.clock_ms)
         record->lease.record_clock(*list.clock_ms, now);
     const bool was_known = record->lease.is_known();
+    const std::int64_t before = record->lease.last_listed_incarnation();
+    if (before != 0 && before != list.born_ms)
+        this->hooks.log(log_line("endpoint_restarted")
+                            .add("endpoint", id)
+                            .add("source", "list")
+                            .add("before_ms", before)
+                            .add("born_ms", list.born_ms));
     const std::vector<ended_run> ended =
         record->lease.apply_list(list, this->hooks.next_order());
     record->has_unacknowledged = !list.ended.empty();
@@ -306,6 +321,8 @@
 {
     this->hooks.log(log_line("endpoint_known")
                         .add("endpoint", record.lease.entry().id)
+                        .add("born_ms", record.lease.last_listed_incarnation())
+                        .add("token", this->options.token)
                         .add("runs", static_cast<std::int64_t>(
                                          record.lease.runs().size())));
     for (const auto& [id, job] : this->jobs)
@@ -347,7 +364,8 @@
     this->hooks.log(log_line("run_stopped")
                         .add("task", to_text(task))
                         .add("run", run)
-                        .add("endpoint", where.lease.entry().id));
+                        .add("endpoint", where.lease.entry().id)
+                        .add("token", this->options.token));
     this->hooks.stop({.order = order,
                       .to = where.lease.address(),
                       .task = task,
@@ -448,7 +466,7 @@
     if (status == order_status::stale_token)
         this->hooks.fenced(where.lease.entry().id);
     if (status == order_status::other_incarnation)
-        this->drop_endpoint_runs(where, "other_incarnation", now);
+        this->drop_endpoint_runs(where, end_evidence::other_incarnation, now);
     else if (status != order_status::stale_run)
         where.quarantine(now);
     const auto found = this->jobs.find(key.job);
@@ -492,7 +510,7 @@
     else if (answer.status == order_status::stale_token)
         this->hooks.fenced(target.endpoint);
     else if (answer.status == order_status::other_incarnation)
-        this->drop_endpoint_runs(*record, "other_incarnation", now);
+        this->drop_endpoint_runs(*record, end_evidence::other_incarnation, now);
     // Other results are resolved by a repeated stop or the lease's end.
 }
 
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -322,6 +322,11 @@
                         .add("run", ended.run)
                         .add("endpoint", where.lease.entry().id)
                         .add("how", name_of(ended.how))
+                        .add("evidence", name_of(ended.evidence))
+                        .add("state", ended.last_state
+                                          ? name_of(*ended.last_state)
+                                          : std::string_view("unknown"))
+                        .add("born_ms", where.lease.last_listed_incarnation())
                         .add("failures", task->failures));
     if (ended.how != run_end::failed)
         return;
