End jobs whose entry host no longer has them open

What callers saw: a task ran twice at once. A machine's channels were reset, those of its callers and its links to peers; or its process was replaced by a new one within the 150 ms that a broken link has to return. The callers sent their jobs again after 1,300 ms, and a copy that reached a host of another domain started there while the first runs went on.

Cause: the entry host withdraws a job when its caller leaves, but the link to the owner is gone at that moment and the message is dropped. The host counts as live during the reconnect window, so the owner doesn't withdraw its jobs by itself, and when the link is back only open jobs are submitted again. Nothing ever tells the owner that the others have ended. A new process has none open.

Ruled out: the owner's own time-outs (the host is live all the while), and copies in the same domain (they meet the job in its home shard).

Fix: the first heartbeat on each link names the jobs that the sender has open at the receiver, and the receiver ends the sender's others. It is sent before the submissions on the same link, so that a job is either named or was withdrawn. The field is optional: an older process skips it and sends none, and then nothing changes. By ids, not calls, as a new process numbers its calls anew.

The virtual fleet learns to reset all channels of a host, to send copies to a named host or to any domain, to lose a caller without telling its host, and to make links silent.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -96,6 +96,10 @@
   5: map<string, i32> waiting
   /// Number of shards into which the sender divides its domain.
   6: i32 shard_count
+  /// Ids of the jobs that the sender has open at the receiver; set in the first
+  /// heartbeat on a link. The receiver ends the sender's other jobs, whose
+  /// withdrawals are lost.
+  7: optional list<string> open_jobs
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -51,6 +51,8 @@
     /// Cancels a job that waits here. Returns false if there is none.
     bool cancel(const std::string& id);
     bool is_open(const std::string& id) const;
+    /// Returns the ids of the jobs that wait for a result of \p host.
+    std::vector<std::string> jobs_at(const std::string& host) const;
 
     /// Handles the result of a job. Only the current owner's refusal counts.
     void ended(const std::string& host, const schema::job_ended& end,
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -98,9 +98,12 @@
     /// Stops and removes a job whose caller at \p host has left.
     void withdraw(const std::string& host, const std::string& job,
                   support::instant now);
-    /// Withdraws the jobs of an entry host that has failed; its callers'
-    /// connections are lost with it.
-    void withdraw_all(const std::string& host, support::instant now);
+    /// Withdraws the jobs of an entry host except those with ids in \p open.
+    /// None is open if the host has failed, as its callers' connections are
+    /// lost with it.
+    void withdraw_all(const std::string& host,
+                      const std::vector<std::string>& open,
+                      support::instant now);
 
     void start_answered(const order_answered& answer, support::instant now);
     void stop_answered(const order_answered& answer, support::instant now);
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -251,6 +251,7 @@
     this->view.connected(peer, now);
     schema::shard_message message;
     message.__set_beat(this->make_heartbeat());
+    message.beat.__set_open_jobs(this->intake.jobs_at(peer.name));
     this->hooks.send(peer.name, message);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
@@ -314,6 +315,9 @@
     this->view.handle_heartbeat(peer, heartbeat, now);
     if (heartbeat.config_version < this->active_config.version())
         this->share_config(peer);
+    if (heartbeat.__isset.open_jobs)
+        for (const auto& [number, shard] : this->shards)
+            shard->withdraw_all(peer, heartbeat.open_jobs, now);
     this->update_ownership(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -89,7 +89,7 @@
     for (const auto& [number, shard] : this->shards)
         for (const std::string& host : shard->caller_hosts())
             if (!this->view.is_live(host))
-                shard->withdraw_all(host, now);
+                shard->withdraw_all(host, {}, now);
     const shard_owners best = this->view.owners();
     std::vector<std::pair<int, std::string>> lost;
     for (const auto& [number, shard] : this->shards)
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -178,6 +178,15 @@
                        { return entry.second.work.id == id; });
 }
 
+std::vector<std::string> job_intake::jobs_at(const std::string& host) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [call, job] : this->jobs)
+        if (job.sent_to == host)
+            ids.push_back(job.work.id);
+    return ids;
+}
+
 bool job_intake::cancel(const std::string& id)
 {
     std::vector<call_id> calls;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -224,11 +224,14 @@
     this->jobs.erase(found);
 }
 
-void shard_owner::withdraw_all(const std::string& host, instant now)
+void shard_owner::withdraw_all(const std::string& host,
+                               const std::vector<std::string>& open,
+                               instant now)
 {
+    const std::set<std::string> kept(open.begin(), open.end());
     std::vector<std::string> ids;
     for (const auto& [id, job] : this->jobs)
-        if (job->caller_host == host)
+        if (job->caller_host == host && !kept.contains(id))
             ids.push_back(id);
     for (const std::string& id : ids)
         this->withdraw(host, id, now);
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds order_timeout{250};
 constexpr milliseconds list_slack{250};
 constexpr milliseconds store_timeout{1000};
+/// Silence after which the daemon closes a link.
+constexpr milliseconds link_silence{1500};
 /// Delay after which callers resend a job whose call was lost.
 constexpr milliseconds resend_delay{1300};
 constexpr milliseconds stop_grace{6000};
@@ -299,7 +301,7 @@
     {
         // A link that stays partitioned is closed at its silence timeout.
         if (this->are_partitioned(one, other))
-            this->queue.after(milliseconds(1500),
+            this->queue.after(link_silence,
                               [this, one, other]
                               {
                                   if (this->are_partitioned(one, other))
@@ -326,6 +328,7 @@
 {
     if (this->links.erase(link_of(one, other)) == 0)
         return;
+    this->silent_links.erase(link_of(one, other));
     for (const auto& [to, from] :
          {std::pair(one, other), std::pair(other, one)})
         this->deliver(
@@ -340,6 +343,33 @@
         this->drop_link(name, other);
 }
 
+void shard_fleet::reset_channels(const std::string& name)
+{
+    this->reset_links(name);
+    process& reset = this->processes.at(name);
+    for (const auto& [call, job] : reset.calls)
+        this->deliver(
+            name, reset.incarnation,
+            [call = call](shard::entry_host& host, support::instant now)
+            { host.caller_left(call, now); });
+    this->drop_calls(name);
+}
+
+void shard_fleet::silence_links(const std::string& name)
+{
+    for (const auto& link : this->links)
+        if (link.first == name || link.second == name)
+            this->silent_links.insert(link);
+    this->queue.after(link_silence,
+                      [this, name]
+                      {
+                          const auto silent = this->silent_links;
+                          for (const auto& [one, other] : silent)
+                              if (one == name || other == name)
+                                  this->drop_link(one, other);
+                      });
+}
+
 // Host callbacks.
 
 shard::entry_host_hooks shard_fleet::hooks_for(const std::string& name,
@@ -443,7 +473,9 @@
             [this, name, incarnation, peer, peer_incarnation, link, message]
             {
                 const bool arrives =
-                    this->links.contains(link) && !this->drops(name, peer) &&
+                    this->links.contains(link) &&
+                    !this->silent_links.contains(link) &&
+                    !this->drops(name, peer) &&
                     this->processes.at(name).incarnation == incarnation;
                 if (arrives)
                     this->deliver(
@@ -787,9 +819,15 @@
     const std::string domain = this->processes.at(record.host).domain;
     std::vector<std::string> others;
     for (const auto& [name, one] : this->processes)
-        if (one.domain == domain && name != record.host && one.host &&
-            !one.stopping)
+    {
+        const bool is_wanted =
+            this->host_of_copies.empty()
+                ? name != record.host && (this->options.copies_leave_domain ||
+                                          one.domain == domain)
+                : name == this->host_of_copies;
+        if (is_wanted && one.host && !one.stopping)
             others.push_back(name);
+    }
     if (others.empty())
         return;
     this->send_job(job, others[this->random() % others.size()]);
@@ -814,6 +852,19 @@
     }
 }
 
+void shard_fleet::send_copies_to(const std::string& host)
+{
+    this->host_of_copies = host;
+}
+
+void shard_fleet::lose_caller(const std::string& job)
+{
+    auto& calls = this->processes.at(this->caller(job).host).calls;
+    if (std::erase_if(calls, [&job](const auto& entry)
+                      { return entry.second == job; }) > 0)
+        this->queue.after(resend_delay, [this, job] { this->resend(job); });
+}
+
 void shard_fleet::answer(const std::string& host,
                          const shard::caller_answer& response)
 {
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -36,6 +36,8 @@
     std::vector<double> powers = {};
     /// Assigned round-robin to each domain's endpoints.
     std::vector<endpoint_profile> profiles = {{}};
+    /// Whether callers resend a lost job to hosts of any domain.
+    bool copies_leave_domain = false;
 };
 
 /// A caller's job and the answer it got.
@@ -85,6 +87,10 @@
     /// of the domain, as callers do.
     std::string submit(const std::string& host, const job_shape& shape = {});
     void disconnect_caller(const std::string& job);
+    /// Sends the copies of all lost jobs to \p host.
+    void send_copies_to(const std::string& host);
+    /// Breaks the connection of a job's caller without telling its host.
+    void lose_caller(const std::string& job);
     const caller_record& caller(const std::string& job) const;
     int answered(shard::answer_kind kind) const;
     int unanswered() const;
@@ -108,6 +114,11 @@
                            const std::set<std::string>& to);
     void heal();
     void reset_links(const std::string& host);
+    /// Resets the links of \p host and its callers' connections.
+    void reset_channels(const std::string& host);
+    /// Makes the links of \p host swallow all messages until they are closed
+    /// as silent.
+    void silence_links(const std::string& host);
     void set_store_up(bool is_up);
     void discard_history();
     /// Stores a configuration whose first route is the most urgent.
@@ -213,6 +224,8 @@
     std::map<std::string, process> processes;
     std::map<std::string, std::unique_ptr<virtual_endpoint>> endpoints;
     std::set<std::pair<std::string, std::string>> links;
+    std::set<std::pair<std::string, std::string>> silent_links;
+    std::string host_of_copies;
     struct partition_rule
     {
         std::set<std::string> one;
--- /dev/null
+++ b/test/shards/submissions_test.cpp
@@ -0,0 +1,61 @@
+/// \file
+/// Jobs whose submission, withdrawal or result is lost or crosses a reset link.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+/// Runs longer than callers wait before they resend a lost job.
+const job_shape long_job{.work = milliseconds(2500),
+                         .timeout = milliseconds(9000)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(submissions)
+
+// A machine loses its callers and its links at once, so that the withdrawals
+// are lost. The owner must still stop the jobs before their copies run.
+BOOST_AUTO_TEST_CASE(callers_and_links_reset_at_once)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+    fleet.send_copies_to("D2-h1");
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.reset_channels(entry);
+    fleet.run_for(milliseconds(9000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    check_no_violations(fleet);
+}
+
+// A process that is replaced before its links count as lost knows none of its
+// predecessor's jobs. The owner must stop them before their copies run.
+BOOST_AUTO_TEST_CASE(entry_host_replaced_at_once)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+    fleet.send_copies_to("D2-h1");
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.kill(entry);
+    fleet.start(entry);
+    fleet.run_for(milliseconds(9000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    check_no_violations(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
