Number a job's submissions, and match refusals to them

What callers saw: a task ran twice at once. A link between an entry host and an owner was reset and came back. The host submitted its open jobs again; at the same moment the owner gave one of them up for load, and its refusal of the first submission crossed the second. The caller was told that the job was interrupted and sent it again after 1,300 ms, to a host of another domain. The first owner had queued the second submission as a new job and ran it as well.

Cause: results name the call only, so a refusal that is older than the newest submission counted as its answer. The host forgot the job while the owner had just accepted it.

Ruled out: an offer to another shard after such a refusal (a job that was submitted twice may run, and such jobs are never offered elsewhere).

Fix: submissions of a call are numbered, results carry the newest number that the owner had received, and the host ignores a refusal or interruption of an earlier one: the newest will get its own. The fields are optional; results without a number, of older processes, count as before.

refusal_crosses_resubmission failed before: check fleet.caller(job).attempts == 1 has failed [2 != 1] t=5400 two runs of job3/0/0 at D2-e4 and D1-e1 (and three more tasks) After: shard_scenarios, suites scenarios, load and submissions, no errors.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -115,6 +115,8 @@
   6: bool may_run
   7: string domain
   8: i32 shard
+  /// Numbers the submissions of a call.
+  9: optional i32 submission
 }
 
 /// The caller has disconnected or has cancelled the job.
@@ -131,6 +133,8 @@
   3: job_result outcome
   4: string reason
   5: i64 retry_after_ms
+  /// The newest submission of the call that the owner had received.
+  6: optional i32 submission
 }
 
 /// The receiver of a job does not own the shard.
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -54,7 +54,8 @@
     /// Returns the ids of the jobs that wait for a result of \p host.
     std::vector<std::string> jobs_at(const std::string& host) const;
 
-    /// Handles the result of a job. Only the current owner's refusal counts.
+    /// Handles the result of a job. A refusal counts only if it answers the
+    /// newest submission.
     void ended(const std::string& host, const schema::job_ended& end,
                support::instant now);
     /// \p shard_count is the number of shards of this host's domain.
@@ -84,6 +85,9 @@
         std::optional<shard_name> shard = {};
         std::string sent_to = {};
         fencing_token token = 0;
+        /// The number of the newest submission. Results of earlier ones, which
+        /// cross it, say nothing about it.
+        std::int32_t submission = 0;
         /// Whether another owner may have started tasks of it.
         bool may_run = false;
         /// Shards that have refused it.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -153,12 +153,14 @@
 
     // Jobs.
     void refuse(const std::string& host, const schema::job_submitted& job,
-                const std::string& reason, support::milliseconds retry_after);
+                const std::string& reason, support::milliseconds retry_after,
+                support::instant now);
     /// Returns why no endpoint could ever run \p work, or an empty string.
     std::string unplaceable_reason(const schema::job& work,
                                    const schema::job_policy& terms) const;
     bool reattach_caller(const std::string& host,
-                         const schema::job_submitted& job);
+                         const schema::job_submitted& job,
+                         support::instant now);
     void adopt_runs(owned_job& job);
     void finish(const std::string& id, schema::job_result outcome,
                 const std::string& reason, support::instant now);
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -102,6 +102,7 @@
     message.may_run = job.may_run;
     message.domain = job.shard->domain;
     message.shard = job.shard->shard;
+    message.__set_submission(++job.submission);
     this->hooks.log(log_line("job_forwarded")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -110,6 +111,7 @@
                         .add("owner", job.sent_to)
                         .add("token", job.token)
                         .add("may_run", job.may_run)
+                        .add("submission", job.submission)
                         .add("config", job.terms.config_version));
     // A copy, as the owner's answer may end the job before this returns.
     const std::string to = job.sent_to;
@@ -206,7 +208,9 @@
     if (found == this->jobs.end() || found->second.work.id != end.id)
         return;
     open_job& job = found->second;
-    const bool is_current = host == job.sent_to;
+    const bool is_current =
+        host == job.sent_to &&
+        (!end.__isset.submission || end.submission == job.submission);
     const milliseconds retry_after(end.retry_after_ms);
     switch (end.outcome)
     {
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -30,12 +30,34 @@
 
 } // namespace
 
+waiting_call::waiting_call(const schema::job_submitted& submitted,
+                           std::string at, support::instant now)
+    : host(std::move(at)), call(submitted.call),
+      arrived(now - support::microseconds(submitted.age_us))
+{
+    if (submitted.__isset.submission)
+        this->submission = submitted.submission;
+}
+
+schema::job_ended waiting_call::result_of(const std::string& id,
+                                          schema::job_result outcome,
+                                          const std::string& reason) const
+{
+    schema::job_ended ended;
+    ended.call = this->call;
+    ended.id = id;
+    ended.outcome = outcome;
+    ended.reason = reason;
+    if (this->submission)
+        ended.__set_submission(*this->submission);
+    return ended;
+}
+
 owned_job::owned_job(const schema::job_submitted& submitted, std::string host,
                      support::instant now)
     : work(submitted.work), terms(submitted.terms),
-      caller_host(std::move(host)), call(submitted.call),
-      may_run(submitted.may_run), received(now),
-      arrived(now - support::microseconds(submitted.age_us)),
+      caller(submitted, std::move(host), now), may_run(submitted.may_run),
+      received(now), arrived(this->caller.arrived),
       deadline(now + support::microseconds(submitted.time_left_us))
 {
     for (const schema::task_group& group : this->work.groups)
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -4,6 +4,7 @@
 
 #include "chicorydrum/shard/messages.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,25 @@
     std::string endpoint;
 };
 
+/// A call at an entry host that waits for a job's result.
+struct waiting_call
+{
+    waiting_call(const schema::job_submitted& submitted, std::string at,
+                 support::instant now);
+
+    /// Returns the result of job \p id for this call.
+    schema::job_ended result_of(const std::string& id,
+                                schema::job_result outcome,
+                                const std::string& reason) const;
+
+    std::string host;
+    std::int64_t call = 0;
+    /// The number of the call's newest submission, if its host numbers them.
+    std::optional<std::int32_t> submission;
+    /// When the call reached its host.
+    support::instant arrived;
+};
+
 /// Invariant: waiting + placed + done is the number of tasks.
 class owned_job
 {
@@ -74,11 +94,9 @@
 
     schema::job work;
     schema::job_policy terms;
-    /// The entry host that waits for the result, and its call there.
-    std::string caller_host;
-    std::int64_t call = 0;
+    waiting_call caller;
     bool may_run = false;
-    /// When the job reached this owner, and when its entry host.
+    /// When the job reached this owner, and when its first entry host.
     support::instant received;
     support::instant arrived;
     /// An answer by then has its full value.
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -42,18 +42,6 @@
     return "unknown";
 }
 
-schema::job_ended make_end(std::int64_t call, const std::string& id,
-                           schema::job_result outcome,
-                           const std::string& reason)
-{
-    schema::job_ended ended;
-    ended.call = call;
-    ended.id = id;
-    ended.outcome = outcome;
-    ended.reason = reason;
-    return ended;
-}
-
 bool fits(const schema::resources& need, const schema::resources& available)
 {
     return need.millicores <= available.millicores &&
@@ -78,12 +66,12 @@
 void shard_owner::submit(const std::string& host,
                          const schema::job_submitted& job, instant now)
 {
-    if (this->reattach_caller(host, job))
+    if (this->reattach_caller(host, job, now))
         return;
     const std::string reason = this->unplaceable_reason(job.work, job.terms);
     if (!reason.empty())
     {
-        this->refuse(host, job, reason, support::seconds(1));
+        this->refuse(host, job, reason, support::seconds(1), now);
         return;
     }
     auto new_job = std::make_unique<owned_job>(job, host, now);
@@ -103,13 +91,13 @@
 }
 
 bool shard_owner::reattach_caller(const std::string& host,
-                                  const schema::job_submitted& job)
+                                  const schema::job_submitted& job, instant now)
 {
+    const waiting_call caller(job, host, now);
     const auto active = this->jobs.find(job.work.id);
     if (active != this->jobs.end())
     {
-        active->second->caller_host = host;
-        active->second->call = job.call;
+        active->second->caller = caller;
         return true;
     }
     for (const ended_job& ended : this->recently_ended)
@@ -117,7 +105,7 @@
         if (ended.id != job.work.id)
             continue;
         this->hooks.report(
-            host, make_end(job.call, ended.id, ended.outcome, "repeated"));
+            host, caller.result_of(ended.id, ended.outcome, "repeated"));
         return true;
     }
     return false;
@@ -152,14 +140,15 @@
 void shard_owner::refuse(const std::string& host,
                          const schema::job_submitted& job,
                          const std::string& reason,
-                         support::milliseconds retry_after)
+                         support::milliseconds retry_after, instant now)
 {
     // This owner does not know what an earlier one started, so only a job that
     // no other owner has received has certainly not run.
     const schema::job_result outcome = job.may_run
                                            ? schema::job_result::interrupted
                                            : schema::job_result::not_run;
-    schema::job_ended ended = make_end(job.call, job.work.id, outcome, reason);
+    schema::job_ended ended =
+        waiting_call(job, host, now).result_of(job.work.id, outcome, reason);
     ended.retry_after_ms = retry_after.count();
     this->hooks.log(log_line("job_refused")
                         .add("job", job.work.id)
@@ -214,7 +203,7 @@
                            instant now)
 {
     const auto found = this->jobs.find(job);
-    if (found == this->jobs.end() || found->second->caller_host != host)
+    if (found == this->jobs.end() || found->second->caller.host != host)
         return;
     this->hooks.log(log_line("job_withdrawn")
                         .add("job", job)
@@ -231,7 +220,7 @@
     const std::set<std::string> kept(open.begin(), open.end());
     std::vector<std::string> ids;
     for (const auto& [id, job] : this->jobs)
-        if (job->caller_host == host && !kept.contains(id))
+        if (job->caller.host == host && !kept.contains(id))
             ids.push_back(id);
     for (const std::string& id : ids)
         this->withdraw(host, id, now);
@@ -245,7 +234,7 @@
     const std::unique_ptr<owned_job> job = std::move(found->second);
     this->jobs.erase(found);
     this->stop_runs_of(*job, now);
-    schema::job_ended ended = make_end(job->call, id, outcome, reason);
+    schema::job_ended ended = job->caller.result_of(id, outcome, reason);
     if (outcome == schema::job_result::not_run)
         ended.retry_after_ms = this->predicted_wait().count();
     if (outcome == schema::job_result::completed ||
@@ -259,7 +248,7 @@
             .add("reason", reason)
             .add("age_ms", support::whole_ms(now - job->arrived))
             .add("target_ms", support::whole_ms(job->target - job->arrived)));
-    this->hooks.report(job->caller_host, ended);
+    this->hooks.report(job->caller.host, ended);
 }
 
 void shard_owner::cache_result(const std::string& id,
@@ -435,7 +424,7 @@
 {
     std::set<std::string> hosts;
     for (const auto& [id, job] : this->jobs)
-        hosts.insert(job->caller_host);
+        hosts.insert(job->caller.host);
     return {hosts.begin(), hosts.end()};
 }
 
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -857,12 +857,28 @@
     this->host_of_copies = host;
 }
 
-void shard_fleet::lose_caller(const std::string& job)
+void shard_fleet::lose_caller(const std::string& job,
+                              std::optional<milliseconds> told_after)
 {
-    auto& calls = this->processes.at(this->caller(job).host).calls;
-    if (std::erase_if(calls, [&job](const auto& entry)
-                      { return entry.second == job; }) > 0)
-        this->queue.after(resend_delay, [this, job] { this->resend(job); });
+    const std::string name = this->caller(job).host;
+    process& target = this->processes.at(name);
+    const auto lost =
+        std::find_if(target.calls.begin(), target.calls.end(),
+                     [&job](const auto& entry) { return entry.second == job; });
+    if (lost == target.calls.end())
+        return;
+    this->queue.after(resend_delay, [this, job] { this->resend(job); });
+    if (told_after)
+        this->queue.after(
+            *told_after,
+            [this, name, incarnation = target.incarnation, call = lost->first]
+            {
+                this->deliver(
+                    name, incarnation,
+                    [call](shard::entry_host& host, support::instant now)
+                    { host.caller_left(call, now); });
+            });
+    target.calls.erase(lost);
 }
 
 void shard_fleet::answer(const std::string& host,
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -89,8 +89,11 @@
     void disconnect_caller(const std::string& job);
     /// Sends the copies of all lost jobs to \p host.
     void send_copies_to(const std::string& host);
-    /// Breaks the connection of a job's caller without telling its host.
-    void lose_caller(const std::string& job);
+    /// Breaks the connection of a job's caller. Its host learns of it after
+    /// \p told_after, if given.
+    void
+    lose_caller(const std::string& job,
+                std::optional<support::milliseconds> told_after = std::nullopt);
     const caller_record& caller(const std::string& job) const;
     int answered(shard::answer_kind kind) const;
     int unanswered() const;
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -56,6 +56,40 @@
     check_no_violations(fleet);
 }
 
+// An owner gives a job up while its entry host submits it again over a new
+// link. The refusal must not count for the second submission, or the job runs
+// at the owner after its caller was told to send it elsewhere.
+BOOST_AUTO_TEST_CASE(refusal_crosses_resubmission)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, owner);
+    fleet.send_copies_to("D2-h1");
+    for (int i = 0; i < 2; ++i)
+        fleet.submit(owner, {.work = milliseconds(900),
+                             .timeout = milliseconds(5000),
+                             .route = "check"});
+    fleet.run_for(milliseconds(20));
+    const std::string job = fleet.submit(entry, {.work = milliseconds(600),
+                                                 .timeout = milliseconds(5000),
+                                                 .route = "check"});
+    fleet.run_for(milliseconds(20));
+    fleet.reset_links(entry);
+    // The links are restored every 100 ms.
+    fleet.run_for(milliseconds(60));
+    fleet.submit(
+        owner,
+        {.tasks = 8, .work = milliseconds(500), .timeout = milliseconds(5000)});
+    fleet.run_for(milliseconds(50));
+    BOOST_TEST(fleet.has_logged("event=job_ended job=" + job +
+                                " route=check outcome=not_run"));
+    fleet.run_for(milliseconds(8000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 1);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
