--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -96,6 +96,10 @@
   5: map<string, i32> waiting
   /// Number of shards into which the sender divides its domain.
   6: i32 shard_count
+  /// Ids of the jobs that the sender has open at the receiver; set in the first
+  /// heartbeat on a link. The receiver ends the sender's other jobs, whose
+  /// withdrawals are lost.
+  7: optional list<string> open_jobs
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
@@ -111,6 +115,8 @@
   6: bool may_run
   7: string domain
   8: i32 shard
+  /// Numbers the submissions of a call.
+  9: optional i32 submission
 }
 
 /// The caller has disconnected or has cancelled the job.
@@ -127,6 +133,8 @@
   3: job_result outcome
   4: string reason
   5: i64 retry_after_ms
+  /// The newest submission of the call that the owner had received.
+  6: optional i32 submission
 }
 
 /// The receiver of a job does not own the shard.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -98,9 +98,12 @@
     /// Stops and removes a job whose caller at \p host has left.
     void withdraw(const std::string& host, const std::string& job,
                   support::instant now);
-    /// Withdraws the jobs of an entry host that has failed; its callers'
-    /// connections are lost with it.
-    void withdraw_all(const std::string& host, support::instant now);
+    /// Withdraws the jobs of an entry host except those with ids in \p open.
+    /// None is open if the host has failed, as its callers' connections are
+    /// lost with it.
+    void withdraw_all(const std::string& host,
+                      const std::vector<std::string>& open,
+                      support::instant now);
 
     void start_answered(const order_answered& answer, support::instant now);
     void stop_answered(const order_answered& answer, support::instant now);
@@ -145,12 +148,14 @@
 
     // Jobs.
     void refuse(const std::string& host, const schema::job_submitted& job,
-                const std::string& reason, support::milliseconds retry_after);
+                const std::string& reason, support::milliseconds retry_after,
+                support::instant now);
     /// Returns why no endpoint could ever run \p work, or an empty string.
     std::string unplaceable_reason(const schema::job& work,
                                    const schema::job_policy& terms) const;
     bool reattach_caller(const std::string& host,
-                         const schema::job_submitted& job);
+                         const schema::job_submitted& job,
+                         support::instant now);
     void adopt_runs(owned_job& job);
     void finish(const std::string& id, schema::job_result outcome,
                 const std::string& reason, support::instant now);
