Tell two calls of one job apart at its owner

What callers saw: a caller that lost its connection and sent its job again got no answer, and had to wait for its time limit. Two ways: - The copy reached the same entry host, which learned only later that the first connection was gone. It withdrew the first call; the owner compared the host only and stopped the copy's runs. - The copy reached another entry host. The first host still had its call open, and submitted it again after a link reset. The owner took that for the newest and sent the result to it.

Cause: the owner bound a job to the last host that submitted it, whatever the call's age, and withdrew by the host.

Ruled out: two runs at once; the job stays in one shard in both cases, where the runs are counted.

Fix: a withdrawal counts only for the call that it names, a submission of an older call no longer takes the job from a newer one, and a call that lost its job to another is told at once that it was superseded, so that its host submits it nowhere else. Ages are durations, and copies are over a second apart, so that transit times don't matter. No message has changed.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -95,8 +95,9 @@
     /// Accepts a job from an entry host, for the first time or again.
     void submit(const std::string& host, const schema::job_submitted& job,
                 support::instant now);
-    /// Stops and removes a job whose caller at \p host has left.
-    void withdraw(const std::string& host, const std::string& job,
+    /// Stops and removes a job whose caller at \p host has left, unless a copy
+    /// of it has arrived since.
+    void withdraw(const std::string& host, const schema::job_withdrawn& job,
                   support::instant now);
     /// Withdraws the jobs of an entry host except those with ids in \p open.
     /// None is open if the host has failed, as its callers' connections are
@@ -162,6 +163,7 @@
                          const schema::job_submitted& job,
                          support::instant now);
     void adopt_runs(owned_job& job);
+    void remove(const std::string& id, support::instant now);
     void finish(const std::string& id, schema::job_result outcome,
                 const std::string& reason, support::instant now);
     void stop_runs_of(const owned_job& job, support::instant now);
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -72,7 +72,7 @@
                   {
                       if (shard_owner* const shard =
                               this->find_shard(job.domain, job.shard))
-                          shard->withdraw(owner, job.id, this->current_time);
+                          shard->withdraw(owner, job, this->current_time);
                       return;
                   }
                   schema::shard_message message;
@@ -285,7 +285,7 @@
     {
         if (shard_owner* const shard = this->find_shard(
                 message.withdrawn.domain, message.withdrawn.shard))
-            shard->withdraw(peer, message.withdrawn.id, now);
+            shard->withdraw(peer, message.withdrawn, now);
     }
     else if (message.__isset.ended)
         this->intake.ended(peer, message.ended, now);
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -34,6 +34,10 @@
     waiting_call(const schema::job_submitted& submitted, std::string at,
                  support::instant now);
 
+    bool is_same_call(const waiting_call& other) const
+    {
+        return this->host == other.host && this->call == other.call;
+    }
     /// Returns the result of job \p id for this call.
     schema::job_ended result_of(const std::string& id,
                                 schema::job_result outcome,
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -93,11 +93,19 @@
 bool shard_owner::reattach_caller(const std::string& host,
                                   const schema::job_submitted& job, instant now)
 {
-    const waiting_call caller(job, host, now);
+    waiting_call caller(job, host, now);
     const auto active = this->jobs.find(job.work.id);
     if (active != this->jobs.end())
     {
-        active->second->caller = caller;
+        // A caller sends a copy only after it has lost the earlier call.
+        waiting_call& newest = active->second->caller;
+        if (caller.is_same_call(newest) || caller.arrived >= newest.arrived)
+            std::swap(newest, caller);
+        if (!caller.is_same_call(newest))
+            this->hooks.report(caller.host,
+                               caller.result_of(job.work.id,
+                                                schema::job_result::interrupted,
+                                                "superseded"));
         return true;
     }
     for (const ended_job& ended : this->recently_ended)
@@ -199,14 +207,22 @@
     }
 }
 
-void shard_owner::withdraw(const std::string& host, const std::string& job,
-                           instant now)
+void shard_owner::withdraw(const std::string& host,
+                           const schema::job_withdrawn& job, instant now)
 {
-    const auto found = this->jobs.find(job);
-    if (found == this->jobs.end() || found->second->caller.host != host)
+    const auto found = this->jobs.find(job.id);
+    if (found == this->jobs.end())
         return;
+    const waiting_call& caller = found->second->caller;
+    if (caller.host == host && caller.call == job.call)
+        this->remove(job.id, now);
+}
+
+void shard_owner::remove(const std::string& id, instant now)
+{
+    const auto found = this->jobs.find(id);
     this->hooks.log(log_line("job_withdrawn")
-                        .add("job", job)
+                        .add("job", id)
                         .add("placed", found->second->placed_tasks())
                         .add("waiting", found->second->waiting_tasks()));
     this->stop_runs_of(*found->second, now);
@@ -223,7 +239,7 @@
         if (job->caller.host == host && !kept.contains(id))
             ids.push_back(id);
     for (const std::string& id : ids)
-        this->withdraw(host, id, now);
+        this->remove(id, now);
 }
 
 void shard_owner::finish(const std::string& id, schema::job_result outcome,
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -90,6 +90,45 @@
     check_no_violations(fleet);
 }
 
+// A host has two calls of one job and learns late that the first one's caller
+// is gone. Withdrawing that call must not end the copy's run.
+BOOST_AUTO_TEST_CASE(two_calls_at_one_host)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+    fleet.send_copies_to(entry);
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.lose_caller(job, milliseconds(1600));
+    fleet.run_for(milliseconds(4000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    check_no_violations(fleet);
+}
+
+// A host submits a job again whose caller has sent a copy through another host.
+// The answer must reach the newer call.
+BOOST_AUTO_TEST_CASE(older_call_submitted_after_copy)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, owner);
+    fleet.send_copies_to(owner);
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.lose_caller(job);
+    fleet.run_for(milliseconds(1500));
+    fleet.reset_links(entry);
+    fleet.run_for(milliseconds(2500));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
