Withdraw a job from every owner that may still have it

What callers saw: a task ran twice at once. The owner of a shard was cut off from its successor, which could not reach the endpoint that ran the job; a third host, the job's entry host, reached both. The job moved to the successor. When its caller left, the copy, 1,300 ms later, started at the successor while the earlier owner went on with the first runs. In the same case a job that the earlier owner completed was started again by the successor after its caller had its answer.

Cause: the entry host withdrew a job from the newest owner only, and from none when another owner reported its end.

Ruled out: the earlier owner's own time-out (the entry host is live to it) and fencing (the successor has not reached the endpoint, and the earlier owner asks no other endpoint for anything).

Fix: the entry host remembers the owners that it sent a job to, each with the newest submission there. One that has reported the end of that submission has it no more; whenever the call ends, for whatever reason, all others get a withdrawal. Withdrawing is part of finishing, so that no way to answer can leave it out.

Both tests failed before: caller_leaves_after_takeover: D1-e1 running_count() == 0 has failed [2 != 0] t=6200 two runs of job1/0/0 at D1-e2 and D1-e1 (and job1/0/1) earlier_owner_completes_job: starts_of(job) == 2 has failed [4 != 2] After: shard_scenarios, all suites, 44 cases without errors.

Not covered: such a job while its caller still waits. The successor starts it after 1.1 s although the earlier owner still runs it; that owner must learn of its successor.

--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -85,9 +85,12 @@
         std::optional<shard_name> shard = {};
         std::string sent_to = {};
         fencing_token token = 0;
-        /// The number of the newest submission. Results of earlier ones, which
-        /// cross it, say nothing about it.
+        /// The number of the newest submission.
         std::int32_t submission = 0;
+        /// The owners that may have the job, each with the newest submission
+        /// that it was sent. Results of earlier ones, which cross it, say
+        /// nothing about it.
+        std::map<std::string, std::int32_t> holders = {};
         /// Whether another owner may have started tasks of it.
         bool may_run = false;
         /// Shards that have refused it.
@@ -103,10 +106,9 @@
     bool offer_elsewhere(call_id call, open_job& job, support::instant now);
     void resend_all(const std::function<bool(const open_job&)>& is_concerned,
                     support::instant now);
+    /// Withdraws a job from all owners that may have it.
     void withdraw(call_id call, const open_job& job);
-    /// Withdraws a job that may run and answers its caller.
-    void withdraw_and_answer(call_id call, answer_kind kind,
-                             const std::string& reason);
+    /// Withdraws a job wherever it may be, and answers its caller.
     void finish(call_id call, answer_kind kind,
                 support::milliseconds retry_after, const std::string& reason);
 
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -103,6 +103,7 @@
     message.domain = job.shard->domain;
     message.shard = job.shard->shard;
     message.__set_submission(++job.submission);
+    job.holders[job.sent_to] = job.submission;
     this->hooks.log(log_line("job_forwarded")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -140,12 +141,15 @@
     const auto found = this->jobs.find(call);
     if (found == this->jobs.end())
         return;
+    const open_job job = std::move(found->second);
+    this->jobs.erase(found);
+    // Withdrawn first, so that no task runs when the answer arrives.
+    this->withdraw(call, job);
     this->hooks.log(log_line("job_answered")
-                        .add("job", found->second.work.id)
-                        .add("route", found->second.work.route)
+                        .add("job", job.work.id)
+                        .add("route", job.work.route)
                         .add("answer", name_of(kind))
                         .add("reason", reason));
-    this->jobs.erase(found);
     this->hooks.answer(
         {.call = call, .kind = kind, .retry_after = retry_after});
 }
@@ -163,14 +167,15 @@
 
 void job_intake::withdraw(call_id call, const open_job& job)
 {
-    if (job.sent_to.empty())
+    if (job.holders.empty())
         return;
     schema::job_withdrawn message;
     message.call = static_cast<std::int64_t>(call);
     message.id = job.work.id;
     message.domain = job.shard->domain;
     message.shard = job.shard->shard;
-    this->hooks.withdraw(job.sent_to, message);
+    for (const auto& [host, submission] : job.holders)
+        this->hooks.withdraw(host, message);
 }
 
 bool job_intake::is_open(const std::string& id) const
@@ -196,7 +201,7 @@
         if (job.work.id == id)
             calls.push_back(call);
     for (const call_id call : calls)
-        this->withdraw_and_answer(call, answer_kind::cancelled, "cancelled");
+        this->finish(call, answer_kind::cancelled, {}, "cancelled");
     return !calls.empty();
 }
 
@@ -208,9 +213,13 @@
     if (found == this->jobs.end() || found->second.work.id != end.id)
         return;
     open_job& job = found->second;
-    const bool is_current =
-        host == job.sent_to &&
-        (!end.__isset.submission || end.submission == job.submission);
+    const auto holder = job.holders.find(host);
+    const bool is_newest_there =
+        holder != job.holders.end() &&
+        (!end.__isset.submission || end.submission == holder->second);
+    if (is_newest_there)
+        job.holders.erase(holder);
+    const bool is_current = is_newest_there && host == job.sent_to;
     const milliseconds retry_after(end.retry_after_ms);
     switch (end.outcome)
     {
@@ -296,23 +305,14 @@
     for (const late_call& ended : late)
     {
         if (ended.was_sent)
-            this->withdraw_and_answer(ended.call, answer_kind::timed_out,
-                                      "deadline_passed");
+            this->finish(ended.call, answer_kind::timed_out, {},
+                         "deadline_passed");
         else
             this->finish(ended.call, answer_kind::not_run, default_retry_after,
                          "no_owner");
     }
 }
 
-void job_intake::withdraw_and_answer(call_id call, answer_kind kind,
-                                     const std::string& reason)
-{
-    const open_job job = this->jobs.at(call);
-    // Withdrawn first, so that no task runs when the answer arrives.
-    this->withdraw(call, job);
-    this->finish(call, kind, {}, reason);
-}
-
 void job_intake::end_all(const std::string& reason)
 {
     std::vector<call_id> calls;
@@ -324,7 +324,7 @@
             this->finish(call, answer_kind::not_run, default_retry_after,
                          reason);
         else
-            this->withdraw_and_answer(call, answer_kind::interrupted, reason);
+            this->finish(call, answer_kind::interrupted, {}, reason);
     }
 }
 
