Merge what hosts of a domain hear of owners, and withdrawals by call

Both had added field 7 to the heartbeat: the owners that the sender hears become field 8, and the generated code is made anew. The first heartbeat on a link has both.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -87,6 +87,15 @@
   6: bool is_offered
 }
 
+/// The owner of a shard of the sender's domain, of which the sender has heard
+/// from the owner itself.
+struct heard_owner {
+  1: string host
+  2: i32 shard
+  3: i64 token
+  4: bool is_offered
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -100,6 +109,8 @@
   /// heartbeat on a link. The receiver ends the sender's other jobs, whose
   /// withdrawals are lost.
   7: optional list<string> open_jobs
+  /// To hosts of the sender's domain only.
+  8: list<heard_owner> heard
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -249,8 +249,8 @@
                         .add("peer", peer.name)
                         .add("domain", peer.domain));
     this->view.connected(peer, now);
-    schema::shard_message message;
-    message.__set_beat(this->make_heartbeat());
+    schema::shard_message message =
+        this->make_heartbeat(peer.domain == this->options.self.domain);
     message.beat.__set_open_jobs(this->intake.jobs_at(peer.name));
     this->hooks.send(peer.name, message);
     // Messages sent to the peer over an earlier link may be lost.
