--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -1,12 +1,13 @@
 #include "fault_session.hpp"
 
+#include "chicorydrum/support/base64.hpp"
+
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #include <sys/stat.h>
 
 namespace chicorydrum::faults
@@ -32,17 +33,6 @@
 constexpr milliseconds recovery_limit{8000};
 constexpr int caller_timeout_ms = 2500;
 
-std::string encode_base64(const std::string& bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<const unsigned char*>(bytes.data()),
-                        static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 /// Parses JOB.0.GROUP.INDEX; job ids here have no dots.
 shard::task_key task_of(const std::string& name)
 {
@@ -284,7 +274,7 @@
 void fault_session::put_row(const std::string& table, const std::string& key,
                             const std::string& value)
 {
-    this->tables[table][key] = {.value = encode_base64(value),
+    this->tables[table][key] = {.value = support::encode_base64(value),
                                 .version = ++this->store_version};
 }
 
