--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -9,6 +9,7 @@
 #include "chicorydrum/shard/job_intake.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
+#include "chicorydrum/support/validation.hpp"
 
 #include <deque>
 #include <functional>
@@ -56,7 +57,7 @@
     /// Target number of endpoints per shard. Larger shards allow better
     /// placement but cost their owner more; see docs/CAPACITY.md.
     int endpoints_per_shard = 32;
-    int max_shards = 16;
+    int max_shards = support::max_shards;
     /// How long a shard is offered to stronger hosts before the offer ends.
     support::milliseconds offer_time{1000};
     /// A gap of this length between ticks means that the process was paused.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -4,7 +4,6 @@
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include <algorithm>
-#include <cctype>
 
 namespace chicorydrum::shard
 {
@@ -16,19 +15,6 @@
 using support::log_line;
 using support::milliseconds;
 
-/// Ids become part of task names and log lines, so only plain ones are
-/// accepted.
-bool is_job_id(const std::string& text)
-{
-    constexpr std::size_t max_length = 64;
-    const auto is_plain = [](unsigned char c)
-    {
-        return std::isalnum(c) != 0 || c == '-' || c == '_';
-    };
-    return !text.empty() && text.size() <= max_length &&
-           std::all_of(text.begin(), text.end(), is_plain);
-}
-
 intake_options intake_of(const entry_host_options& options)
 {
     intake_options intake = options.intake;
@@ -134,7 +120,7 @@
         refuse(answer_kind::no_route, "no_route");
         return;
     }
-    if (!request.work || !is_job_id(match->rest))
+    if (!request.work || !support::is_job_id(match->rest))
     {
         refuse(answer_kind::malformed,
                request.work ? "malformed id" : request.problem);
--- a/support/include/chicorydrum/support/yaml_reader.hpp
+++ b/support/include/chicorydrum/support/yaml_reader.hpp
@@ -28,6 +28,9 @@
     int port = 0;
 };
 
+/// Returns whether \p text is an IPv4 or IPv6 address and not a host name.
+bool is_ip_address(const std::string& text);
+
 /// Parses ADDRESS:PORT; fails with bad_request on anything else.
 result<socket_address> parse_socket_address(const std::string& text);
 
--- a/support/lib/yaml_reader.cpp
+++ b/support/lib/yaml_reader.cpp
@@ -202,13 +202,6 @@
     this->output.writeListEnd();
 }
 
-bool is_ip_address(const std::string& text)
-{
-    in6_addr parsed{};
-    return inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
-}
-
 bool matches_pattern(const std::string& text, const field_entry& field)
 {
     if (field.pattern == "ip")
@@ -302,6 +295,15 @@
                                                  "entry_settings");
 }
 
+bool is_ip_address(const std::string& text)
+{
+    in6_addr parsed{};
+    // The C functions would ignore what follows a zero byte.
+    return text.find('\0') == std::string::npos &&
+           (inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
+            inet_pton(AF_INET6, text.c_str(), &parsed) == 1);
+}
+
 result<socket_address> parse_socket_address(const std::string& text)
 {
     const std::size_t colon = text.rfind(':');
