Accept only plain names as keys of rows

Seen: ids_with_odd_characters_name_no_endpoint failed with 10 errors: entries under the keys "", "i-1\r\nx: y", "i-1\0x", with spaces, escape sequences or 201 characters, and entries whose key is a number, became endpoints.

Cause: a key was taken as the id of an endpoint unchecked. The id is sent in the header expect-instance of each call, so a key with a line break adds headers to the call, and is written into the log, where an escape sequence is not quoted.

Bodies were safe before: ids are not written there, and the parser rejects texts that are not UTF-8.

--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -186,6 +186,7 @@
 result<void> check(const schema::endpoint_registration& entry)
 {
     return range_check()
+        .require(is_plain_name(entry.id), "id", plain)
         .require(is_plain_name(entry.domain), "domain", plain)
         .require(!entry.pool.empty(), "pool", "a name")
         .require(is_ip_address(entry.address), "address", "an IP address")
