Read the store's versions strictly

A version too high was kept for ever, since the place in the feed never decreased: the host followed no change any more.

If the version decreases, the table is read as a whole and followed from the version of that answer.

--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -105,17 +105,21 @@
     }
     this->set_available(true, name_of(rows.table));
     table.backoff = milliseconds(0);
-    if (rows.status == read_status::history_lost)
+    // A version that decreases means that the store has lost changes or that
+    // an earlier answer was wrong.
+    const bool has_decreased = !table.wants_all && rows.version < table.after;
+    if (rows.status == read_status::history_lost || has_decreased)
     {
         this->hooks.log(log_line("history_lost")
                             .add("table", name_of(rows.table))
-                            .add("after", table.after));
+                            .add("after", table.after)
+                            .add("version", rows.version));
         table.wants_all = true;
         table.next_read = now;
         return;
     }
     table.wants_all = false;
-    table.after = std::max(table.after, rows.version);
+    table.after = rows.version;
     table.next_read = now;
     if (rows.config)
         this->hooks.config_read(*rows.config);
