--- a/shard/include/chicorydrum/shard/config_view.hpp
+++ b/shard/include/chicorydrum/shard/config_view.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chicorydrum/schema/generated/shard_types.h"
+#include "chicorydrum/support/error.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,9 @@
     int max_attempts = 1;
 };
 
+/// Fails with bad_request if a member is out of its range.
+support::result<void> check(const job_route& route);
+
 struct routing_config
 {
     std::int64_t version = 0;
--- a/shard/lib/config_view.cpp
+++ b/shard/lib/config_view.cpp
@@ -1,8 +1,42 @@
 #include "chicorydrum/shard/config_view.hpp"
 
+#include "chicorydrum/support/validation.hpp"
+
 namespace chicorydrum::shard
 {
 
+namespace
+{
+
+/// Sets the members of \p terms that depend on the route only.
+void set_terms(schema::job_policy& terms, const job_route& route)
+{
+    terms.pool = route.pool;
+    terms.max_attempts = route.max_attempts;
+    terms.priority = route.priority;
+    terms.slack_ms = route.slack_ms;
+    terms.stretch = route.stretch;
+}
+
+} // namespace
+
+support::result<void> check(const job_route& route)
+{
+    const bool is_selectable = !route.name.empty() && !route.host.empty() &&
+                               !route.pool.empty() &&
+                               route.prefix.starts_with("/");
+    if (!is_selectable)
+        return support::fail(support::error_kind::bad_request,
+                             "a route's name, host, prefix or pool is empty "
+                             "or malformed");
+    if (route.timeout_ms < 0 || route.timeout_ms > support::max_span_ms)
+        return support::fail(support::error_kind::bad_request,
+                             "timeout_ms is not in range");
+    schema::job_policy terms;
+    set_terms(terms, route);
+    return support::check(terms);
+}
+
 bool config_view::accept(routing_config config)
 {
     if (config.version <= this->current.version)
@@ -31,11 +65,7 @@
 schema::job_policy config_view::terms_of(const job_route& route) const
 {
     schema::job_policy terms;
-    terms.pool = route.pool;
-    terms.max_attempts = route.max_attempts;
-    terms.priority = route.priority;
-    terms.slack_ms = route.slack_ms;
-    terms.stretch = route.stretch;
+    set_terms(terms, route);
     terms.config_version = this->current.version;
     return terms;
 }
