Check the ranges of a host's record

Seen: odd_host_records_name_no_host failed with 22 errors. A record without any field (one zero byte), with a host name as its address, with ports from -1 to 65536, an infinite or NaN processor share or a domain that is not a plain name was accepted. Truncated records, texts and lists that claim gigabytes, and nested unknown members were rejected before, as the same test shows.

Cause: only the encoding was checked. The address is dialled by the library, which looks a name up with a blocking call in the event loop, at each redial. The processor share decides which host should own a shard: the other hosts leave shards to a host with an infinite one.

--- a/transport/include/chicorydrum/transport/peer_codec.hpp
+++ b/transport/include/chicorydrum/transport/peer_codec.hpp
@@ -24,7 +24,8 @@
 support::result<schema::shard_message>
 decode_shard_message(std::string_view frame);
 
-/// The same for a host's record in the platform's table.
+/// The same for a host's record in the platform's table. Also fails if a member
+/// is out of its range.
 std::string encode_record(const schema::host_record& record);
 support::result<schema::host_record> decode_record(std::string_view bytes);
 
--- a/transport/lib/peer_codec.cpp
+++ b/transport/lib/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/transport/peer_codec.hpp"
 
+#include "chicorydrum/support/validation.hpp"
+
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -108,7 +110,13 @@
 
 support::result<schema::host_record> decode_record(std::string_view bytes)
 {
-    return decode<schema::host_record>(bytes);
+    auto record = decode<schema::host_record>(bytes);
+    if (!record)
+        return record;
+    const auto checked = support::check(*record);
+    if (!checked)
+        return tl::unexpected(checked.error());
+    return record;
 }
 
 } // namespace chicorydrum::transport
