Replace an odd row of this host's registration, with a delay

Cause: a version of 0 means that the row does not exist, and was also used for rows without a readable value. The next write then expected no row and met a conflict, again with version 0 if the value was not base64, and the next one followed at once: the host never registered and used up the writes that all hosts share. Two processes of one name, or another writer that keeps replacing the row, caused a write for each change in the same way.

A version of 0 now means a removed row only. After a conflict or a lost registration the first write is immediate; further ones are delayed up to a second until a registration has lasted five seconds.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -55,6 +55,7 @@
 {
     std::string name;
     std::optional<schema::host_record> record;
+    /// 0 if the row was removed.
     std::int64_t version = 0;
 };
 
@@ -135,6 +136,8 @@
     /// How long an endpoint without an entry is kept, since entries also expire
     /// when the store fails.
     support::milliseconds missing_grace{2500};
+    /// A registration that stays this long is stable.
+    support::milliseconds stable_registration{5000};
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
@@ -193,6 +196,9 @@
     void apply_endpoints(const table_rows& rows, support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
+    /// Writes the registration again: at once after a stable registration, then
+    /// with an increasing delay.
+    void repeat_write(support::instant now);
 
     directory_options options;
     directory_hooks hooks;
@@ -208,6 +214,7 @@
     bool hosts_are_complete = false;
     bool found_earlier_row = false;
     std::int64_t own_version = 0;
+    support::instant registered_at;
     support::instant next_write;
     support::milliseconds write_backoff{0};
 };
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -143,7 +143,7 @@
             has_own = true;
             own_is_lost =
                 !row.record || row.record->nonce != this->options.record.nonce;
-            this->own_version = row.record ? row.version : 0;
+            this->own_version = row.version;
             continue;
         }
         if (row.record)
@@ -162,7 +162,9 @@
     this->is_registered = false;
     if (rows.is_whole && !has_own)
         this->own_version = 0;
-    this->next_write = now;
+    if (now - this->registered_at >= this->options.stable_registration)
+        this->write_backoff = milliseconds(0);
+    this->repeat_write(now);
 }
 
 void directory::apply_endpoints(const table_rows& rows, instant now)
@@ -220,6 +222,12 @@
     return usable;
 }
 
+void directory::repeat_write(instant now)
+{
+    this->next_write = now + this->write_backoff;
+    this->write_backoff = this->next_backoff(this->write_backoff);
+}
+
 void directory::write_registration(instant now)
 {
     this->is_writing = true;
@@ -240,7 +248,7 @@
     {
         this->own_version = answer.version;
         this->is_registered = true;
-        this->write_backoff = milliseconds(0);
+        this->registered_at = now;
         this->hooks.log(log_line("registered").add("version", answer.version));
         this->hooks.registered(answer.version);
         return;
@@ -250,7 +258,7 @@
         // The row of an earlier process of this host.
         this->found_earlier_row = true;
         this->own_version = answer.version;
-        this->next_write = now;
+        this->repeat_write(now);
         return;
     }
     this->set_available(false, "registration");
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -107,6 +107,78 @@
     BOOST_TEST(next.after == 20);
 }
 
+// Guards against a write for each answer when another writer's row stays in
+// the way of the registration.
+BOOST_FIXTURE_TEST_CASE(repeated_conflicts_are_retried_with_a_delay,
+                        directory_fixture)
+{
+    std::size_t answered = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        this->run_for(milliseconds(25));
+        if (this->writes.size() == answered)
+            continue;
+        ++answered;
+        this->table.registration_answered(
+            {.status = write_status::conflict, .version = 5 + i, .current = {}},
+            this->now);
+    }
+    // Ten seconds with a delay of half a second or more after the first writes.
+    BOOST_TEST(this->writes.size() <= 25U);
+    BOOST_TEST(this->writes.size() >= 10U);
+    BOOST_TEST(this->writes.back().expected_version >= 5);
+}
+
+// Guards against two processes of one name that write for each change of the
+// other.
+BOOST_FIXTURE_TEST_CASE(a_row_that_is_replaced_again_is_written_with_a_delay,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 3;
+    std::size_t answered = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        this->run_for(milliseconds(25));
+        if (this->writes.size() == answered)
+            continue;
+        ++answered;
+        ++rows.version;
+        this->table.registration_answered({.status = write_status::written,
+                                           .version = rows.version,
+                                           .current = {}},
+                                          this->now);
+        rows.hosts = {{.name = "h1",
+                       .record = make_record(own_nonce + 1),
+                       .version = ++rows.version}};
+        this->table.rows_read(rows, this->now);
+    }
+    BOOST_TEST(this->writes.size() <= 25U);
+    BOOST_TEST(this->writes.size() >= 10U);
+    BOOST_TEST(this->writes.back().expected_version >= 5);
+}
+
+// Guards against a registration whose row another writer made unreadable: the
+// next write must expect the version of that row.
+BOOST_FIXTURE_TEST_CASE(an_unreadable_own_row_is_replaced, directory_fixture)
+{
+    this->run_for(milliseconds(25));
+    this->table.registration_answered(
+        {.status = write_status::written, .version = 4, .current = {}},
+        this->now);
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 6;
+    rows.hosts = {{.name = "h1", .record = {}, .version = 6}};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->writes.size() == 2U);
+    BOOST_TEST(this->writes.back().expected_version == 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -568,7 +568,9 @@
                 rows.config = row.config;
             else if (wanted.table == directory_table::hosts)
                 rows.hosts.push_back(
-                    {.name = key, .record = row.host, .version = row.version});
+                    {.name = key,
+                     .record = row.host,
+                     .version = row.is_removed ? 0 : row.version});
             else
                 rows.endpoints.push_back({.id = key, .entry = row.endpoint});
         }
