--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -105,17 +105,21 @@
     }
     this->set_available(true, name_of(rows.table));
     table.backoff = milliseconds(0);
-    if (rows.status == read_status::history_lost)
+    // A version that decreases means that the store has lost changes or that
+    // an earlier answer was wrong.
+    const bool has_decreased = !table.wants_all && rows.version < table.after;
+    if (rows.status == read_status::history_lost || has_decreased)
     {
         this->hooks.log(log_line("history_lost")
                             .add("table", name_of(rows.table))
-                            .add("after", table.after));
+                            .add("after", table.after)
+                            .add("version", rows.version));
         table.wants_all = true;
         table.next_read = now;
         return;
     }
     table.wants_all = false;
-    table.after = std::max(table.after, rows.version);
+    table.after = rows.version;
     table.next_read = now;
     if (rows.config)
         this->hooks.config_read(*rows.config);
@@ -139,7 +143,7 @@
             has_own = true;
             own_is_lost =
                 !row.record || row.record->nonce != this->options.record.nonce;
-            this->own_version = row.record ? row.version : 0;
+            this->own_version = row.version;
             continue;
         }
         if (row.record)
@@ -158,7 +162,9 @@
     this->is_registered = false;
     if (rows.is_whole && !has_own)
         this->own_version = 0;
-    this->next_write = now;
+    if (now - this->registered_at >= this->options.stable_registration)
+        this->write_backoff = milliseconds(0);
+    this->repeat_write(now);
 }
 
 void directory::apply_endpoints(const table_rows& rows, instant now)
@@ -216,6 +222,12 @@
     return usable;
 }
 
+void directory::repeat_write(instant now)
+{
+    this->next_write = now + this->write_backoff;
+    this->write_backoff = this->next_backoff(this->write_backoff);
+}
+
 void directory::write_registration(instant now)
 {
     this->is_writing = true;
@@ -236,7 +248,7 @@
     {
         this->own_version = answer.version;
         this->is_registered = true;
-        this->write_backoff = milliseconds(0);
+        this->registered_at = now;
         this->hooks.log(log_line("registered").add("version", answer.version));
         this->hooks.registered(answer.version);
         return;
@@ -246,7 +258,7 @@
         // The row of an earlier process of this host.
         this->found_earlier_row = true;
         this->own_version = answer.version;
-        this->next_write = now;
+        this->repeat_write(now);
         return;
     }
     this->set_available(false, "registration");
--- /dev/null
+++ b/shard/unittests/directory_test.cpp
@@ -0,0 +1,184 @@
+/// \file
+/// Reads and writes of the store's tables after odd answers.
+#include "chicorydrum/shard/directory.hpp"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shard
+{
+
+namespace
+{
+
+using support::instant;
+using support::milliseconds;
+
+constexpr std::int64_t own_nonce = 7;
+
+/// A directory and what it has requested.
+struct directory_fixture
+{
+    directory_fixture()
+        : table({.self = "h1",
+                 .record = make_record(own_nonce),
+                 .change_wait = milliseconds(1000)},
+                {.read = [this](const table_read& read)
+                 { this->reads.push_back(read); },
+                 .write = [this](const registration_write& write)
+                 { this->writes.push_back(write); },
+                 .config_read = [](const routing_config&) {},
+                 .host_read = [](const std::string&,
+                                 const schema::host_record&) {},
+                 .registered = [](std::int64_t) {},
+                 .hosts_complete = [](bool) {},
+                 .log =
+                     [this](const support::log_line& line)
+                 {
+                     this->lines.emplace_back(line.text());
+                 }},
+                this->now)
+    {
+        this->table.tick(this->now);
+    }
+
+    static schema::host_record make_record(std::int64_t nonce)
+    {
+        schema::host_record record;
+        record.nonce = nonce;
+        return record;
+    }
+
+    void run_for(milliseconds span)
+    {
+        constexpr milliseconds tick_interval{25};
+        const instant end = this->now + span;
+        while (this->now < end)
+        {
+            this->now += tick_interval;
+            this->table.tick(this->now);
+        }
+    }
+    /// Answers the open read of a table and returns the next one.
+    table_read answer(const table_rows& rows)
+    {
+        this->reads.clear();
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(1000));
+        for (const table_read& read : this->reads)
+            if (read.table == rows.table)
+                return read;
+        BOOST_FAIL("the table is not read any more");
+        return {};
+    }
+    int count_lines(const std::string& text) const
+    {
+        return static_cast<int>(
+            std::count_if(this->lines.begin(), this->lines.end(),
+                          [&text](const std::string& line)
+                          { return line.find(text) != std::string::npos; }));
+    }
+
+    instant now{milliseconds(1000)};
+    std::vector<table_read> reads;
+    std::vector<registration_write> writes;
+    std::vector<std::string> lines;
+    directory table;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(directory_reads)
+
+// Guards against one answer with a version too high after which all later
+// changes are skipped.
+BOOST_FIXTURE_TEST_CASE(a_version_that_decreases_is_followed, directory_fixture)
+{
+    table_rows rows;
+    rows.status = read_status::read;
+    rows.version = 1LL << 50;
+    BOOST_TEST(this->answer(rows).after == 1LL << 50);
+    rows.version = 20;
+    BOOST_TEST(this->answer(rows).wants_all);
+    rows.is_whole = true;
+    const table_read next = this->answer(rows);
+    BOOST_TEST(!next.wants_all);
+    BOOST_TEST(next.after == 20);
+}
+
+// Guards against a write for each answer when another writer's row stays in
+// the way of the registration.
+BOOST_FIXTURE_TEST_CASE(repeated_conflicts_are_retried_with_a_delay,
+                        directory_fixture)
+{
+    std::size_t answered = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        this->run_for(milliseconds(25));
+        if (this->writes.size() == answered)
+            continue;
+        ++answered;
+        this->table.registration_answered(
+            {.status = write_status::conflict, .version = 5 + i, .current = {}},
+            this->now);
+    }
+    // Ten seconds with a delay of half a second or more after the first writes.
+    BOOST_TEST(this->writes.size() <= 25U);
+    BOOST_TEST(this->writes.size() >= 10U);
+    BOOST_TEST(this->writes.back().expected_version >= 5);
+}
+
+// Guards against two processes of one name that write for each change of the
+// other.
+BOOST_FIXTURE_TEST_CASE(a_row_that_is_replaced_again_is_written_with_a_delay,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 3;
+    std::size_t answered = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        this->run_for(milliseconds(25));
+        if (this->writes.size() == answered)
+            continue;
+        ++answered;
+        ++rows.version;
+        this->table.registration_answered({.status = write_status::written,
+                                           .version = rows.version,
+                                           .current = {}},
+                                          this->now);
+        rows.hosts = {{.name = "h1",
+                       .record = make_record(own_nonce + 1),
+                       .version = ++rows.version}};
+        this->table.rows_read(rows, this->now);
+    }
+    BOOST_TEST(this->writes.size() <= 25U);
+    BOOST_TEST(this->writes.size() >= 10U);
+    BOOST_TEST(this->writes.back().expected_version >= 5);
+}
+
+// Guards against a registration whose row another writer made unreadable: the
+// next write must expect the version of that row.
+BOOST_FIXTURE_TEST_CASE(an_unreadable_own_row_is_replaced, directory_fixture)
+{
+    this->run_for(milliseconds(25));
+    this->table.registration_answered(
+        {.status = write_status::written, .version = 4, .current = {}},
+        this->now);
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 6;
+    rows.hosts = {{.name = "h1", .record = {}, .version = 6}};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->writes.size() == 2U);
+    BOOST_TEST(this->writes.back().expected_version == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shard
