Keep two owners that do not see each other from using up all epochs

Callers saw: after such a partition, jobs without any owner to run them.

Cause: an owner that an endpoint refuses doubles the step of its epoch, and the step never went down again.

Why the fix works: the doubling searches for an unknown epoch. An endpoint that had accepted the owner's token before refuses it only because another owner has found a higher one since, which is at most about the search's last step above.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -143,6 +143,12 @@
     /// Makes the next token higher after an endpoint refused the current one
     /// although no known host has a higher one.
     void raise_epoch();
+    /// Makes the next token just higher: the endpoints had accepted the current
+    /// one, so that the other owner's epoch is little above it.
+    void reset_epoch_step()
+    {
+        this->epoch_step = 1;
+    }
 
     bool is_live(const std::string& host) const;
     /// Returns the peers with an open link, including silent ones.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -37,8 +37,9 @@
         report;
     /// Returns whether all live endpoints are listed.
     std::function<bool()> endpoints_are_complete;
-    /// An endpoint has accepted a higher fencing token.
-    std::function<void(const std::string& endpoint)> fenced;
+    /// An endpoint refuses this owner's fencing token; \p had_accepted if it
+    /// had accepted that token before.
+    std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
     std::function<void(const support::log_line&)> log;
 };
 
@@ -224,7 +225,9 @@
     std::optional<sent_order> settle_order(order_id order, order_status status,
                                            std::optional<std::int64_t> clock_ms,
                                            support::instant now);
-    /// Another owner has raised the endpoint's token.
+    /// Reports that \p record refuses this owner's token.
+    void report_fenced(const endpoint_record& record);
+    /// Returns whether another owner has raised the endpoint's token.
     static bool is_superseded(const endpoint_record& where,
                               const sent_order& order, order_status status);
     endpoint_record* find_endpoint(const std::string& id);
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -130,9 +130,11 @@
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
         .fenced =
-            [this, number](const std::string& endpoint)
+            [this, number](const std::string& endpoint, bool had_accepted)
         {
             this->fenced.insert(number);
+            if (had_accepted)
+                this->view.reset_epoch_step();
             this->hooks.log(log_line("fenced")
                                 .add("shard", number)
                                 .add("endpoint", endpoint));
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -171,7 +171,7 @@
         !record.is_responding)
         this->drop_endpoint_runs(record, end_evidence::lease_lapsed, now);
     if (record.lease.is_token_exhausted())
-        this->hooks.fenced(record.lease.entry().id);
+        this->report_fenced(record);
     this->stop_orphans(record, now);
     this->stop_stalled(record, now);
     for (const task_key& task : record.lease.stops_due(now))
@@ -326,7 +326,7 @@
         if (is_first_loss)
             this->tick_endpoint(*record, now);
         if (list.status == order_status::stale_token)
-            this->hooks.fenced(id);
+            this->report_fenced(*record);
         // All runs of the known incarnation have ended.
         if (list.status == order_status::other_incarnation)
             this->drop_endpoint_runs(*record, end_evidence::other_incarnation,
@@ -470,6 +470,12 @@
     return sent;
 }
 
+void shard_owner::report_fenced(const endpoint_record& record)
+{
+    this->hooks.fenced(record.lease.entry().id,
+                       record.lease.last_listed_incarnation() != 0);
+}
+
 bool shard_owner::is_superseded(const endpoint_record& where,
                                 const sent_order& order, order_status status)
 {
@@ -526,7 +532,7 @@
 {
     const bool was_superseded = is_superseded(where, start, status);
     if (was_superseded)
-        this->hooks.fenced(where.lease.entry().id);
+        this->report_fenced(where);
     if (status == order_status::other_incarnation)
         this->drop_endpoint_runs(where, end_evidence::other_incarnation, now);
     else if (status != order_status::stale_run &&
@@ -570,7 +576,7 @@
         this->tick_endpoint(*record, now);
     }
     else if (is_superseded(*record, *settled, answer.status))
-        this->hooks.fenced(settled->to.id);
+        this->report_fenced(*record);
     else if (answer.status == order_status::other_incarnation)
         this->drop_endpoint_runs(*record, end_evidence::other_incarnation, now);
     // Other results are resolved by a repeated stop or the lease's end.
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -29,6 +29,12 @@
             .lease_counts_from_execution = true};
 }
 
+std::set<std::string> all_hosts(const shard_fleet& fleet)
+{
+    const std::vector<std::string> names = fleet.host_names();
+    return {names.begin(), names.end()};
+}
+
 /// A shard owner whose orders are answered by the test. All of the time in
 /// which the owner acts passes in wait().
 class scripted_owner
@@ -47,7 +53,7 @@
                      [this](const std::string&, const schema::job_ended& end)
                  { this->reports.push_back(end); },
                  .endpoints_are_complete = [] { return true; },
-                 .fenced = [this](const std::string&) { ++this->fenced; },
+                 .fenced = [this](const std::string&, bool) { ++this->fenced; },
                  .log =
                      [](const support::log_line&) {
                      }},
@@ -289,6 +295,35 @@
     }
 }
 
+// Two hosts own the same shard for seconds, since they do not see each other.
+// Each raises its epoch above the other's again and again. The epochs must not
+// run out, or the shard never has a single owner again.
+BOOST_AUTO_TEST_CASE(owners_that_do_not_see_each_other)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    std::set<std::string> others = all_hosts(fleet);
+    others.erase(owner);
+    fleet.partition({owner}, others);
+    submit_load(fleet, 200, milliseconds(100), {.tasks = 2});
+    fleet.heal();
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST(fleet.owners_of("D1") == 1);
+    // Each successor needs a higher token.
+    for (int i = 0; i < 2; ++i)
+    {
+        fleet.kill(fleet.owner_of("D1"));
+        fleet.run_for(milliseconds(2000));
+        BOOST_TEST(fleet.owners_of("D1") == 1);
+        const int before = fleet.answered(answer_kind::completed);
+        submit_load(fleet, 10, milliseconds(60));
+        fleet.run_for(milliseconds(1000));
+        BOOST_TEST(fleet.answered(answer_kind::completed) - before >= 3);
+    }
+    check_no_violations(fleet);
+}
+
 // Every loss raises an endpoint's token. The raised tokens must stay below
 // those of a successor, and the shard must be claimed anew before they run out.
 BOOST_AUTO_TEST_CASE(raised_tokens_run_out)
