--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -129,6 +129,33 @@
     check_no_violations(fleet);
 }
 
+// The job of a silent host runs in another domain, whose hosts wait longest for
+// it. It must be stopped before a copy starts at home.
+BOOST_AUTO_TEST_CASE(silent_host_with_job_in_another_domain)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    const std::string home_owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, home_owner);
+    fleet.send_copies_to(home_owner);
+    std::vector<std::string> others;
+    for (int i = 0; i < 4; ++i)
+        others.push_back(fleet.submit(home_owner, long_job));
+    fleet.run_for(milliseconds(20));
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(80));
+    BOOST_TEST(fleet.has_logged("event=job_forwarded job=" + job +
+                                " route=quote domain=D2"));
+    for (const std::string& other : others)
+        fleet.disconnect_caller(other);
+    fleet.lose_caller(job);
+    fleet.pause(entry, milliseconds(5000));
+    fleet.run_for(milliseconds(9000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
