Check the ranges of peers' messages

Seen: the tests odd_frames failed on the code as it was: odd_handshakes, odd_heartbeats, odd_submissions and odd_ends with one error for each odd value (nothing was rejected), and a_claimed_list_size_allocates_nothing.

Cause: a frame was decoded without a look at its values. By reading the code, without a run: the owner allocates `count` tasks, which throws for a negative count; `after` indexes the groups; `shard_count` bounds a loop at each tick; a token near 2^63 cannot be exceeded by a claim; and a spec that is not UTF-8 makes dump() throw in the call to the endpoint. The library takes a structure to have no bytes, so that a frame of 7 bytes made it allocate a list of 4,000,000 elements before reading the first one.

Each message is checked once when it is decoded, and the link that sent it is closed as for any malformed frame. A list may claim as many elements as the frame has bytes. The limit of a message is the frame itself.

--- a/transport/include/chicorydrum/transport/peer_codec.hpp
+++ b/transport/include/chicorydrum/transport/peer_codec.hpp
@@ -19,7 +19,8 @@
 /// complete message with exactly one member set.
 support::result<schema::peer_message> decode_message(std::string_view frame);
 
-/// The same for the messages between shard owners and other entry hosts.
+/// The same for the messages between shard owners and other entry hosts. Also
+/// fails if a member is out of its range.
 std::string encode_message(const schema::shard_message& message);
 support::result<schema::shard_message>
 decode_shard_message(std::string_view frame);
--- a/transport/lib/peer_codec.cpp
+++ b/transport/lib/peer_codec.cpp
@@ -13,11 +13,27 @@
 
 using apache::thrift::TConfiguration;
 using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::protocol::TType;
 using apache::thrift::transport::TMemoryBuffer;
 
-constexpr int max_message_bytes = 64 << 20;
 constexpr int max_nesting = 16;
 
+/// Rejects lists that claim more elements than the rest of the frame can hold.
+class bounded_protocol : public TCompactProtocol
+{
+public:
+    using TCompactProtocol::TCompactProtocol;
+
+    /// The library counts an empty structure as no bytes, and so lets a list of
+    /// structures have any size. It has a byte that ends it.
+    int getMinSerializedSize(TType type) override
+    {
+        return type == TType::T_STRUCT
+                   ? 1
+                   : TCompactProtocol::getMinSerializedSize(type);
+    }
+};
+
 /// Returns the number of members that are set.
 int count_members(const schema::peer_message& message)
 {
@@ -59,12 +75,13 @@
         // The buffer only reads the bytes, but its interface is not const.
         auto* const bytes =
             reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data()));
-        const auto limits = std::make_shared<TConfiguration>(
-            max_message_bytes, max_message_bytes, max_nesting);
+        const auto size = static_cast<int>(frame.size());
+        const auto limits =
+            std::make_shared<TConfiguration>(size, size, max_nesting);
         const auto buffer = std::make_shared<TMemoryBuffer>(
             bytes, static_cast<std::uint32_t>(frame.size()),
             TMemoryBuffer::OBSERVE, limits);
-        TCompactProtocol protocol(buffer);
+        bounded_protocol protocol(buffer);
         T message;
         const std::uint32_t used = message.read(&protocol);
         if (used != frame.size() || count_members(message) != 1)
@@ -80,6 +97,18 @@
     }
 }
 
+/// Returns \p decoded unless a member is out of its range.
+template <typename T>
+support::result<T> checked(support::result<T> decoded)
+{
+    if (!decoded)
+        return decoded;
+    const auto outcome = support::check(*decoded);
+    if (!outcome)
+        return tl::unexpected(outcome.error());
+    return decoded;
+}
+
 } // namespace
 
 std::string encode_message(const schema::peer_message& message)
@@ -100,7 +129,7 @@
 support::result<schema::shard_message>
 decode_shard_message(std::string_view frame)
 {
-    return decode<schema::shard_message>(frame);
+    return checked(decode<schema::shard_message>(frame));
 }
 
 std::string encode_record(const schema::host_record& record)
@@ -110,13 +139,7 @@
 
 support::result<schema::host_record> decode_record(std::string_view bytes)
 {
-    auto record = decode<schema::host_record>(bytes);
-    if (!record)
-        return record;
-    const auto checked = support::check(*record);
-    if (!checked)
-        return tl::unexpected(checked.error());
-    return record;
+    return checked(decode<schema::host_record>(bytes));
 }
 
 } // namespace chicorydrum::transport
