Bound the dials of hosts that do not exist

Seen: a_row_with_the_address_of_another_host_links_nobody failed with 4 errors. A host linked itself to its own address under another name and took itself for a peer, and lost and replaced the link to the real one 52 times in five seconds.

With 500 rows of hosts that do not exist, each check dialled all of them, and the library reported "Too many fds". On this machine such dials fail at once, so that hosts_that_do_not_exist_do_not_delay_the_others passed before as well; it only guards the order of dials.

Cause: any writer may leave a row of a host. Every listed host was dialled at the same time and again after each failure, and a handshake was accepted whichever host had been dialled.

At most 32 dials are open at a time, those with the fewest unanswered dials first, so that a new host is dialled at once and rows of dead ones take turns. A handshake of another host than the dialled one, or of this host itself, closes the link; the address is dialled again after 30 s or when its row changes.

--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chicorydrum::daemon
 {
@@ -29,6 +30,11 @@
     /// How long a host waits for one with a smaller name to dial before it
     /// dials itself. Long enough for several dials of the other side.
     support::milliseconds reverse_dial_delay{800};
+    /// Pause before a host is dialled again at whose address another one has
+    /// answered. A change of its record ends the pause.
+    support::milliseconds misdirected_dial_delay{30000};
+    /// Dials that may be in progress at the same time.
+    std::size_t max_dials = 32;
     std::function<void(const shard::host_identity&)> on_connected;
     std::function<void(const std::string& host)> on_lost;
     std::function<void(const std::string& host, const schema::shard_message&)>
@@ -76,6 +82,9 @@
         dial_timeout timeout;
         /// When the last link or dial ended, or the host became known.
         support::instant unlinked_since;
+        support::instant next_dial = {};
+        /// Dials since the last handshake.
+        int unanswered_dials = 0;
     };
 
     void check();
@@ -86,8 +95,12 @@
     void handle_frame(transport::link_id id, const std::string& frame);
     void accept_handshake(transport::link_id id,
                           const schema::shard_handshake& handshake);
+    void reject(transport::link_id id, const std::string& host,
+                const std::string& reason);
     void handle_close(transport::link_id id);
-    bool is_dialling(const std::string& host) const;
+    /// Returns the hosts to dial now, those with the fewest unanswered dials
+    /// first.
+    std::vector<std::string> hosts_to_dial(support::instant now) const;
     /// Returns whether \p former, an open link to the host that has sent
     /// \p handshake on the link \p id, is kept and the link \p id is closed.
     bool should_keep(const open_link& former, transport::link_id id,
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -3,7 +3,8 @@
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/transport/peer_codec.hpp"
 
-#include <vector>
+#include <algorithm>
+#include <set>
 
 namespace chicorydrum::daemon
 {
@@ -50,6 +51,8 @@
         entry.unlinked_since = transport::event_loop::now();
     if (entry.record.nonce != record.nonce)
         entry.timeout.reset();
+    if (entry.record != record)
+        entry.next_dial = {};
     entry.record = record;
     this->dial_unconnected();
 }
@@ -87,29 +90,49 @@
     }
 }
 
-bool shard_links::is_dialling(const std::string& host) const
+std::vector<std::string> shard_links::hosts_to_dial(support::instant now) const
 {
+    std::set<std::string> dialled;
+    std::size_t open_dials = 0;
     for (const auto& [id, link] : this->links)
-        if (link.dialled_host == host)
-            return true;
-    return false;
+    {
+        dialled.insert(link.dialled_host);
+        if (!link.dialled_host.empty() && link.host.empty())
+            ++open_dials;
+    }
+    std::vector<std::string> wanted;
+    for (const auto& [name, host] : this->known_hosts)
+    {
+        const bool other_should_dial =
+            name < this->options.self.name &&
+            now < host.unlinked_since + this->options.reverse_dial_delay;
+        if (name != this->options.self.name && !other_should_dial &&
+            now >= host.next_dial && !this->link_of_host.contains(name) &&
+            !dialled.contains(name))
+            wanted.push_back(name);
+    }
+    std::stable_sort(wanted.begin(), wanted.end(),
+                     [this](const std::string& left, const std::string& right)
+                     {
+                         return this->known_hosts.at(left).unanswered_dials <
+                                this->known_hosts.at(right).unanswered_dials;
+                     });
+    const std::size_t allowed =
+        this->options.max_dials - std::min(open_dials, this->options.max_dials);
+    wanted.resize(std::min(wanted.size(), allowed));
+    return wanted;
 }
 
 void shard_links::dial_unconnected()
 {
     const support::instant now = transport::event_loop::now();
-    for (auto& [name, host] : this->known_hosts)
+    for (const std::string& name : this->hosts_to_dial(now))
     {
-        if (name == this->options.self.name ||
-            this->link_of_host.contains(name) || this->is_dialling(name))
-            continue;
-        const bool other_should_dial = name < this->options.self.name;
-        if (other_should_dial &&
-            now < host.unlinked_since + this->options.reverse_dial_delay)
-            continue;
+        known_host& host = this->known_hosts.at(name);
         const transport::link_id id =
             this->network.dial(host.record.address, host.record.peer_port);
         this->links[id].dialled_host = name;
+        ++host.unanswered_dials;
         host.timeout.start(now);
     }
 }
@@ -137,12 +160,9 @@
     const bool is_handshake = message && message->__isset.hello;
     if (!message || is_handshake != link.host.empty())
     {
-        support::write_log(
-            support::log_line("link_rejected", support::log_level::warning)
-                .add("peer", link.host)
-                .add("reason", message ? "messages out of order"
-                                       : message.error().detail));
-        this->network.close(id);
+        this->reject(id, link.host,
+                     message ? "messages out of order"
+                             : message.error().detail);
         return;
     }
     if (is_handshake)
@@ -154,16 +174,34 @@
     this->options.on_message(host, *message);
 }
 
+void shard_links::reject(transport::link_id id, const std::string& host,
+                         const std::string& reason)
+{
+    support::write_log(
+        support::log_line("link_rejected", support::log_level::warning)
+            .add("peer", host)
+            .add("dialled", this->links[id].dialled_host)
+            .add("reason", reason));
+    this->network.close(id);
+}
+
 void shard_links::accept_handshake(transport::link_id id,
                                    const schema::shard_handshake& handshake)
 {
     if (handshake.protocol_version != protocol_version)
     {
-        support::write_log(
-            support::log_line("link_rejected", support::log_level::warning)
-                .add("peer", handshake.host)
-                .add("reason", "unsupported protocol version"));
-        this->network.close(id);
+        this->reject(id, handshake.host, "unsupported protocol version");
+        return;
+    }
+    const std::string& dialled = this->links[id].dialled_host;
+    const bool is_misdirected = !dialled.empty() && dialled != handshake.host;
+    if (is_misdirected || handshake.host == this->options.self.name)
+    {
+        if (const auto known = this->known_hosts.find(dialled);
+            known != this->known_hosts.end())
+            known->second.next_dial = transport::event_loop::now() +
+                                      this->options.misdirected_dial_delay;
+        this->reject(id, handshake.host, "another host was dialled");
         return;
     }
     const auto former = this->link_of_host.find(handshake.host);
@@ -182,7 +220,10 @@
     this->links[id].nonce = handshake.nonce;
     if (const auto known_peer = this->known_hosts.find(handshake.host);
         known_peer != this->known_hosts.end())
+    {
         known_peer->second.timeout.reset();
+        known_peer->second.unanswered_dials = 0;
+    }
     this->link_of_host[handshake.host] = id;
     this->options.on_connected({.name = handshake.host,
                                 .domain = handshake.domain,
--- a/daemon/unittests/shard_links_test.cpp
+++ b/daemon/unittests/shard_links_test.cpp
@@ -153,6 +153,40 @@
     BOOST_TEST(hosts.other.messages > 0);
 }
 
+// Guards against a row with this host's own address under another name, which
+// would link the host to itself, and one with another host's address.
+BOOST_AUTO_TEST_CASE(a_row_with_the_address_of_another_host_links_nobody)
+{
+    two_hosts hosts;
+    hosts.one.links.update_host("i-own", hosts.one.record);
+    hosts.one.links.update_host("i-other", hosts.other.record);
+    hosts.run_for(milliseconds(2000));
+    BOOST_TEST(hosts.one.connected == 0);
+    BOOST_TEST(hosts.other.connected <= 1);
+    hosts.one.learn(hosts.other);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.talk();
+    BOOST_TEST(hosts.one.connected == 1);
+    BOOST_TEST(hosts.one.lost == 0);
+}
+
+// Guards against rows of hosts that do not exist, whose dials leave no
+// connection for a real host.
+BOOST_AUTO_TEST_CASE(hosts_that_do_not_exist_do_not_delay_the_others)
+{
+    two_hosts hosts;
+    schema::host_record record = hosts.other.record;
+    // Not routed, so that a dial of it ends only with its timeout.
+    record.address = "192.0.2.1";
+    for (int i = 0; i < 500; ++i)
+        hosts.one.links.update_host("a-" + std::to_string(i), record);
+    hosts.run_for(milliseconds(1500));
+    hosts.one.learn(hosts.other);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.talk();
+    BOOST_TEST(hosts.one.lost == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::daemon
