Don't use the tokens up while two halves of a domain share its endpoints

A domain whose hosts are cut into halves that both reach its endpoints has two owners, which fence each other several times a second. Each time an owner met a higher token that nobody it knew held, it doubled its step, for good. After about eight seconds of such a cut the epochs had reached their highest value: from then on the host with the newer registration won each claim. When it was gone, no other host could own the shard until it was started again, and callers of the domain were answered only with failures.

The step starts anew if the endpoint that refuses had accepted the same token before: then the other owner's is not much higher. It is doubled as before where the claim itself came too low.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -106,7 +106,7 @@
   /// Number of shards into which the sender divides its domain.
   6: i32 shard_count
   /// To hosts of the sender's domain only.
-  7: list<heard_owner> heard
+  8: list<heard_owner> heard
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -15,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace chicorydrum::shard
@@ -190,8 +189,9 @@
     bool stopping = false;
     /// While stopping: when the last callers are answered.
     support::instant last_answers;
-    /// Shards with endpoints that accepted a higher token than this host's.
-    std::set<int> fenced;
+    /// Shards with endpoints that accepted a higher token than this host's, and
+    /// whether all of these had accepted this host's before.
+    std::map<int, bool> fenced;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
     order_id last_order = 0;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -146,8 +146,9 @@
     /// Returns a token above all that were seen, unique to this process.
     fencing_token next_token();
     /// Makes the next token higher after an endpoint refused the current one
-    /// although no known host has a higher one.
-    void raise_epoch();
+    /// although no known host has a higher one. If it had accepted the current
+    /// one before, the other owner's is not much higher.
+    void raise_epoch(bool had_accepted);
 
     bool is_live(const std::string& host) const;
     /// Returns the peers with an open link, including silent ones.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -37,8 +37,9 @@
         report;
     /// Returns whether all live endpoints are listed.
     std::function<bool()> endpoints_are_complete;
-    /// An endpoint has accepted a higher fencing token.
-    std::function<void(const std::string& endpoint)> fenced;
+    /// An endpoint has accepted a higher fencing token; \p had_accepted means
+    /// that it accepted this owner's before.
+    std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
     std::function<void(const support::log_line&)> log;
 };
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -3,6 +3,7 @@
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorydrum::shard
 {
@@ -108,12 +109,12 @@
         else if (shard->shard_count() != this->view.shard_count())
             lost.emplace_back(number, "shards_divided");
     }
-    this->fenced.clear();
+    const std::map<int, bool> fenced_now = std::exchange(this->fenced, {});
     for (const auto& [number, reason] : lost)
     {
         // No host that this one knows has the higher token.
         if (reason == "fenced")
-            this->view.raise_epoch();
+            this->view.raise_epoch(fenced_now.at(number));
         this->release_shard(number, reason, now);
     }
     for (const int number : this->view.shards_to_claim(now))
@@ -143,9 +144,11 @@
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
         .fenced =
-            [this, number](const std::string& endpoint)
+            [this, number](const std::string& endpoint, bool had_accepted)
         {
-            this->fenced.insert(number);
+            bool& all_had_accepted =
+                this->fenced.try_emplace(number, true).first->second;
+            all_had_accepted = all_had_accepted && had_accepted;
             this->hooks.log(log_line("fenced")
                                 .add("shard", number)
                                 .add("endpoint", endpoint));
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -365,10 +365,12 @@
            (unique & registration_mask);
 }
 
-void host_view::raise_epoch()
+void host_view::raise_epoch(bool had_accepted)
 {
-    // Doubled, since the other owner's epoch is unknown.
-    this->epoch_step = std::min(this->epoch_step * 2, max_epoch / 4);
+    // Doubled, since the other owner's epoch is unknown. Owners that take a
+    // shard from each other start anew each time, or epochs would run out.
+    this->epoch_step =
+        had_accepted ? 1 : std::min(this->epoch_step * 2, max_epoch / 4);
 }
 
 std::vector<std::string> host_view::connected_peers() const
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -281,7 +281,7 @@
         if (is_first_loss)
             this->tick_endpoint(*record, now);
         if (list.status == order_status::stale_token)
-            this->hooks.fenced(id);
+            this->hooks.fenced(id, record->lease.is_known());
         // All runs of the known incarnation have ended.
         if (list.status == order_status::other_incarnation)
             this->drop_endpoint_runs(*record, end_evidence::other_incarnation,
@@ -464,7 +464,7 @@
                                 order_status status, instant now)
 {
     if (status == order_status::stale_token)
-        this->hooks.fenced(where.lease.entry().id);
+        this->hooks.fenced(where.lease.entry().id, where.lease.is_known());
     if (status == order_status::other_incarnation)
         this->drop_endpoint_runs(where, end_evidence::other_incarnation, now);
     else if (status != order_status::stale_run)
@@ -508,7 +508,7 @@
         this->tick_endpoint(*record, now);
     }
     else if (answer.status == order_status::stale_token)
-        this->hooks.fenced(target.endpoint);
+        this->hooks.fenced(target.endpoint, record->lease.is_known());
     else if (answer.status == order_status::other_incarnation)
         this->drop_endpoint_runs(*record, end_evidence::other_incarnation, now);
     // Other results are resolved by a repeated stop or the lease's end.
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -149,6 +149,28 @@
     check_no_violations(fleet);
 }
 
+// Two halves of a domain take a shard from each other for long, as both reach
+// its endpoints. The tokens must not run out: no host could own the shard.
+BOOST_AUTO_TEST_CASE(halves_of_a_domain_for_long)
+{
+    shard_fleet fleet({.hosts_per_domain = 2, .endpoints_per_domain = 2});
+    fleet.run_for(warm_up);
+    fleet.partition({"D1-h1"}, {"D1-h2"});
+    submit_load(fleet, 150, milliseconds(200), {.tasks = 1});
+    fleet.heal();
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST(fleet.owners_of("D1") == 1);
+    const std::string owner = fleet.owner_of("D1");
+    fleet.kill(owner);
+    fleet.run_for(milliseconds(2000));
+    const std::string survivor = other_host(fleet, owner);
+    BOOST_TEST(fleet.owner_of("D1") == survivor);
+    const std::string job = fleet.submit(survivor, {.tasks = 1});
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
