End the adoption window once all live hosts have answered the new owner

What callers saw: a task ran twice at once. An entry host fell silent, and 400 ms later the owner of its jobs, which had not noticed yet. The successor claimed the shard 700 ms after that and kept the runs for 400 ms, in case their jobs were submitted again. A copy in another domain started 1,300 ms after the first loss, beside them.

Cause: the sums of the design count both losses from the same moment. The second one may come up to 600 ms after the first; then silence, claim, ticks, list, window and stop add up to 1,805 ms, or to 1,355 ms if the owner's links are closed.

Ruled out: the lease (the successor's lists extend it for the runs it keeps), and the earlier owner's withdrawal (it is silent before it has noticed).

Fix: hosts answer a new owner with the list of what they have open there, after their submissions, and name the owner's token that they know. When all live hosts have answered, no submission can follow and the other runs are stopped; that takes some milliseconds. A host that doesn't answer, as an older process, leaves the 400 ms as they were. The sums become 955 ms with closed links and 1,405 ms if both fall silent.

What remains: two silent hosts of which the second falls silent over 495 ms after the first, and before it notices. That needs a shorter silence time-out.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -100,6 +100,8 @@
   /// heartbeat on a link. The receiver ends the sender's other jobs, whose
   /// withdrawals are lost.
   8: optional list<string> open_jobs
+  /// With open_jobs: the highest token of the receiver that the sender knew of.
+  9: optional i64 known_token
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -164,6 +164,13 @@
     /// Offers a shard of this host to a much stronger host of the domain.
     void offer_shard(support::instant now);
     void send_heartbeats(support::instant now, bool to_all);
+    /// Tells \p owner what this host has open there. Must follow all
+    /// submissions to it.
+    void send_open_jobs(const std::string& owner);
+    /// Tells owners with new tokens what this host has open there.
+    void answer_new_owners();
+    /// Ends the adoption window of shards that all live hosts have answered.
+    void end_answered_adoptions();
     schema::shard_heartbeat make_heartbeat() const;
     void update_shard_endpoints(support::instant now);
 
@@ -190,6 +197,10 @@
     /// Shards with endpoints that accepted a higher token than this host's.
     std::set<int> fenced;
     order_id last_order = 0;
+    /// By owner: its highest token that was answered with this host's jobs.
+    std::map<std::string, fencing_token> answered_tokens;
+    /// By peer: this host's highest token that the peer has answered so.
+    std::map<std::string, fencing_token> answered_by;
     /// Results of jobs of this host's own callers. Queued until the shard that
     /// reported them has returned, since the intake may submit the job to
     /// another shard at once.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -110,6 +110,13 @@
     void stop_answered(const order_answered& answer, support::instant now);
     void listed(const runs_listed& list, support::instant now);
 
+    /// Every live host has submitted what it has open in this shard: ends the
+    /// adoption window.
+    void end_adoption()
+    {
+        this->adoption_has_ended = true;
+    }
+
     /// Handles deadlines, leases and requests that are due.
     void tick(support::instant now);
 
@@ -253,6 +260,7 @@
     decision::run_time_model run_times;
     std::map<std::string, recent_use> uses;
     bool needs_placing = false;
+    bool adoption_has_ended = false;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -249,10 +249,9 @@
                         .add("peer", peer.name)
                         .add("domain", peer.domain));
     this->view.connected(peer, now);
-    schema::shard_message message;
-    message.__set_beat(this->make_heartbeat());
-    message.beat.__set_open_jobs(this->intake.jobs_at(peer.name));
-    this->hooks.send(peer.name, message);
+    this->answered_tokens.erase(peer.name);
+    this->answered_by.erase(peer.name);
+    this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
     this->deliver_local_results(now);
@@ -318,6 +317,8 @@
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
+    if (heartbeat.__isset.known_token)
+        this->answered_by[peer] = heartbeat.known_token;
     this->update_ownership(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -116,6 +116,51 @@
             this->claim(number, now);
     this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
     this->deliver_local_results(now);
+    this->answer_new_owners();
+    this->end_answered_adoptions();
+}
+
+void entry_host::answer_new_owners()
+{
+    std::map<std::string, fencing_token> highest;
+    for (const auto& [name, owner] : this->view.owners())
+        highest[owner.host] = std::max(highest[owner.host], owner.token);
+    for (const auto& [host, token] : highest)
+    {
+        fencing_token& answered = this->answered_tokens[host];
+        if (host == this->options.self.name || token <= answered)
+            continue;
+        answered = token;
+        this->send_open_jobs(host);
+    }
+}
+
+void entry_host::send_open_jobs(const std::string& owner)
+{
+    schema::shard_message message;
+    message.__set_beat(this->make_heartbeat());
+    message.beat.__set_open_jobs(this->intake.jobs_at(owner));
+    const auto answered = this->answered_tokens.find(owner);
+    if (answered != this->answered_tokens.end())
+        message.beat.__set_known_token(answered->second);
+    this->hooks.send(owner, message);
+}
+
+void entry_host::end_answered_adoptions()
+{
+    const std::vector<std::string> peers = this->view.connected_peers();
+    for (const auto& [number, shard] : this->shards)
+    {
+        const auto has_answered =
+            [this, token = shard->token()](const std::string& peer)
+        {
+            const auto found = this->answered_by.find(peer);
+            return !this->view.is_live(peer) ||
+                   (found != this->answered_by.end() && found->second >= token);
+        };
+        if (std::all_of(peers.begin(), peers.end(), has_answered))
+            shard->end_adoption();
+    }
 }
 
 shard_hooks entry_host::hooks_for_shard(int number)
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -333,7 +333,8 @@
 
 void shard_owner::stop_orphans(endpoint_record& record, instant now)
 {
-    if (now < this->owned_since + this->options.adoption_window)
+    if (!this->adoption_has_ended &&
+        now < this->owned_since + this->options.adoption_window)
         return;
     std::vector<task_key> orphans;
     for (const auto& [task, run] : record.lease.runs())
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -156,6 +156,27 @@
     check_no_violations(fleet);
 }
 
+// An entry host falls silent, and the owner as well before it has noticed. The
+// owner's successor must stop the job before a copy starts in another domain.
+BOOST_AUTO_TEST_CASE(entry_host_and_owner_silent_in_turn)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, owner);
+    fleet.send_copies_to("D2-h1");
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.lose_caller(job);
+    fleet.pause(entry, milliseconds(5000));
+    fleet.run_for(milliseconds(400));
+    fleet.pause(owner, milliseconds(5000));
+    fleet.run_for(milliseconds(9000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
