--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -99,9 +99,9 @@
   /// Ids of the jobs that the sender has open at the receiver; set in the first
   /// heartbeat on a link. The receiver ends the sender's other jobs, whose
   /// withdrawals are lost.
-  8: optional list<string> open_jobs
+  10: optional list<string> open_jobs
   /// With open_jobs: the highest token of the receiver that the sender knew of.
-  9: optional i64 known_token
+  11: optional i64 known_token
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
