--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -111,6 +111,8 @@
   7: optional list<string> open_jobs
   /// To hosts of the sender's domain only.
   8: list<heard_owner> heard
+  /// With open_jobs: the highest token of the receiver that the sender knew of.
+  9: optional i64 known_token
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -235,10 +235,9 @@
                         .add("peer", peer.name)
                         .add("domain", peer.domain));
     this->view.connected(peer, now);
-    schema::shard_message message =
-        this->make_heartbeat(peer.domain == this->options.self.domain);
-    message.beat.__set_open_jobs(this->intake.jobs_at(peer.name));
-    this->hooks.send(peer.name, message);
+    this->answered_tokens.erase(peer.name);
+    this->answered_by.erase(peer.name);
+    this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
     this->deliver_local_results(now);
@@ -304,6 +303,8 @@
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
+    if (heartbeat.__isset.known_token)
+        this->answered_by[peer] = heartbeat.known_token;
     this->update_ownership(now);
 }
 
