Log each malformed row once, and read odd rows in a process test

Seen: process.odd_entries, with the earlier checks in place, failed with the log only: each of three hosts had logged 2,142 to 4,706 malformed rows after 4.6 seconds. Nothing else failed in it.

Cause: the decoder logged an odd row each time it was read, which is at each change of it, and rows with names for messages as long as their values.

The test runs real hosts against a store in which another writer renews some 700 odd rows in all three tables seven times a second, in other parts too. Jobs are served meanwhile, and a new configuration, an endpoint's change and a host that starts again must be followed; no host may end or use much memory.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,13 @@
     std::optional<schema::endpoint_registration> entry;
 };
 
+/// A row that names nothing, or an answer that cannot be read (without a key).
+struct malformed_row
+{
+    std::string key;
+    std::string problem;
+};
+
 struct table_rows
 {
     directory_table table = directory_table::config;
@@ -78,6 +86,7 @@
     std::optional<routing_config> config;
     std::vector<host_row> hosts;
     std::vector<endpoint_row> endpoints;
+    std::vector<malformed_row> malformed = {};
 };
 
 struct registration_write
@@ -138,6 +147,8 @@
     support::milliseconds missing_grace{2500};
     /// A registration that stays this long is stable.
     support::milliseconds stable_registration{5000};
+    /// Malformed rows of each table that are logged, each of them once.
+    std::size_t max_logged_rows = 100;
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
@@ -182,6 +193,8 @@
         bool is_reading = false;
         support::instant next_read;
         support::milliseconds backoff{0};
+        /// The keys of logged malformed rows.
+        std::set<std::string> logged = {};
     };
     struct known_endpoint
     {
@@ -192,6 +205,7 @@
     table_state& state_of(directory_table table);
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
+    void log_malformed(const table_rows& rows);
     void apply_hosts(const table_rows& rows, support::instant now);
     void apply_endpoints(const table_rows& rows, support::instant now);
     void drop_missing_endpoints(support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -96,6 +96,7 @@
 {
     table_state& table = this->state_of(rows.table);
     table.is_reading = false;
+    this->log_malformed(rows);
     if (rows.status == read_status::unavailable)
     {
         this->set_available(false, name_of(rows.table));
@@ -132,6 +133,26 @@
                                         : this->options.standby_interval);
 }
 
+void directory::log_malformed(const table_rows& rows)
+{
+    std::set<std::string>& logged = this->state_of(rows.table).logged;
+    for (const malformed_row& row : rows.malformed)
+    {
+        if (logged.size() >= this->options.max_logged_rows)
+            return;
+        if (!logged.insert(row.key).second)
+            continue;
+        this->hooks.log(log_line("row_malformed", support::log_level::warning)
+                            .add("table", name_of(rows.table))
+                            .add("key", row.key)
+                            .add("problem", row.problem));
+        if (logged.size() == this->options.max_logged_rows)
+            this->hooks.log(
+                log_line("row_malformed_limit", support::log_level::warning)
+                    .add("table", name_of(rows.table)));
+    }
+}
+
 void directory::apply_hosts(const table_rows& rows, instant now)
 {
     bool has_own = false;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -179,6 +179,29 @@
     BOOST_TEST(this->writes.back().expected_version == 6);
 }
 
+// Guards against odd rows that are logged at each read of them.
+BOOST_FIXTURE_TEST_CASE(malformed_rows_are_logged_once, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    for (int i = 0; i < 20; ++i)
+    {
+        ++rows.version;
+        rows.malformed = {
+            {.key = "i-1", .problem = "state " + std::to_string(i)}};
+        this->table.rows_read(rows, this->now);
+    }
+    BOOST_TEST(this->count_lines("event=row_malformed ") == 1);
+    for (int i = 0; i < 1000; ++i)
+        rows.malformed.push_back(
+            {.key = "j-" + std::to_string(i), .problem = "x"});
+    this->table.rows_read(rows, this->now);
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->count_lines("event=row_malformed ") == 100);
+    BOOST_TEST(this->count_lines("event=row_malformed_limit") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -9,6 +9,7 @@
 #include "shards/virtual_endpoint.hpp"
 #include "tcp_proxy.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -27,6 +28,9 @@
 
     /// Runs one session; returns the violated guarantees.
     std::vector<std::string> run_session();
+    /// Runs a session without faults in which another writer leaves odd rows in
+    /// all tables; returns the violated guarantees.
+    std::vector<std::string> run_odd_entries();
     const std::string& directory() const
     {
         return this->work_directory;
@@ -66,6 +70,16 @@
     void put_row(const std::string& table, const std::string& key,
                  const std::string& value);
     void put_config();
+    static std::string
+    endpoint_document(const schema::endpoint_registration& entry);
+    void put_odd_rows();
+    /// Sends jobs until some more are completed; false after a time limit.
+    bool serve_jobs();
+    bool wait_for(const std::function<bool()>& condition);
+    int count_log_lines(const entry_process& host,
+                        const std::string& text) const;
+    static std::int64_t resident_kb(const entry_process& host);
+    void check_hosts();
     void submit_one();
     void send(const std::string& job, std::size_t host);
     void handle_answer(const std::string& job,
@@ -96,6 +110,9 @@
     {
         std::string value;
         std::int64_t version = 0;
+        std::string part = {};
+        /// The row's key if it is in another part than the empty one.
+        std::string key = {};
     };
     std::map<std::string, std::map<std::string, stored_row>> tables;
     std::int64_t store_version = 0;
