Read all rows of a table that one answer does not hold

Cause: the rest was expected in the feed of changes, but rows that do not change are not in it. After a loss of history, some hundred odd rows of another writer, or sixteen of the largest size, hide endpoints, hosts and even the configuration with a later key, until they change.

A read of all rows now goes on from the last key of an answer, and its answers are applied together, with the version of the first one.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -36,6 +36,8 @@
     directory_table table = directory_table::config;
     std::int64_t after = 0;
     bool wants_all = false;
+    /// Of all rows, those from this key on.
+    std::string from = {};
     /// Long poll: the store answers on a change or after this time.
     support::milliseconds wait{0};
 };
@@ -81,6 +83,9 @@
     read_status status = read_status::unavailable;
     /// These are all rows of the table: missing ones were removed.
     bool is_whole = false;
+    /// If there are more rows than the answer holds, the key from which the
+    /// next read has to continue.
+    std::string next_key = {};
     /// The version after which the next read continues.
     std::int64_t version = 0;
     std::optional<routing_config> config;
@@ -190,6 +195,8 @@
     {
         std::int64_t after = 0;
         bool wants_all = false;
+        /// The earlier answers of a read of all rows that needs several.
+        std::optional<table_rows> earlier = {};
         bool is_reading = false;
         support::instant next_read;
         support::milliseconds backoff{0};
@@ -205,6 +212,10 @@
     table_state& state_of(directory_table table);
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
+    /// Joins the answers of a read of all rows. Returns nothing if there are
+    /// more to come.
+    std::optional<table_rows> join(table_rows rows, support::instant now);
+    void apply(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
     void apply_hosts(const table_rows& rows, support::instant now);
     void apply_endpoints(const table_rows& rows, support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -1,7 +1,9 @@
 #include "chicorydrum/shard/directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace chicorydrum::shard
 {
@@ -87,6 +89,7 @@
             {.table = which,
              .after = table.after,
              .wants_all = table.wants_all,
+             .from = table.earlier ? table.earlier->next_key : std::string(),
              .wait = waits ? this->options.change_wait : milliseconds(0)});
     }
     this->drop_missing_endpoints(now);
@@ -116,9 +119,44 @@
                             .add("after", table.after)
                             .add("version", rows.version));
         table.wants_all = true;
+        table.earlier.reset();
         table.next_read = now;
         return;
     }
+    if (const auto whole = this->join(rows, now))
+        this->apply(*whole, now);
+}
+
+std::optional<table_rows> directory::join(table_rows rows, instant now)
+{
+    table_state& table = this->state_of(rows.table);
+    if (table.earlier)
+    {
+        table_rows& joined = *table.earlier;
+        const auto append = [](auto& to, auto& from)
+        {
+            std::move(from.begin(), from.end(), std::back_inserter(to));
+        };
+        append(joined.hosts, rows.hosts);
+        append(joined.endpoints, rows.endpoints);
+        if (rows.config)
+            joined.config = std::move(rows.config);
+        joined.is_whole = rows.is_whole;
+        joined.next_key = rows.next_key;
+    }
+    else
+        // Its version is the one to continue from: later answers may lack rows
+        // that changed after their part of the table was read.
+        table.earlier = std::move(rows);
+    if (table.earlier->next_key.empty())
+        return std::exchange(table.earlier, std::nullopt);
+    table.next_read = now;
+    return std::nullopt;
+}
+
+void directory::apply(const table_rows& rows, instant now)
+{
+    table_state& table = this->state_of(rows.table);
     table.wants_all = false;
     table.after = rows.version;
     table.next_read = now;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -65,7 +65,8 @@
     {
         this->reads.clear();
         this->table.rows_read(rows, this->now);
-        this->run_for(milliseconds(1000));
+        // Longer than any interval between reads.
+        this->run_for(milliseconds(2500));
         for (const table_read& read : this->reads)
             if (read.table == rows.table)
                 return read;
@@ -202,6 +203,42 @@
     BOOST_TEST(this->count_lines("event=row_malformed_limit") == 1);
 }
 
+// Guards against a read of all rows that ends with the first answer although
+// odd rows fill it: the endpoints after them were never read.
+BOOST_FIXTURE_TEST_CASE(a_table_is_read_in_several_answers, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::history_lost;
+    BOOST_TEST(this->answer(rows).from.empty());
+    const auto make_row = [](const std::string& id)
+    {
+        endpoint_row row;
+        row.id = id;
+        row.entry.emplace();
+        row.entry->id = id;
+        return row;
+    };
+    rows.status = read_status::read;
+    rows.version = 8;
+    rows.endpoints = {make_row("i-1")};
+    rows.next_key = "i-1";
+    const table_read second = this->answer(rows);
+    BOOST_TEST(second.wants_all);
+    BOOST_TEST(second.from == "i-1");
+    rows.status = read_status::unavailable;
+    BOOST_TEST(this->answer(rows).from == "i-1");
+    rows.status = read_status::read;
+    rows.version = 9;
+    rows.endpoints = {make_row("i-1"), make_row("i-2")};
+    rows.next_key.clear();
+    rows.is_whole = true;
+    const table_read next = this->answer(rows);
+    BOOST_TEST(!next.wants_all);
+    BOOST_TEST(next.after == 8);
+    BOOST_TEST(this->table.endpoints().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
