Keep control characters of foreign names out of the log

Seen: log_lines/control_characters_are_not_written failed for NUL, escape, backspace and delete.

Cause: a value was quoted, and its control characters replaced, only if it had a space, quote, equals sign, backslash or line break. Keys of malformed rows are texts of other writers.

All control characters are replaced now.

--- a/support/lib/log.cpp
+++ b/support/lib/log.cpp
@@ -21,10 +21,17 @@
 namespace
 {
 
+bool is_control(char c)
+{
+    constexpr char delete_character = 0x7f;
+    return static_cast<unsigned char>(c) < 0x20 || c == delete_character;
+}
+
 bool needs_quotes(std::string_view value)
 {
     return value.empty() ||
-           value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+           value.find_first_of(" \"=\\") != std::string_view::npos ||
+           std::any_of(value.begin(), value.end(), is_control);
 }
 
 void append_quoted(std::string& text, std::string_view value)
@@ -34,8 +41,7 @@
     {
         if (c == '"' || c == '\\')
             text += '\\';
-        const bool is_control = static_cast<unsigned char>(c) < 0x20;
-        text += is_control ? ' ' : c;
+        text += is_control(c) ? ' ' : c;
     }
     text += '"';
 }
