--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     directory_table table = directory_table::config;
     std::int64_t after = 0;
     bool wants_all = false;
+    /// Of all rows, those from this key on.
+    std::string from = {};
     /// Long poll: the store answers on a change or after this time.
     support::milliseconds wait{0};
 };
@@ -67,17 +70,28 @@
     std::optional<schema::endpoint_registration> entry;
 };
 
+/// A row that names nothing, or an answer that cannot be read (without a key).
+struct malformed_row
+{
+    std::string key;
+    std::string problem;
+};
+
 struct table_rows
 {
     directory_table table = directory_table::config;
     read_status status = read_status::unavailable;
     /// These are all rows of the table: missing ones were removed.
     bool is_whole = false;
+    /// If there are more rows than the answer holds, the key from which the
+    /// next read has to continue.
+    std::string next_key = {};
     /// The version after which the next read continues.
     std::int64_t version = 0;
     std::optional<routing_config> config;
     std::vector<host_row> hosts;
     std::vector<endpoint_row> endpoints;
+    std::vector<malformed_row> malformed = {};
 };
 
 struct registration_write
@@ -138,6 +152,8 @@
     support::milliseconds missing_grace{2500};
     /// A registration that stays this long is stable.
     support::milliseconds stable_registration{5000};
+    /// Malformed rows of each table that are logged, each of them once.
+    std::size_t max_logged_rows = 100;
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
@@ -179,9 +195,13 @@
     {
         std::int64_t after = 0;
         bool wants_all = false;
+        /// The earlier answers of a read of all rows that needs several.
+        std::optional<table_rows> earlier = {};
         bool is_reading = false;
         support::instant next_read;
         support::milliseconds backoff{0};
+        /// The keys of logged malformed rows.
+        std::set<std::string> logged = {};
     };
     struct known_endpoint
     {
@@ -192,6 +212,11 @@
     table_state& state_of(directory_table table);
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
+    /// Joins the answers of a read of all rows. Returns nothing if there are
+    /// more to come.
+    std::optional<table_rows> join(table_rows rows, support::instant now);
+    void apply(const table_rows& rows, support::instant now);
+    void log_malformed(const table_rows& rows);
     void apply_hosts(const table_rows& rows, support::instant now);
     void apply_endpoints(const table_rows& rows, support::instant now);
     void drop_missing_endpoints(support::instant now);
