Add a mix of faults that change owners to the random sessions

Its jobs are long enough to be run by two owners. No orders are late, so that two runs show a fault in the change of owners. The plans of the other mixes are as they were.

--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -2,8 +2,11 @@
 /// Seeded random sessions of entry hosts in virtual time, with mixed faults.
 #include "shard_fleet.hpp"
 
+#include <algorithm>
+#include <array>
 #include <iostream>
 #include <random>
+#include <string_view>
 
 #include <docopt/docopt.h>
 
@@ -20,8 +23,9 @@
 
 Options:
   --seeds RANGE  Seeds as FIRST..LAST [default: 1..200].
-  --mix NAME     Faults: "single", one at a time, or "chained", several at the
-                 same endpoints and hosts within seconds [default: single].
+  --mix NAME     Faults: "single", one at a time; "chained", several at the same
+                 endpoints and hosts within seconds; or "takeover", several
+                 that change owners, without late orders [default: single].
   --verbose      Print the log of each failing seed.
 )";
 
@@ -31,18 +35,28 @@
 /// Covers recovery, a caller's timeout and one more resend.
 constexpr milliseconds settling{12000};
 
+enum class fault_mix
+{
+    single,
+    chained,
+    takeover,
+};
+
+constexpr std::array<std::string_view, 3> mix_names = {"single", "chained",
+                                                       "takeover"};
+
 class soak_session
 {
 public:
-    soak_session(std::uint64_t seed, bool has_chains)
-        : is_chained(has_chains),
+    soak_session(std::uint64_t seed, fault_mix wanted_mix)
+        : mix(wanted_mix),
           random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
           fleet({.domains = 2,
                  .hosts_per_domain = 3,
                  .endpoints_per_domain = 4,
                  .endpoints_per_shard = seed % 2 == 0 ? 32 : 2,
                  .seed = seed,
-                 .resumes_with_events = has_chains})
+                 .resumes_with_events = wanted_mix != fault_mix::single})
     {
     }
 
@@ -77,8 +91,12 @@
                                      const std::set<std::string>& hosts);
     void plan_chained_host_fault(milliseconds when, const std::string& host,
                                  const std::set<std::string>& endpoints);
+    void plan_takeover(milliseconds when);
+    void plan_takeover_fault(milliseconds when, const std::string& domain);
+    void plan_cut(milliseconds when, milliseconds span,
+                  const std::string& domain);
 
-    bool is_chained;
+    fault_mix mix;
     std::minstd_rand random;
     shard_fleet fleet;
     std::int64_t config = 1;
@@ -86,14 +104,20 @@
 
 void soak_session::plan_load()
 {
+    // Jobs must outlast a takeover to be run by two owners.
+    const bool are_long = this->mix == fault_mix::takeover;
+    const int longest_gap = are_long ? 300 : 120;
+    const int longest_work = are_long ? 1500 : 600;
+    const int longest_timeout = are_long ? 6000 : 1500;
     for (milliseconds when = start_of_load; when < end_of_load;
-         when += milliseconds(10 + this->pick(120)))
+         when += milliseconds(10 + this->pick(longest_gap)))
     {
         const std::string host = this->pick_one(this->fleet.host_names());
-        const job_shape shape{.tasks = 1 + this->pick(6),
-                              .millicores = 4000 + this->pick(5000),
-                              .work = milliseconds(20 + this->pick(600)),
-                              .timeout = milliseconds(1500 + this->pick(1500))};
+        const job_shape shape{
+            .tasks = 1 + this->pick(6),
+            .millicores = 4000 + this->pick(5000),
+            .work = milliseconds(20 + this->pick(longest_work)),
+            .timeout = milliseconds(1500 + this->pick(longest_timeout))};
         const bool disconnects = this->pick(10) == 0;
         const milliseconds connected_for(this->pick(500));
         this->fleet.at(
@@ -327,17 +351,110 @@
             domain + "h" + std::to_string(1 + this->pick(3)), endpoints);
 }
 
+void soak_session::plan_cut(milliseconds when, milliseconds span,
+                            const std::string& domain)
+{
+    std::set<std::string> one;
+    std::set<std::string> other;
+    for (int i = 1; i <= 3; ++i)
+        (this->pick(2) == 0 ? one : other)
+            .insert(domain + "h" + std::to_string(i));
+    for (int i = 1; i <= 4; ++i)
+    {
+        // A third of the endpoints is reached by both sides.
+        const int side = this->pick(3);
+        if (side < 2)
+            (side == 0 ? one : other).insert(domain + "e" + std::to_string(i));
+    }
+    // A host that both sides reach, half of the time.
+    if (this->pick(2) == 0)
+    {
+        const std::string host =
+            domain + "h" + std::to_string(1 + this->pick(3));
+        one.erase(host);
+        other.erase(host);
+    }
+    const bool is_one_way = this->pick(3) == 0;
+    this->fleet.at(when,
+                   [this, one, other, is_one_way]
+                   {
+                       if (is_one_way)
+                           this->fleet.partition_one_way(one, other);
+                       else
+                           this->fleet.partition(one, other);
+                   });
+    this->fleet.at(when + span, [this] { this->fleet.heal(); });
+}
+
+void soak_session::plan_takeover_fault(milliseconds when,
+                                       const std::string& domain)
+{
+    const milliseconds span =
+        this->pick_time(milliseconds(300), milliseconds(4000));
+    const std::string host = domain + "h" + std::to_string(1 + this->pick(3));
+    const std::string id = domain + "e" + std::to_string(1 + this->pick(4));
+    switch (this->pick(8))
+    {
+    case 0:
+        this->fleet.at(when,
+                       [this, host, span] { this->fleet.pause(host, span); });
+        return;
+    case 1:
+        this->fleet.at(when,
+                       [this, host, span] { this->fleet.suspend(host, span); });
+        return;
+    case 2:
+        this->fleet.at(when, [this, host] { this->fleet.kill(host); });
+        this->fleet.at(when + span, [this, host] { this->fleet.start(host); });
+        return;
+    case 3:
+        this->fleet.at(when,
+                       [this, host] { this->fleet.stop_gracefully(host); });
+        this->fleet.at(when + milliseconds(6500),
+                       [this, host] { this->fleet.start(host); });
+        return;
+    case 4:
+    {
+        const milliseconds listed_after(this->pick(3000));
+        const std::int64_t clock_start = this->pick(200000);
+        this->fleet.at(
+            when, [this, id, listed_after, clock_start]
+            { this->fleet.restart_endpoint(id, listed_after, clock_start); });
+        return;
+    }
+    default:
+        this->plan_cut(when, span, domain);
+        return;
+    }
+}
+
+void soak_session::plan_takeover(milliseconds when)
+{
+    const std::string domain = this->pick(2) == 0 ? "D1-" : "D2-";
+    for (int left = 2 + this->pick(4); left > 0; --left)
+        this->plan_takeover_fault(when + milliseconds(this->pick(3000)),
+                                  domain);
+}
+
 std::vector<std::string> soak_session::run()
 {
     this->plan_load();
-    const int faults = 1 + this->pick(this->is_chained ? 4 : 8);
+    const int faults = 1 + this->pick(this->mix == fault_mix::single ? 8 : 4);
     for (int i = 0; i < faults; ++i)
     {
         const milliseconds when = this->pick_time(start_of_load, end_of_faults);
-        if (this->is_chained)
-            this->plan_chain(when);
-        else
+        switch (this->mix)
+        {
+        case fault_mix::single:
             this->plan_fault(when);
+            break;
+        case fault_mix::chained:
+            this->plan_chain(when);
+            break;
+        case fault_mix::takeover:
+            this->plan_takeover(when);
+            break;
+        }
     }
     this->fleet.at(end_of_faults,
                    [this]
@@ -377,11 +494,18 @@
     }
     const std::uint64_t first = std::stoull(range.substr(0, dots));
     const std::uint64_t last = std::stoull(range.substr(dots + 2));
-    const bool is_chained = arguments.at("--mix").asString() == "chained";
+    const auto named = std::find(mix_names.begin(), mix_names.end(),
+                                 arguments.at("--mix").asString());
+    if (named == mix_names.end())
+    {
+        std::cerr << usage;
+        return 2;
+    }
+    const auto mix = static_cast<fault_mix>(named - mix_names.begin());
     std::uint64_t failing = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        soak_session session(seed, is_chained);
+        soak_session session(seed, mix);
         const std::vector<std::string> found = session.run();
         if (found.empty())
             continue;
