Do not apply an answer to an earlier run or address to the present one

Callers saw: nothing. A task could be started a second time while its run went on, or capacity be given away that a start might still take.

Cause: a 421 to any order made the owner take all runs of the endpoint for ended, also when the order had gone to an address that the endpoint had left. The answer to a stop was applied to whatever run of the task was being stopped by then; the number of the run does not tell them apart, since the copy of a job counts from 1 again.

Why the fix works: a 421 counts only if its order went to the present address, and a stop's answer only if the stop was sent after the run's start.

Ruled out: 421 from a new life under the same id, since expect-instance carries the id alone.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -43,6 +43,7 @@
     std::optional<order_id> stopped_after = {};
     /// When an unconfirmed stop is sent again.
     support::instant next_stop = {};
+    /// The order that started it; 0 if an earlier owner did.
     order_id last_order = 0;
     int percent = 0;
 };
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -137,7 +137,6 @@
     {
         endpoint_address to;
         task_key task;
-        std::int64_t run = 0;
         fencing_token token = 0;
         /// It would do harm if it were executed later, so that the token is
         /// raised when it gets no answer.
@@ -226,6 +225,11 @@
     std::optional<sent_order> settle_order(order_id order, order_status status,
                                            std::optional<std::int64_t> clock_ms,
                                            support::instant now);
+    /// Returns whether another process answers at the endpoint's address, so
+    /// that all runs there have ended. It says nothing about runs at an address
+    /// to which the endpoint has moved since.
+    static bool is_replaced(const endpoint_record& where,
+                            const sent_order& order, order_status status);
     /// Reports that \p record refuses this owner's token.
     void report_fenced(const endpoint_record& record);
     /// Returns whether another owner has raised the endpoint's token.
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -198,7 +198,6 @@
                      now);
     this->orders[order] = {.to = where.lease.address(),
                            .task = task,
-                           .run = run,
                            .token = where.lease.token(),
                            .is_raising = true};
     this->hooks.log(
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -353,7 +353,7 @@
         if (list.status == order_status::stale_token)
             this->report_fenced(*record);
         // All runs of the known incarnation have ended.
-        if (list.status == order_status::other_incarnation)
+        if (is_replaced(*record, *settled, list.status))
             this->drop_endpoint_runs(*record, end_evidence::other_incarnation,
                                      now);
         return;
@@ -512,6 +512,13 @@
            order.token == where.lease.token();
 }
 
+bool shard_owner::is_replaced(const endpoint_record& where,
+                              const sent_order& order, order_status status)
+{
+    return status == order_status::other_incarnation &&
+           order.to == where.lease.address();
+}
+
 void shard_owner::start_answered(const order_answered& answer, instant now)
 {
     const auto settled =
@@ -561,9 +568,10 @@
     const bool was_superseded = is_superseded(where, start, status);
     if (was_superseded)
         this->report_fenced(where);
-    if (status == order_status::other_incarnation)
+    if (is_replaced(where, start, status))
         this->drop_endpoint_runs(where, end_evidence::other_incarnation, now);
     else if (status != order_status::stale_run &&
+             status != order_status::other_incarnation &&
              (status != order_status::stale_token || was_superseded))
         where.quarantine(now);
     const auto found = this->jobs.find(start.task.job);
@@ -593,6 +601,7 @@
     endpoint_record* const record = this->find_endpoint(settled->to.id);
     const auto run = record->lease.runs().find(settled->task);
     if (run == record->lease.runs().end() ||
+        answer.order < run->second.last_order ||
         run->second.state != run_state::stopping)
         return;
     if (answer.status == order_status::accepted)
@@ -605,7 +614,7 @@
     }
     else if (is_superseded(*record, *settled, answer.status))
         this->report_fenced(*record);
-    else if (answer.status == order_status::other_incarnation)
+    else if (is_replaced(*record, *settled, answer.status))
         this->drop_endpoint_runs(*record, end_evidence::other_incarnation, now);
     // Other results are resolved by a repeated stop or the lease's end.
 }
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -405,6 +405,78 @@
     check_no_violations(fleet);
 }
 
+// An endpoint restarts at another address, and another process answers an order
+// that was sent to the earlier one. That answer says nothing about the runs at
+// the present address.
+BOOST_AUTO_TEST_CASE(answer_from_an_earlier_address)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1"), entry_of("D1-e2")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.answer_list(script.last_list("D1-e2"), 1);
+    script.submit("job1");
+    BOOST_REQUIRE(script.starts.size() == 1U);
+    BOOST_REQUIRE(script.starts.front().to.id == "D1-e1");
+    script.answer_start(script.starts.front(), order_status::accepted);
+    script.wait(milliseconds(25));
+    // An order that stays without answer for now.
+    script.owner.withdraw("D1-h1", "job1", script.now);
+    BOOST_REQUIRE(script.stops.size() == 1U);
+    const shard::stop_order stop = script.stops.front();
+    schema::endpoint_registration moved = entry_of("D1-e1", 2);
+    moved.address = "10.1.1.2";
+    script.set_endpoints({moved, entry_of("D1-e2")});
+    script.answer_list(script.last_list("D1-e1"), 2);
+    script.wait(milliseconds(25));
+    script.answer_list(script.last_list("D1-e1"), 2);
+    script.submit("job2");
+    BOOST_REQUIRE(script.starts.size() == 2U);
+    BOOST_REQUIRE(script.starts.back().to.address == "10.1.1.2");
+    script.answer_start(script.starts.back(), order_status::accepted);
+    script.owner.stop_answered(
+        {.order = stop.order, .status = order_status::other_incarnation},
+        script.now);
+    script.wait(milliseconds(25));
+    BOOST_TEST(script.owner.running_tasks() >= 1);
+    BOOST_TEST(script.starts.size() == 2U);
+}
+
+// The same, and the task runs at the present address again and is being
+// stopped. The answer to the earlier run's stop says nothing about the present
+// run.
+BOOST_AUTO_TEST_CASE(answer_to_the_stop_of_an_earlier_run)
+{
+    for (const order_status status :
+         {order_status::other_incarnation, order_status::accepted})
+    {
+        scripted_owner script;
+        script.set_endpoints({entry_of("D1-e1")});
+        script.answer_list(script.last_list("D1-e1"), 1);
+        script.submit("job1");
+        BOOST_REQUIRE(script.starts.size() == 1U);
+        script.answer_start(script.starts.front(), order_status::accepted);
+        script.wait(milliseconds(25));
+        script.owner.withdraw("D1-h1", "job1", script.now);
+        BOOST_REQUIRE(script.stops.size() == 1U);
+        const shard::stop_order stop = script.stops.front();
+        schema::endpoint_registration moved = entry_of("D1-e1", 2);
+        moved.address = "10.1.1.2";
+        script.set_endpoints({moved});
+        script.answer_list(script.last_list("D1-e1"), 2);
+        script.wait(milliseconds(25));
+        script.answer_list(script.last_list("D1-e1"), 2);
+        BOOST_REQUIRE(script.owner.running_tasks() == 0);
+        script.submit("job1");
+        BOOST_REQUIRE(script.starts.size() == 2U);
+        // Its start has no answer yet.
+        script.owner.withdraw("D1-h1", "job1", script.now);
+        script.owner.stop_answered({.order = stop.order, .status = status},
+                                   script.now);
+        script.answer_list(script.last_list("D1-e1"), 2);
+        BOOST_TEST(script.owner.running_tasks() == 1);
+    }
+}
+
 // An endpoint crashes while it runs tasks and no order is under way. They must
 // run elsewhere as soon as their lease has lapsed, without any further wait.
 BOOST_AUTO_TEST_CASE(runs_of_a_crashed_endpoint)
