Answer the copy of a job whose runs may be active as interrupted

Callers saw: "not run" for a copy of a job, while a start of an earlier copy could still be executed.

Cause: an owner took a copy for a new job, which has not run unless it was placed or may have been started by an earlier owner. Since a start without answer now outlives its job, the copy waits for it and may end without any start.

Why the fix works: a job with active runs of its id is not answered as not run: at its deadline, when it is refused, or when load is shed.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -166,6 +166,10 @@
     void finish(const std::string& id, schema::job_result outcome,
                 const std::string& reason, support::instant now);
     void stop_runs_of(const owned_job& job, support::instant now);
+    /// Returns whether runs of \p job may be active, also of an earlier copy.
+    bool has_runs_of(const std::string& job) const;
+    /// Returns whether \p job cannot be answered as not run.
+    bool may_have_run(const owned_job& job) const;
     void end_expired_jobs(support::instant now);
     void cache_result(const std::string& id, schema::job_result outcome);
 
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -156,9 +156,9 @@
 {
     // This owner does not know what an earlier one started, so only a job that
     // no other owner has received has certainly not run.
-    const schema::job_result outcome = job.may_run
-                                           ? schema::job_result::interrupted
-                                           : schema::job_result::not_run;
+    const bool may_run = job.may_run || this->has_runs_of(job.work.id);
+    const schema::job_result outcome =
+        may_run ? schema::job_result::interrupted : schema::job_result::not_run;
     schema::job_ended ended = make_end(job.call, job.work.id, outcome, reason);
     ended.retry_after_ms = retry_after.count();
     this->hooks.log(log_line("job_refused")
@@ -360,6 +360,24 @@
         support::microseconds(static_cast<std::int64_t>(ratio * 1e6)));
 }
 
+bool shard_owner::has_runs_of(const std::string& job) const
+{
+    const task_key first{.job = job, .group = -1, .index = 0};
+    return std::any_of(this->endpoints.begin(), this->endpoints.end(),
+                       [&first](const auto& entry)
+                       {
+                           const auto& runs = entry.second->lease.runs();
+                           const auto found = runs.lower_bound(first);
+                           return found != runs.end() &&
+                                  found->first.job == first.job;
+                       });
+}
+
+bool shard_owner::may_have_run(const owned_job& job) const
+{
+    return job.has_started() || job.may_run || this->has_runs_of(job.id());
+}
+
 void shard_owner::end_expired_jobs(instant now)
 {
     struct job_end
@@ -373,7 +391,7 @@
     {
         if (now >= job->deadline)
         {
-            const bool not_run = !job->has_started() && !job->may_run;
+            const bool not_run = !this->may_have_run(*job);
             ended.push_back({id,
                              not_run ? schema::job_result::not_run
                                      : schema::job_result::interrupted,
@@ -383,7 +401,7 @@
         if (job->waiting_tasks() == 0 ||
             now + this->min_remaining_time(*job) <= job->useful_until)
             continue;
-        const bool not_run = !job->has_started() && !job->may_run;
+        const bool not_run = !this->may_have_run(*job);
         ended.push_back({id,
                          not_run ? schema::job_result::not_run
                                  : schema::job_result::interrupted,
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -477,6 +477,29 @@
     }
 }
 
+// The copy of a job whose start may still be executed never starts. It must not
+// be answered as not run.
+BOOST_AUTO_TEST_CASE(copy_of_a_job_that_may_still_start)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.submit("job1", 1, milliseconds(1500));
+    BOOST_REQUIRE(script.starts.size() == 1U);
+    script.wait(milliseconds(250));
+    script.answer_start(script.starts.front(), order_status::no_answer);
+    script.wait(milliseconds(1500));
+    BOOST_REQUIRE(script.reports.size() == 1U);
+    BOOST_TEST(
+        (script.reports.back().outcome == schema::job_result::interrupted));
+    script.submit("job1", 1, milliseconds(1500));
+    script.wait(milliseconds(3000));
+    BOOST_REQUIRE(script.reports.size() == 2U);
+    BOOST_TEST(script.starts.size() == 1U);
+    BOOST_TEST(
+        (script.reports.back().outcome == schema::job_result::interrupted));
+}
+
 // An endpoint crashes while it runs tasks and no order is under way. They must
 // run elsewhere as soon as their lease has lapsed, without any further wait.
 BOOST_AUTO_TEST_CASE(runs_of_a_crashed_endpoint)
