Merge answers of earlier runs and copies of jobs that may still start

A refusal of a job whose earlier start may still be executed is "interrupted", and answers the submission that it belongs to.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -143,7 +143,6 @@
     {
         endpoint_address to;
         task_key task;
-        std::int64_t run = 0;
         fencing_token token = 0;
         /// It would do harm if it were executed later, so that the token is
         /// raised when it gets no answer.
@@ -176,6 +175,10 @@
     void finish(const std::string& id, schema::job_result outcome,
                 const std::string& reason, support::instant now);
     void stop_runs_of(const owned_job& job, support::instant now);
+    /// Returns whether runs of \p job may be active, also of an earlier copy.
+    bool has_runs_of(const std::string& job) const;
+    /// Returns whether \p job cannot be answered as not run.
+    bool may_have_run(const owned_job& job) const;
     void end_expired_jobs(support::instant now);
     void cache_result(const std::string& id, schema::job_result outcome);
 
@@ -235,6 +238,11 @@
     std::optional<sent_order> settle_order(order_id order, order_status status,
                                            std::optional<std::int64_t> clock_ms,
                                            support::instant now);
+    /// Returns whether another process answers at the endpoint's address, so
+    /// that all runs there have ended. It says nothing about runs at an address
+    /// to which the endpoint has moved since.
+    static bool is_replaced(const endpoint_record& where,
+                            const sent_order& order, order_status status);
     /// Reports that \p record refuses this owner's token.
     void report_fenced(const endpoint_record& record);
     /// Returns whether another owner has raised the endpoint's token.
