--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -427,7 +427,7 @@
     script.answer_start(script.starts.front(), order_status::accepted);
     script.wait(milliseconds(25));
     // An order that stays without answer for now.
-    script.owner.withdraw("D1-h1", "job1", script.now);
+    script.withdraw("job1");
     BOOST_REQUIRE(script.stops.size() == 1U);
     const shard::stop_order stop = script.stops.front();
     schema::endpoint_registration moved = entry_of("D1-e1", 2);
@@ -463,7 +463,7 @@
         BOOST_REQUIRE(script.starts.size() == 1U);
         script.answer_start(script.starts.front(), order_status::accepted);
         script.wait(milliseconds(25));
-        script.owner.withdraw("D1-h1", "job1", script.now);
+        script.withdraw("job1");
         BOOST_REQUIRE(script.stops.size() == 1U);
         const shard::stop_order stop = script.stops.front();
         schema::endpoint_registration moved = entry_of("D1-e1", 2);
@@ -476,7 +476,7 @@
         script.submit("job1");
         BOOST_REQUIRE(script.starts.size() == 2U);
         // Its start has no answer yet.
-        script.owner.withdraw("D1-h1", "job1", script.now);
+        script.withdraw("job1");
         script.owner.stop_answered({.order = stop.order, .status = status},
                                    script.now);
         script.answer_list(script.last_list("D1-e1"), 2);
