Keep the epochs of a domain's shards apart

At the limit a host that claims again gets the token that it had before, so that its own earlier orders, and those of an owner that it succeeds, are not fenced off any more: the fence on which all rules against two runs rest.

Cause: epoch and step were kept for a host, not for a shard (and took in other domains' tokens). A refusal in one shard doubled the step of the others, whose hosts then had to search above it. Doubling also overshoots: with several searchers each leaves a gap larger than the one that it closed. And a shard that is offered counts as free for long, so that a host which is superseded claimed again at once, each time it heard a heartbeat.

Fix: each shard of the own domain has its epochs; a division starts the new shards above all. An owner that an endpoint has accepted before searches in steps that grow by one; doubling remains for a process that knows nothing. A shard that was given up is claimed again after the claim delay at the earliest, and not at all if there is no higher token. Heartbeats with tokens that no owner can have, or odd owners heard, are rejected.

The bound is an hour of such a partition in 21 bits.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -143,12 +143,15 @@
     std::optional<int> shard_to_offer(support::instant now) const;
     /// Returns whether this host is stopping and should hand its shards over.
     bool should_hand_over(support::instant now) const;
-    /// Returns a token above all that were seen, unique to this process.
-    fencing_token next_token();
-    /// Makes the next token higher after an endpoint refused the current one
-    /// although no known host has a higher one. If it had accepted the current
-    /// one before, the other owner's is not much higher.
-    void raise_epoch(bool had_accepted);
+    /// Returns a token above all that were seen of \p shard, unique to this
+    /// process, or none if there is no higher one.
+    std::optional<fencing_token> next_token(int shard);
+    /// Makes the next token of \p shard higher after an endpoint refused the
+    /// current one although no known host has a higher one. If it had accepted
+    /// the current one before, the other owner's is not much higher.
+    void raise_epoch(int shard, bool had_accepted);
+    /// Records that this host has given \p shard up.
+    void shard_released(int shard, support::instant now);
 
     bool is_live(const std::string& host) const;
     /// Returns the peers with an open link, including silent ones.
@@ -178,7 +181,18 @@
                                 support::milliseconds span) const;
     /// Returns the hosts that should claim the domain's shards without owner.
     std::map<int, std::string> candidates(const shard_owners& current) const;
-    void record_token(fencing_token token);
+    /// The epochs of one shard of the own domain. Each shard has its own, so
+    /// that a search for a higher one in one shard leaves the others alone.
+    struct epoch_state
+    {
+        std::int64_t highest = 0;
+        std::int64_t step = 1;
+        /// An endpoint has accepted a token of this process.
+        bool was_accepted = false;
+    };
+
+    void record_token(int shard, fencing_token token);
+    epoch_state& epochs_of(int shard);
     /// Returns whether this process has had time to learn of every owner.
     bool has_settled(support::instant now) const;
 
@@ -192,11 +206,14 @@
     int shards = 1;
     std::optional<support::instant> divided_at;
     std::int64_t registration = 0;
-    std::int64_t highest_epoch = 0;
-    std::int64_t epoch_step = 1;
+    /// Epochs of shards that no token was seen of start here.
+    std::int64_t first_epoch = 0;
+    std::map<int, epoch_state> epochs;
     std::optional<support::instant> stopping_since;
     /// By shard of the own domain.
     std::map<int, support::instant> without_owner_since;
+    /// When this host last gave each shard up.
+    std::map<int, support::instant> released_at;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/messages.hpp
+++ b/shard/include/chicorydrum/shard/messages.hpp
@@ -5,6 +5,7 @@
 
 #include "chicorydrum/schema/generated/shard_types.h"
 #include "chicorydrum/support/clock.hpp"
+#include "chicorydrum/support/validation.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -25,9 +26,7 @@
 using fencing_token = std::int64_t;
 /// Orders to endpoints carry the owner's token, with these bits appended in
 /// which the owner counts how often it has raised the token of the endpoint.
-/// Together they are exact as a JSON number.
-constexpr int token_raise_bits = 10;
-constexpr int owner_token_bits = 53 - token_raise_bits;
+using support::token_raise_bits;
 
 /// One task of one job.
 struct task_key
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -114,7 +114,7 @@
     {
         // No host that this one knows has the higher token.
         if (reason == "fenced")
-            this->view.raise_epoch(fenced_now.at(number));
+            this->view.raise_epoch(number, fenced_now.at(number));
         this->release_shard(number, reason, now);
     }
     for (const int number : this->view.shards_to_claim(now))
@@ -203,12 +203,22 @@
 
 void entry_host::claim(int number, instant now)
 {
+    const auto token = this->view.next_token(number);
+    if (!token)
+    {
+        this->hooks.log(
+            log_line("shard_tokens_used_up", support::log_level::error)
+                .add("shard", number));
+        // Not tried again at each event.
+        this->view.shard_released(number, now);
+        return;
+    }
     shard_options opts = this->options.shard;
     opts.domain = this->options.self.domain;
     opts.shard = number;
     opts.shards = this->view.shard_count();
     opts.was_divided = this->view.was_divided_recently(now);
-    opts.token = this->view.next_token();
+    opts.token = *token;
     auto new_shard =
         std::make_unique<shard_owner>(opts, this->hooks_for_shard(number), now);
     shard_owner& claimed = *new_shard;
@@ -230,6 +240,7 @@
             .add("reason", reason)
             .add("open_jobs", static_cast<std::int64_t>(shard.open_jobs())));
     this->shards.erase(number);
+    this->view.shard_released(number, now);
     if (this->offered == number)
         this->offered.reset();
     this->update_owned();
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -14,7 +14,7 @@
 constexpr int registration_bits = 22;
 constexpr std::int64_t registration_mask = (1LL << registration_bits) - 1;
 constexpr std::int64_t max_epoch =
-    (1LL << (owner_token_bits - registration_bits)) - 1;
+    (1LL << (support::owner_token_bits - registration_bits)) - 1;
 
 std::int64_t epoch_of(fencing_token token)
 {
@@ -62,17 +62,26 @@
     found->second.last_received = now;
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
+    if (found->second.identity.domain != this->options.self.domain)
+        return;
+    this->raise_shard_count(heartbeat.shard_count, now);
     for (const schema::ownership& owned_there : heartbeat.owned)
-        this->record_token(owned_there.token);
+        this->record_token(owned_there.shard, owned_there.token);
     for (const schema::heard_owner& heard : heartbeat.heard)
-        this->record_token(heard.token);
-    if (found->second.identity.domain == this->options.self.domain)
-        this->raise_shard_count(heartbeat.shard_count, now);
+        this->record_token(heard.shard, heard.token);
 }
 
-void host_view::record_token(fencing_token token)
+host_view::epoch_state& host_view::epochs_of(int shard)
 {
-    this->highest_epoch = std::max(this->highest_epoch, epoch_of(token));
+    epoch_state& state = this->epochs[shard];
+    state.highest = std::max(state.highest, this->first_epoch);
+    return state;
+}
+
+void host_view::record_token(int shard, fencing_token token)
+{
+    epoch_state& state = this->epochs_of(shard);
+    state.highest = std::max(state.highest, epoch_of(token));
 }
 
 void host_view::host_listed(const std::string& host)
@@ -110,7 +119,7 @@
 {
     this->owned = std::move(now_owned);
     for (const schema::ownership& claim : this->owned)
-        this->record_token(claim.token);
+        this->record_token(claim.shard, claim.token);
 }
 
 void host_view::raise_shard_count(int count, instant now)
@@ -119,13 +128,16 @@
         return;
     this->shards = count;
     this->divided_at = now;
+    // An endpoint of a new shard has seen the tokens of an earlier one.
+    for (const auto& [shard, state] : this->epochs)
+        this->first_epoch = std::max(this->first_epoch, state.highest);
 }
 
 void host_view::set_registration(std::int64_t version)
 {
     this->registration = version;
-    this->highest_epoch =
-        std::max(this->highest_epoch, std::min(version, max_epoch / 2));
+    this->first_epoch =
+        std::max(this->first_epoch, std::min(version, max_epoch / 2));
 }
 
 void host_view::reset_silence_timers(instant now)
@@ -300,10 +312,18 @@
         !this->has_settled(now))
         return to_claim;
     for (const auto& [shard, host] : this->candidates(this->owners()))
+    {
+        // An offered shard has had no owner for long when it is given up.
+        const auto released = this->released_at.find(shard);
+        const instant since =
+            released == this->released_at.end()
+                ? this->without_owner_since.at(shard)
+                : std::max(this->without_owner_since.at(shard),
+                           released->second);
         if (host == this->options.self.name &&
-            now - this->without_owner_since.at(shard) >=
-                this->options.claim_delay)
+            now - since >= this->options.claim_delay)
             to_claim.push_back(shard);
+    }
     return to_claim;
 }
 
@@ -354,23 +374,36 @@
            own_share * this->options.handover_share;
 }
 
-fencing_token host_view::next_token()
+std::optional<fencing_token> host_view::next_token(int shard)
 {
-    this->highest_epoch =
-        std::min(this->highest_epoch + this->epoch_step, max_epoch);
+    epoch_state& state = this->epochs_of(shard);
+    if (state.highest >= max_epoch)
+        return std::nullopt;
+    state.highest = std::min(state.highest + state.step, max_epoch);
     // Without a registration the nonce distinguishes owners.
     const std::int64_t unique =
         this->registration > 0 ? this->registration : this->options.self.nonce;
-    return (this->highest_epoch << registration_bits) |
-           (unique & registration_mask);
+    return (state.highest << registration_bits) | (unique & registration_mask);
+}
+
+void host_view::raise_epoch(int shard, bool had_accepted)
+{
+    epoch_state& state = this->epochs_of(shard);
+    state.was_accepted = state.was_accepted || had_accepted;
+    if (had_accepted)
+        state.step = 1;
+    else if (state.was_accepted)
+        // Owners that take a shard from each other are close. With doubled
+        // steps each would overshoot the others by more than before.
+        ++state.step;
+    else
+        // Doubled, since the other owner's epoch is unknown.
+        state.step = std::min(state.step * 2, max_epoch / 4);
 }
 
-void host_view::raise_epoch(bool had_accepted)
+void host_view::shard_released(int shard, instant now)
 {
-    // Doubled, since the other owner's epoch is unknown. Owners that take a
-    // shard from each other start anew each time, or epochs would run out.
-    this->epoch_step =
-        had_accepted ? 1 : std::min(this->epoch_step * 2, max_epoch / 4);
+    this->released_at[shard] = now;
 }
 
 std::vector<std::string> host_view::connected_peers() const
--- a/support/include/chicorydrum/support/validation.hpp
+++ b/support/include/chicorydrum/support/validation.hpp
@@ -26,6 +26,11 @@
 constexpr std::int64_t max_group_tasks = 10'000;
 constexpr std::size_t max_job_groups = 100;
 constexpr std::size_t max_spec_bytes = 4000;
+/// An endpoint's fencing token is its owner's token with some bits appended.
+/// Together they are exact as a JSON number.
+constexpr int token_raise_bits = 10;
+constexpr int owner_token_bits = 53 - token_raise_bits;
+constexpr std::int64_t max_owner_token = (1LL << owner_token_bits) - 1;
 /// Maximum number of shards of one domain.
 constexpr int max_shards = 16;
 /// Maximum processor share of an entry host, as in its settings.
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -63,7 +63,7 @@
     return range_check()
         .require(is_plain_name(claim.domain), "domain", plain)
         .integer("shard", claim.shard, 0, max_shards - 1)
-        .integer("token", claim.token, 1, max_exact_integer)
+        .integer("token", claim.token, 1, max_owner_token)
         .integer("wanted_millicores", claim.wanted_millicores, 0,
                  max_exact_integer)
         .integer("capacity_millicores", claim.capacity_millicores, 0,
@@ -82,6 +82,14 @@
                  "a short list");
     for (const schema::ownership& claim : heartbeat.owned)
         checked.include(check_claim(claim));
+    checked.require(heartbeat.heard.size() <= max_shards, "heard",
+                    "a short list");
+    for (const schema::heard_owner& heard : heartbeat.heard)
+        checked.include(range_check()
+                            .require(is_plain_name(heard.host), "heard", plain)
+                            .integer("shard", heard.shard, 0, max_shards - 1)
+                            .integer("token", heard.token, 1, max_owner_token)
+                            .outcome());
     for (const auto& [route, count] : heartbeat.waiting)
         checked.require(count >= 0, "waiting", "a count");
     return checked.outcome();
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -220,6 +220,53 @@
     check_no_violations(fleet);
 }
 
+/// Returns the highest epoch that an owner of the fleet has claimed.
+std::int64_t highest_epoch(const shard_fleet& fleet)
+{
+    constexpr int registration_bits = 22;
+    const std::string field = "token=";
+    std::int64_t highest = 0;
+    for (const std::string& line : fleet.log())
+        if (line.find("event=shard_owned") != std::string::npos)
+            highest = std::max<std::int64_t>(
+                highest,
+                std::stoll(line.substr(line.find(field) + field.size())));
+    return highest >> registration_bits;
+}
+
+// Hosts of a domain with several shards are all cut off from each other but
+// reach its endpoints, and claim every shard again and again. A search for a
+// higher epoch in one shard must not raise the epochs of the others, or they
+// run out and no host can own a shard any more.
+BOOST_AUTO_TEST_CASE(hosts_cut_off_from_each_other_with_several_shards)
+{
+    // At least an hour of such a partition must fit into 21 bits.
+    constexpr std::int64_t epochs_in_ten_seconds = (1 << 21) / 360;
+    for (const int hosts : {3, 13})
+    {
+        shard_fleet fleet({.hosts_per_domain = hosts,
+                           .endpoints_per_domain = 8,
+                           .endpoints_per_shard = 2});
+        fleet.run_for(warm_up);
+        BOOST_TEST(fleet.shards_of("D1") == 4);
+        for (const std::string& name : fleet.host_names())
+            fleet.partition({name}, hosts_without(fleet, name));
+        submit_load(fleet, 200, milliseconds(50),
+                    {.tasks = 1, .millicores = 1000});
+        BOOST_TEST(highest_epoch(fleet) < epochs_in_ten_seconds);
+        fleet.heal();
+        // Covers the time after which shards are offered.
+        fleet.run_for(milliseconds(6000));
+        BOOST_TEST(fleet.owners_of("D1") == 4);
+        const int before = fleet.answered(answer_kind::completed);
+        submit_load(fleet, 20, milliseconds(60),
+                    {.tasks = 1, .millicores = 1000});
+        fleet.run_for(milliseconds(3000));
+        BOOST_TEST(fleet.answered(answer_kind::completed) - before == 20);
+        check_no_violations(fleet);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
