Remember the raised token of an endpoint that leaves the list

Callers saw jobs interrupted or late: a whole shard changed owners. The token of an endpoint had been raised after an order without answer; its entry lapsed, the owner forgot it, and took the unraised token when it was listed again. The endpoint refused that, so that the owner gave the shard up and searched for a higher epoch. If the endpoint had been restarted, the lost start had the token of the present orders and could still be executed.

The owner remembers how often the token was raised for endpoints that it has removed, and raises it once more when one is listed again. At most 4,096 are remembered.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -102,7 +102,8 @@
 {
 public:
     leased_endpoint(schema::endpoint_registration initial_entry,
-                    lease_rules lease, fencing_token owner);
+                    lease_rules lease, fencing_token owner,
+                    fencing_token first_raises = 0);
 
     const schema::endpoint_registration& entry() const
     {
@@ -121,6 +122,11 @@
     /// Raises the token, so that the endpoint refuses all earlier orders once
     /// it has executed a later one.
     void raise_token();
+    /// Returns how often the owner's token was raised for this endpoint.
+    fencing_token raise_count() const
+    {
+        return this->raises;
+    }
     /// Returns whether the token cannot be raised any more.
     bool is_token_exhausted() const
     {
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -249,6 +249,7 @@
     static bool is_superseded(const endpoint_record& where,
                               const sent_order& order, order_status status);
     endpoint_record* find_endpoint(const std::string& id);
+    void remove_unlisted_endpoints();
     void add_endpoint(const schema::endpoint_registration& entry,
                       support::instant now);
     void drop_endpoint_runs(endpoint_record& record, end_evidence evidence,
@@ -280,6 +281,9 @@
     std::vector<ended_job> recently_ended;
     /// Completed runs whose job has not been submitted to this owner yet.
     std::map<task_key, support::instant> unclaimed_completions;
+    /// Raises of the token at endpoints that were removed: they refuse lower
+    /// tokens if they are listed again.
+    std::map<std::string, fencing_token> earlier_raises;
     decision::run_time_model run_times;
     std::map<std::string, recent_use> uses;
     bool needs_placing = false;
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -55,8 +55,10 @@
 }
 
 leased_endpoint::leased_endpoint(schema::endpoint_registration initial_entry,
-                                 lease_rules lease, fencing_token owner)
-    : registered(std::move(initial_entry)), rules(lease), owner_token(owner)
+                                 lease_rules lease, fencing_token owner,
+                                 fencing_token first_raises)
+    : registered(std::move(initial_entry)), rules(lease), owner_token(owner),
+      raises(first_raises)
 {
 }
 
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -30,6 +30,8 @@
 /// An order without answer is not executed any more after this time at an
 /// endpoint that the platform does not list.
 constexpr support::seconds max_order_delay{30};
+/// Maximum number of removed endpoints whose tokens are remembered.
+constexpr std::size_t max_removed_endpoints = 4096;
 /// Factor by which calls to such an endpoint are repeated less often.
 constexpr int unlisted_retry_factor = 5;
 
@@ -109,9 +111,18 @@
 void shard_owner::add_endpoint(const schema::endpoint_registration& entry,
                                instant now)
 {
+    const auto earlier = this->earlier_raises.find(entry.id);
+    const fencing_token raises =
+        earlier == this->earlier_raises.end() ? 0 : earlier->second;
     auto new_record = std::make_unique<endpoint_record>(
         endpoint_record{.lease = leased_endpoint(entry, this->options.lease,
-                                                 this->options.token)});
+                                                 this->options.token, raises)});
+    if (earlier != this->earlier_raises.end())
+    {
+        // Orders to the earlier record may be executed yet.
+        new_record->lease.raise_token();
+        this->earlier_raises.erase(earlier);
+    }
     new_record->next_list = now;
     this->endpoints[entry.id] = std::move(new_record);
     this->hooks.log(log_line("endpoint_added")
@@ -162,17 +173,29 @@
             this->drop_endpoint_runs(*record, end_evidence::unlisted, now);
         this->tick_endpoint(*record, now);
     }
-    std::erase_if(this->endpoints,
-                  [](const auto& entry)
-                  {
-                      const endpoint_record& record = *entry.second;
-                      return !record.is_listed && record.lease.runs().empty();
-                  });
+    this->remove_unlisted_endpoints();
     this->end_expired_jobs(now);
     this->place(now);
     this->shed_overload(now);
 }
 
+void shard_owner::remove_unlisted_endpoints()
+{
+    for (auto entry = this->endpoints.begin(); entry != this->endpoints.end();)
+    {
+        const endpoint_record& record = *entry->second;
+        if (record.is_listed || !record.lease.runs().empty())
+        {
+            ++entry;
+            continue;
+        }
+        if (this->earlier_raises.size() >= max_removed_endpoints)
+            this->earlier_raises.clear();
+        this->earlier_raises[entry->first] = record.lease.raise_count();
+        entry = this->endpoints.erase(entry);
+    }
+}
+
 void shard_owner::tick_endpoint(endpoint_record& record, instant now)
 {
     // Without an extension of this owner, only an earlier one's lease is left;
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -530,6 +530,31 @@
     }
 }
 
+// An endpoint is missing from the platform's list for a while, and its owner
+// forgets it. When it is listed again, it must not get a lower token than it
+// has seen, or the owner loses its shard, nor that of an order that may still
+// come.
+BOOST_AUTO_TEST_CASE(relisted_endpoint_keeps_its_raised_token)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.submit("job1");
+    const shard::start_order lost = script.starts.back();
+    script.answer_start(lost, order_status::no_answer);
+    const shard::fencing_token raised = script.last_list("D1-e1").token;
+    BOOST_TEST(raised > lost.token);
+    script.withdraw("job1");
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.wait(milliseconds(300));
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.set_endpoints({});
+    BOOST_TEST(script.owner.endpoint_count() == 0U);
+    script.set_endpoints({entry_of("D1-e1", 2)});
+    BOOST_TEST(script.last_list("D1-e1").token >= raised);
+    BOOST_TEST(script.last_list("D1-e1").token > lost.token);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
