--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Jobs and the ends of their runs. Placement, load shedding and calls to
-/// endpoints are in placement.cpp, overload.cpp and shard_endpoints.cpp.
+/// endpoints are in placement.cpp, overload.cpp, shard_endpoints.cpp and
+/// shard_orders.cpp.
 #include "chicorydrum/shard/shard_owner.hpp"
 
 #include "endpoint_record.hpp"
