Keep memory that libwebsockets frees while it opens a connection

In service the same ends the process and with it every request that the host has open.

Traced: the test failed in 6 of 240 runs on six processes at a time. Thirteen stacks from the debugger are the same: lws_client_connect_via_info() calls the protocol's callback (reason 19) with a connection whose memory holds other data. Under memcheck: the connection was freed by the close that lws_service_fd_tsi() does inside that same call.

Cause: a request that reuses a pooled connection is written within lws_client_connect_via_info(). If that write fails, the library closes and frees the connection, returns null through its own frames, ignores that and goes on with the freed one. The check for stale connections in front of the call (the fix of an earlier code 139) leaves a window between the check and the write, and any refusal of the request's headers ends in the same place.

Ruled out: a fault of the test's threads (the new test has one thread); the fix of requests that time out while they connect (their stacks differ).

Fix: the library's documented allocator hook. Memory that is freed while a connection is opened is released when the call has returned, so that what the library still reads is intact. The callbacks then find a closed connection, as they did already for connections that end while they are opened. Links between hosts are opened through the same function.

Test: pooled_connection_fails_while_it_is_reused shuts the pooled socket down for writing, so that the stale check passes and the write fails.

--- a/transport/lib/event_loop.cpp
+++ b/transport/lib/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/transport/event_loop.hpp"
 
+#include "client_connect.hpp"
+
 #include "chicorydrum/support/log.hpp"
 
 #include <ctime>
@@ -84,6 +86,7 @@
 
 event_loop::event_loop(const event_loop_options& options)
 {
+    install_library_allocator();
     lws_set_log_level(LLL_ERR, log_library_line);
     lws_context_creation_info info{};
     info.options =
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/transport/http_client.hpp"
 
+#include "client_connect.hpp"
+
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -72,8 +74,7 @@
     std::size_t body_sent = 0;
     bool sent = false;
     bool timed_out = false;
-    /// Set while lws_client_connect_via_info() runs; no outcome may be reported
-    /// meanwhile.
+    /// Set while open_connection() runs; no outcome may be reported meanwhile.
     bool connecting = false;
     bool ended_while_connecting = false;
     http_response response;
@@ -239,7 +240,7 @@
     info.opaque_user_data = reinterpret_cast<void*>(open.id);
     info.pwsi = &open.connection;
     open.connecting = true;
-    const bool is_connecting = lws_client_connect_via_info(&info) != nullptr;
+    const bool is_connecting = open_connection(info) != nullptr;
     open.connecting = false;
     if (is_connecting && !open.ended_while_connecting)
         return;
--- a/transport/lib/peer_network.cpp
+++ b/transport/lib/peer_network.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/transport/peer_network.hpp"
 
+#include "client_connect.hpp"
+
 #include <array>
 #include <deque>
 #include <stdexcept>
@@ -262,7 +264,7 @@
     info.local_protocol_name = "peer";
     info.opaque_user_data = reinterpret_cast<void*>(id);
     dialled.connecting = true;
-    lws* const dialling = lws_client_connect_via_info(&info);
+    lws* const dialling = open_connection(info);
     dialled.connecting = false;
     if (dialling != nullptr && !dialled.ended_while_connecting)
     {
--- a/transport/unittests/http_test.cpp
+++ b/transport/unittests/http_test.cpp
@@ -142,6 +142,22 @@
     int listener;
 };
 
+/// Returns this process's socket that is connected to \p server_port, or -1.
+int find_socket_to(int server_port)
+{
+    constexpr int last_descriptor = 1024;
+    for (int descriptor = 0; descriptor < last_descriptor; ++descriptor)
+    {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer),
+                          &size) == 0 &&
+            ntohs(peer.sin_port) == server_port)
+            return descriptor;
+    }
+    return -1;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http)
@@ -262,6 +278,34 @@
     }
 }
 
+// A connection may fail after it was found usable and before the request is
+// written to it. The client must report that, not use the closed connection.
+BOOST_AUTO_TEST_CASE(pooled_connection_fails_while_it_is_reused)
+{
+    server_and_client both(1);
+    both.send("/first", support::milliseconds(1000),
+              [](client_outcome outcome) { BOOST_TEST(outcome.has_value()); });
+    both.run();
+    const int pooled = find_socket_to(port);
+    BOOST_REQUIRE(pooled >= 0);
+    // Reads find the connection open, writes fail.
+    BOOST_REQUIRE(::shutdown(pooled, SHUT_WR) == 0);
+    int outcomes = 0;
+    both.send("/second", support::milliseconds(1000),
+              [&outcomes](client_outcome) { ++outcomes; });
+    BOOST_TEST(outcomes == 0);
+    both.run();
+    BOOST_TEST(outcomes == 1);
+    both.send("/third", support::milliseconds(1000),
+              [](client_outcome outcome)
+              {
+                  BOOST_TEST(outcome.has_value());
+                  if (outcome)
+                      BOOST_TEST(outcome->body == "/third+body");
+              });
+    both.run();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::transport
