Probe the servers of the stress test after their resets

Seen: one of 240 runs of http_stress/each_request_gets_exactly_one_outcome beside load failed at its last check, a request to each server after the load: "check outcome.has_value() has failed".

Cause: in the test. A server answers some requests and resets the connection a millisecond later. If that was the last request to it, the probe is sent on the connection that is about to be reset, and "no_response" is then its true outcome.

The check is as strict as before: each server must answer the probe, at its first attempt. The test waits until no server is in the middle of a request. A failure names the outcome.

--- a/transport/unittests/http_stress_test.cpp
+++ b/transport/unittests/http_stress_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstring>
 #include <map>
 #include <thread>
@@ -96,6 +97,14 @@
         return port_of(this->listener);
     }
 
+    /// Waits until a request that was answered before this call is done with:
+    /// the server may reset its connection after the answer.
+    void wait_for_action() const
+    {
+        while (this->is_acting)
+            std::this_thread::yield();
+    }
+
 private:
     void serve()
     {
@@ -138,7 +147,9 @@
             return;
         const int number = std::stoi(text.substr(text.find('/') + 1));
         text.erase(0, end + std::strlen(body));
+        this->is_acting = true;
         this->act(connection, number);
+        this->is_acting = false;
     }
 
     void act(int connection, int number)
@@ -193,6 +204,8 @@
     }
 
     int listener;
+    /// Set while act() runs.
+    std::atomic<bool> is_acting = false;
     std::array<int, 2> wake = {};
     /// Received bytes of each connection that are not served yet.
     std::map<int, std::string> connections;
@@ -296,17 +309,22 @@
         caller.send_next();
     loop.run_until([&caller] { return caller.is_done(); });
     BOOST_TEST(client.open_requests() == 0U);
+    for (const auto& server : servers)
+        server->wait_for_action();
     // The channels to each server are still usable.
     for (const int port : ports)
     {
         constexpr int answered_number = 0;
         bool has_ended = false;
-        client.send(make_request(port, answered_number, support::seconds(30)),
-                    [&has_ended](const client_outcome& outcome)
-                    {
-                        BOOST_TEST(outcome.has_value());
-                        has_ended = true;
-                    });
+        client.send(
+            make_request(port, answered_number, support::seconds(30)),
+            [&has_ended](const client_outcome& outcome)
+            {
+                BOOST_TEST(outcome.has_value(),
+                           "the probe has an answer, got "
+                               << (outcome ? "one" : name_of(outcome.error())));
+                has_ended = true;
+            });
         loop.run_until([&has_ended] { return has_ended; });
     }
 }
