Match answers to a takeover with the shard that was taken over

Callers saw tasks of a shard stopped and started again when its owner was lost and the successor already owned another shard: the work done so far was lost, although the callers' hosts had the jobs open.

Cause: a new owner stops the runs that no job claims once all live hosts have answered it with what they have open there. The answer named one token, the highest of the receiver's, and so did the sender's memory of what it had answered. Since each shard has its own epochs, the token of one shard says nothing about another: an answer to an earlier claim of shard 0 counted as an answer to a later claim of shard 1 with a lower or equal token, at once, and the hosts did not send the answer for shard 1 at all. A fact about one shard was used for another.

Without the earlier claims the test passed before, too. Ruled out: two runs at one time, since the successor waits for the end of the stopped run; the test's fleet shows no violation.

The answer now names the receiver's tokens by shard (field 10 of the heartbeat; 9 is not used any more).

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -111,8 +111,9 @@
   7: optional list<string> open_jobs
   /// To hosts of the sender's domain only.
   8: list<heard_owner> heard
-  /// With open_jobs: the highest token of the receiver that the sender knew of.
-  9: optional i64 known_token
+  // 9 was a token across all shards, which do not compare.
+  /// With open_jobs: the receiver's tokens that the sender knew of, by shard.
+  10: optional map<i32, i64> known_tokens
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -206,10 +206,10 @@
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
     order_id last_order = 0;
-    /// By owner: its highest token that was answered with this host's jobs.
-    std::map<std::string, fencing_token> answered_tokens;
-    /// By peer: this host's highest token that the peer has answered so.
-    std::map<std::string, fencing_token> answered_by;
+    /// By owner and shard: the token that was answered with this host's jobs.
+    std::map<std::string, std::map<int, fencing_token>> answered_tokens;
+    /// By peer and shard: this host's token that the peer has answered so.
+    std::map<std::string, std::map<int, fencing_token>> answered_by;
     /// Results of jobs of this host's own callers. Queued until the shard that
     /// reported them has returned, since the intake may submit the job to
     /// another shard at once.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -303,8 +303,8 @@
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
-    if (heartbeat.__isset.known_token)
-        this->answered_by[peer] = heartbeat.known_token;
+    if (heartbeat.__isset.known_tokens)
+        this->answered_by[peer] = heartbeat.known_tokens;
     this->update_ownership(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -3,6 +3,7 @@
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace chicorydrum::shard
@@ -150,17 +151,19 @@
 
 void entry_host::answer_new_owners()
 {
-    std::map<std::string, fencing_token> highest;
+    std::set<std::string> unanswered;
     for (const auto& [name, owner] : this->view.reachable_owners())
-        highest[owner.host] = std::max(highest[owner.host], owner.token);
-    for (const auto& [host, token] : highest)
     {
-        fencing_token& answered = this->answered_tokens[host];
-        if (host == this->options.self.name || token <= answered)
+        if (owner.host == this->options.self.name)
             continue;
-        answered = token;
-        this->send_open_jobs(host);
+        fencing_token& answered = this->answered_tokens[owner.host][name.shard];
+        if (owner.token <= answered)
+            continue;
+        answered = owner.token;
+        unanswered.insert(owner.host);
     }
+    for (const std::string& host : unanswered)
+        this->send_open_jobs(host);
 }
 
 void entry_host::send_open_jobs(const std::string& owner)
@@ -170,7 +173,7 @@
     message.beat.__set_open_jobs(this->intake.jobs_at(owner));
     const auto answered = this->answered_tokens.find(owner);
     if (answered != this->answered_tokens.end())
-        message.beat.__set_known_token(answered->second);
+        message.beat.__set_known_tokens(answered->second);
     this->hooks.send(owner, message);
 }
 
@@ -180,11 +183,16 @@
     for (const auto& [number, shard] : this->shards)
     {
         const auto has_answered =
-            [this, token = shard->token()](const std::string& peer)
+            [this, shard_number = number,
+             token = shard->token()](const std::string& peer)
         {
-            const auto found = this->answered_by.find(peer);
-            return !this->view.is_live(peer) ||
-                   (found != this->answered_by.end() && found->second >= token);
+            if (!this->view.is_live(peer))
+                return true;
+            const auto answers = this->answered_by.find(peer);
+            if (answers == this->answered_by.end())
+                return false;
+            const auto found = answers->second.find(shard_number);
+            return found != answers->second.end() && found->second >= token;
         };
         if (std::all_of(peers.begin(), peers.end(), has_answered))
             shard->end_adoption();
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -90,6 +90,13 @@
                             .integer("shard", heard.shard, 0, max_shards - 1)
                             .integer("token", heard.token, 1, max_owner_token)
                             .outcome());
+    checked.require(heartbeat.known_tokens.size() <= max_shards, "known_tokens",
+                    "a short list");
+    for (const auto& [shard, token] : heartbeat.known_tokens)
+        checked.include(range_check()
+                            .integer("shard", shard, 0, max_shards - 1)
+                            .integer("token", token, 1, max_owner_token)
+                            .outcome());
     for (const auto& [route, count] : heartbeat.waiting)
         checked.require(count >= 0, "waiting", "a count");
     return checked.outcome();
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -114,6 +114,44 @@
     check_no_violations(fleet);
 }
 
+// A host that owns one shard takes over another whose epoch is not above that
+// of the first. Hosts that have answered its earlier claim have not submitted
+// their jobs of the new shard yet, and the runs of these must not be stopped.
+BOOST_AUTO_TEST_CASE(owner_of_a_shard_adopts_runs_of_another)
+{
+    for (const int claims : {0, 3})
+    {
+        shard_fleet fleet({.endpoints_per_domain = 4,
+                           .endpoints_per_shard = 2,
+                           .powers = {1, 0.9, 0.1}});
+        fleet.run_for(warm_up);
+        BOOST_TEST(fleet.shards_of("D1") == 2);
+        BOOST_TEST(fleet.host("D1-h1")->owned_shards().size() == 1);
+        // Raises the epochs of the shard that it has.
+        for (int i = 0; i < claims; ++i)
+        {
+            fleet.pause("D1-h1", milliseconds(450));
+            fleet.run_for(milliseconds(1000));
+        }
+        std::vector<std::string> jobs;
+        for (int i = 0; i < 4; ++i)
+            jobs.push_back(fleet.submit("D1-h3", one_long_task));
+        fleet.run_for(milliseconds(100));
+        fleet.kill("D1-h2");
+        fleet.run_for(milliseconds(240));
+        // The claim's answer takes longer than the endpoints' lists.
+        fleet.pause("D1-h3", milliseconds(60));
+        fleet.run_for(milliseconds(4000));
+        BOOST_TEST(fleet.host("D1-h1")->owned_shards().size() == 2);
+        for (const std::string& job : jobs)
+        {
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            BOOST_TEST(fleet.starts_of(job) == 1);
+        }
+        check_no_violations(fleet);
+    }
+}
+
 // Nobody hears the owner any more, but it hears a host that knows its
 // successor. It must not go on at an endpoint that the successor cannot reach.
 BOOST_AUTO_TEST_CASE(owner_that_nobody_hears)
--- a/transport/unittests/odd_frames_test.cpp
+++ b/transport/unittests/odd_frames_test.cpp
@@ -214,6 +214,16 @@
                      {
                          m.beat.waiting["r"] = -1;
                      }},
+                    {"known token 0",
+                     [](message& m)
+                     {
+                         m.beat.__set_known_tokens({{0, 0}});
+                     }},
+                    {"known token of shard -1",
+                     [](message& m)
+                     {
+                         m.beat.__set_known_tokens({{-1, 1}});
+                     }},
                     {"100000 shards owned", [](message& m)
                      {
                          m.beat.owned.resize(100000, m.beat.owned[0]);
