Name only the highest owner of each shard in heartbeats

Callers saw jobs interrupted and submitted again when a domain's links returned: hosts closed each other's links as soon as they had opened.

Cause: a heartbeat names every owner that its sender hears, and its receiver takes at most 16 of them (max_shards) for valid; it closes the link otherwise. Hosts that were cut off from each other all claim all shards, so that a host which hears five others with four shards each sends 20.

Evidence: the virtual fleet now checks each message between hosts as the transport does, and reports one that would be rejected.

Only the owner with the highest token of a shard matters to a receiver: lower ones are ignored in its own view too, and an owner gives its shard up if any higher token is named. So the list has at most one entry a shard, which the limit allows; raising the limit would only move it.

--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -254,7 +254,8 @@
 
 std::vector<schema::heard_owner> host_view::heard_owners() const
 {
-    std::vector<schema::heard_owner> heard;
+    // Of several owners only the one with the highest token matters.
+    std::map<int, schema::heard_owner> highest;
     for (const auto& [name, peer] : this->peers)
     {
         if (peer.identity.domain != this->options.self.domain ||
@@ -262,14 +263,18 @@
             continue;
         for (const schema::ownership& claim : peer.last_heartbeat.owned)
         {
-            schema::heard_owner owner;
+            schema::heard_owner& owner = highest[claim.shard];
+            if (claim.token <= owner.token)
+                continue;
             owner.host = name;
             owner.shard = claim.shard;
             owner.token = claim.token;
             owner.is_offered = claim.is_offered;
-            heard.push_back(owner);
         }
     }
+    std::vector<schema::heard_owner> heard;
+    for (const auto& [shard, owner] : highest)
+        heard.push_back(owner);
     return heard;
 }
 
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -1,5 +1,7 @@
 #include "shard_fleet.hpp"
 
+#include "chicorydrum/support/validation.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -468,6 +470,10 @@
         const auto link = link_of(name, peer);
         if (!this->links.contains(link))
             return;
+        if (const auto checked = support::check(message); !checked)
+            this->report_violation(
+                "a message of " + name +
+                " that its peers reject: " + checked.error().detail);
         const int peer_incarnation = this->processes.at(peer).incarnation;
         this->queue.after(
             link_delay,
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// An owner that does not know of its successor, and a successor that cannot
 /// reach all that its predecessor may still use.
+#include "chicorydrum/support/validation.hpp"
 #include "scenario_support.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -329,6 +330,25 @@
     }
 }
 
+// Hosts that were all cut off from each other hear several owners of each shard
+// when their links return. Their heartbeats must stay within the limits that
+// their peers check, or the links are closed again at once.
+BOOST_AUTO_TEST_CASE(many_owners_are_heard_after_a_partition)
+{
+    shard_fleet fleet({.hosts_per_domain = 8,
+                       .endpoints_per_domain = 8,
+                       .endpoints_per_shard = 2});
+    fleet.run_for(warm_up);
+    for (const std::string& name : fleet.host_names())
+        fleet.partition({name}, hosts_without(fleet, name));
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST(fleet.owners_of("D1") > support::max_shards);
+    fleet.heal();
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST(fleet.owners_of("D1") == 4);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
