Do not exhaust the stack with a deeply nested document

One odd entry with deep nesting in the platform's list of the product's own interface ended chicorydrumd, at each read of the list; so did a body of an operator's call. Callers lost the requests of that host.

Cause: parse_json_object() returned a conditional expression, which copies the parsed document. The JSON library parses and destroys iteratively, but copies recursively.

Fix: the check of nesting moves to support. Documents nested too deeply are parsed without the deep values, so that an odd entry does not hide the others of its list; bodies of callers are rejected. Nothing is copied.

Evidence: the new test on the old code ends with "memory access violation" (a list with 1,000,000 levels in one entry). With the fix it passes; daemon_tests and platform_tests pass.

--- a/daemon/lib/endpoint_client.cpp
+++ b/daemon/lib/endpoint_client.cpp
@@ -48,7 +48,7 @@
     finished.outcome = attempt_outcome::failed;
     if (outcome->status != 200)
         return finished;
-    const json parsed = json::parse(outcome->body, nullptr, false);
+    const json parsed = support::parse_json(outcome->body);
     if (!parsed.is_object() || !parsed.contains("result") ||
         !parsed["result"].is_string())
         return finished;
@@ -106,7 +106,7 @@
     if (!outcome)
         return checked;
     checked.state = decision::attempt_check::unknown;
-    const json parsed = json::parse(outcome->body, nullptr, false);
+    const json parsed = support::parse_json(outcome->body);
     if (outcome->status != 200 || !parsed.is_object())
         return checked;
     const std::string state = support::text_field(parsed, "state");
--- a/daemon/lib/json_codec.cpp
+++ b/daemon/lib/json_codec.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/daemon/json_codec.hpp"
 
 #include "chicorydrum/support/digest.hpp"
+#include "chicorydrum/support/json_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -90,6 +91,8 @@
 
 json parse_object(std::string_view body)
 {
+    if (support::is_nested_too_deeply(body))
+        throw invalid_body{"the body is nested too deeply"};
     json parsed = json::parse(body, nullptr, false);
     if (parsed.is_discarded())
         throw invalid_body{"the body is not JSON"};
--- a/daemon/lib/platform_client.cpp
+++ b/daemon/lib/platform_client.cpp
@@ -60,7 +60,7 @@
 {
     try
     {
-        const json parsed = json::parse(text);
+        const json parsed = support::parse_json(text);
         decision::host_list_read list;
         for (const json& item : parsed.at("entry_hosts"))
             list.hosts.push_back(parse_host(item));
@@ -213,7 +213,7 @@
             if (!outcome || outcome->status != 200)
                 return done(support::fail(error_kind::store_unavailable,
                                           "the platform did not answer"));
-            const json parsed = json::parse(outcome->body, nullptr, false);
+            const json parsed = support::parse_json(outcome->body);
             if (!parsed.is_object())
                 return done(support::fail(error_kind::store_unavailable,
                                           "the platform's answer is "
--- a/decision/lib/bundle_operator.cpp
+++ b/decision/lib/bundle_operator.cpp
@@ -36,7 +36,7 @@
 
 std::optional<proposal> parse_proposal(const std::string& text)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = support::parse_json(text);
     if (!parsed.is_object())
         return std::nullopt;
     return proposal{.proposer = support::text_field(parsed, "proposer"),
@@ -282,7 +282,7 @@
 {
     if (text.empty())
         return accepted_bundle{};
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = support::parse_json(text);
     if (!parsed.is_object() || !parsed.contains("version") ||
         !parsed["version"].is_number_integer())
         return fail(error_kind::internal,
--- a/support/include/chicorydrum/support/json_fields.hpp
+++ b/support/include/chicorydrum/support/json_fields.hpp
@@ -11,12 +11,17 @@
 namespace chicorydrum::support
 {
 
+/// Returns whether arrays and objects in \p text are nested too deeply for the
+/// recursive functions of the JSON library. Also holds for the part of a
+/// malformed text that a parser reads.
+bool is_nested_too_deeply(std::string_view text);
+
+/// Parses \p text without the values that are nested too deeply, so that one of
+/// them does not hide the others. Returns a discarded value if it is not JSON.
+nlohmann::json parse_json(std::string_view text);
+
 /// Parses \p text as a JSON object; returns an empty object if it is not one.
-inline nlohmann::json parse_json_object(std::string_view text)
-{
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
-    return parsed.is_object() ? parsed : nlohmann::json::object();
-}
+nlohmann::json parse_json_object(std::string_view text);
 
 /// Returns the string at \p name, or an empty string if there is none.
 inline std::string text_field(const nlohmann::json& object, const char* name)
