--- a/daemon/lib/platform_client.cpp
+++ b/daemon/lib/platform_client.cpp
@@ -204,24 +204,24 @@
     const std::string& key,
     std::function<void(support::result<decision::table_row>)> done)
 {
-    this->send(
-        this->make_request(http_method::get, "/table/" + key, ""),
-        [done = std::move(done)](const client_outcome& outcome)
-        {
-            if (outcome && outcome->status == 404)
-                return done(decision::table_row{});
-            if (!outcome || outcome->status != 200)
-                return done(support::fail(error_kind::store_unavailable,
-                                          "the platform did not answer"));
-            const json parsed = support::parse_json(outcome->body);
-            if (!parsed.is_object())
-                return done(support::fail(error_kind::store_unavailable,
-                                          "the platform's answer is "
-                                          "malformed"));
-            done(decision::table_row{
-                .value = support::text_field(parsed, "value"),
-                .version = support::integer_field(parsed, "version")});
-        });
+    this->send(this->make_request(http_method::get, "/table/" + key, ""),
+               [done = std::move(done)](const client_outcome& outcome)
+               {
+                   if (outcome && outcome->status == 404)
+                       return done(decision::table_row{});
+                   if (!outcome || outcome->status != 200)
+                       return done(
+                           support::fail(error_kind::store_unavailable,
+                                         "the platform did not answer"));
+                   const json parsed = support::parse_json(outcome->body);
+                   if (!parsed.is_object())
+                       return done(support::fail(error_kind::store_unavailable,
+                                                 "the platform's answer is "
+                                                 "malformed"));
+                   done(decision::table_row{
+                       .value = support::text_field(parsed, "value"),
+                       .version = support::integer_field(parsed, "version")});
+               });
 }
 
 void platform_client::transact(const std::vector<decision::table_write>& writes,
