Don't count a silent host as alive again when its link is closed

Callers of a host that is cut off from its peers, but reaches endpoints, got their new jobs interrupted 1.25 s after the host had ended those from before the cut.

Cause: a peer without link counts as alive for the reconnect window of 150 ms, whatever it was before. A silent peer is lost after 600 ms (1 s in another domain); the transport closes its link after 1.5 s, and the peer came alive for 150 ms. A host whose peers are all silent was isolated, then not, then isolated again, and ended all its open jobs twice.

Evidence: takeover/cut_off_host_serves_new_jobs failed before with two attempts instead of one; its log has host_isolated at 4.65 s and 5.85 s for one cut at 4.1 s.

The window is for links that break while their peer is alive, so a peer that was not alive when its link closed gets none. All that depends on a loss has happened at the first one already: withdrawals, claims, ended jobs.

Not changed, seen in a first form of the test: two halves of a domain that share its endpoints take a shard from each other every 125 ms, and a job of 1.5 s ends in neither.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -174,6 +174,8 @@
         support::instant connected_at;
         support::instant last_received;
         support::instant disconnected_at;
+        /// It was not live any more when its link was closed.
+        bool was_silent = false;
         bool has_heartbeat = false;
         schema::shard_heartbeat last_heartbeat;
     };
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -49,6 +49,8 @@
     const auto found = this->peers.find(peer);
     if (found == this->peers.end() || !found->second.is_connected)
         return;
+    this->current_time = now;
+    found->second.was_silent = !this->is_live(found->second);
     found->second.is_connected = false;
     found->second.disconnected_at = now;
 }
@@ -171,8 +173,8 @@
 bool host_view::is_live(const peer_state& peer) const
 {
     if (!peer.is_connected)
-        return this->current_time - peer.disconnected_at <
-               this->options.reconnect_window;
+        return !peer.was_silent && this->current_time - peer.disconnected_at <
+                                       this->options.reconnect_window;
     const bool is_local = peer.identity.domain == this->options.self.domain;
     return this->current_time - peer.last_received <
            (is_local ? this->options.silence_timeout
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -349,6 +349,28 @@
     check_no_violations(fleet);
 }
 
+// A host that is cut off from its peers ends its open jobs once. Jobs that its
+// callers send later must not be ended when the silent links are closed.
+BOOST_AUTO_TEST_CASE(cut_off_host_serves_new_jobs)
+{
+    shard_fleet fleet({.endpoints_per_domain = 2});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const std::string before = fleet.submit(owner, one_long_task);
+    fleet.run_for(milliseconds(100));
+    std::set<std::string> others = hosts_without(fleet, owner);
+    others.insert("D1-e2");
+    fleet.partition({owner, "D1-e1"}, others);
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(fleet.has_logged(owner + " event=host_isolated open_jobs=1"));
+    const std::string job = fleet.submit(owner, one_long_task);
+    fleet.run_for(milliseconds(5000));
+    BOOST_TEST(fleet.caller(before).attempts > 1);
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 1);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
