Don't take peers that stop as planned for a cut

Callers got jobs interrupted by a planned stop: when the only peer of a host stopped, or all hosts stopped at once and one had a longer job than the others, the remaining host ended its open jobs 150 ms after the last peer had left.

Cause: a host that has lost all its peers takes itself for cut off from them, and ends its open jobs as its peers do. A peer that has announced its stop and closes its links was counted as lost.

Evidence: scenarios/only_peer_stopped (two hosts, either one stops) and scenarios/all_hosts_stopped_at_once failed before: the jobs were not completed; the log has host_isolated 2.65 s after the stop and job_answered with reason=isolated.

A host is isolated now if it has no live peer and lost one, within the longest time between two losses in one cut, that had not announced its stop or had gone silent before its link was closed. So a cut during a planned stop still counts.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -156,7 +156,8 @@
     void shard_released(int shard, support::instant now);
 
     bool is_live(const std::string& host) const;
-    /// Returns whether this host has lost all its peers.
+    /// Returns whether this host has just lost all its peers, not only because
+    /// they have stopped as planned.
     bool is_isolated() const;
     /// Returns the peers with an open link, including silent ones.
     std::vector<std::string> connected_peers() const;
@@ -181,6 +182,8 @@
     };
 
     bool is_live(const peer_state& peer) const;
+    /// Returns whether the peer's link was closed in its planned stop.
+    static bool has_left(const peer_state& peer);
     /// Returns the largest processor share for one more shard among the other
     /// hosts of the domain that have been connected for \p span, or 0.
     double best_share_of_others(support::instant now,
@@ -206,7 +209,8 @@
     support::instant started;
     support::instant current_time;
     std::map<std::string, peer_state> peers;
-    bool had_peers = false;
+    /// When a peer was last found lost that had not announced its stop.
+    std::optional<support::instant> peer_lost_at;
     std::set<std::string> listed;
     bool listing_is_complete = false;
     std::vector<schema::ownership> owned;
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -41,7 +41,6 @@
     state.identity = peer;
     state.is_connected = true;
     state.last_received = now;
-    this->had_peers = true;
 }
 
 void host_view::disconnected(const std::string& peer, instant now)
@@ -153,6 +152,9 @@
 void host_view::tick(instant now)
 {
     this->current_time = now;
+    for (const auto& [name, peer] : this->peers)
+        if (!this->is_live(peer) && !has_left(peer))
+            this->peer_lost_at = now;
     std::erase_if(
         this->peers, [this](const auto& entry)
         { return !entry.second.is_connected && !this->is_live(entry.second); });
@@ -181,6 +183,12 @@
                      : this->options.remote_silence_timeout);
 }
 
+bool host_view::has_left(const peer_state& peer)
+{
+    return !peer.is_connected && !peer.was_silent &&
+           peer.last_heartbeat.is_stopping;
+}
+
 bool host_view::is_live(const std::string& host) const
 {
     if (host == this->options.self.name)
@@ -191,7 +199,10 @@
 
 bool host_view::is_isolated() const
 {
-    return this->had_peers &&
+    // The longest time between the losses of two peers in one cut.
+    const auto cut_span = this->options.remote_silence_timeout;
+    return this->peer_lost_at &&
+           this->current_time - *this->peer_lost_at < cut_span &&
            std::none_of(this->peers.begin(), this->peers.end(),
                         [this](const auto& entry)
                         { return this->is_live(entry.second); });
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -150,6 +150,46 @@
     check_no_violations(fleet);
 }
 
+// The only peer of a host leaves as planned. That is no sign that the host is
+// cut off, and must not end its open jobs.
+BOOST_AUTO_TEST_CASE(only_peer_stopped)
+{
+    for (const char* const stopped : {"D1-h1", "D1-h2"})
+    {
+        shard_fleet fleet({.hosts_per_domain = 2});
+        fleet.run_for(warm_up);
+        const std::string job = fleet.submit(other_host(fleet, stopped),
+                                             {.tasks = 1,
+                                              .work = milliseconds(4500),
+                                              .timeout = milliseconds(8000)});
+        fleet.run_for(milliseconds(100));
+        fleet.stop_gracefully(stopped);
+        fleet.run_for(milliseconds(8000));
+        BOOST_TEST(fleet.host(stopped) == nullptr);
+        BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+        BOOST_TEST(fleet.caller(job).attempts == 1);
+        check_no_violations(fleet);
+    }
+}
+
+// All hosts stop at once. A host with a longer job must outlive the others.
+BOOST_AUTO_TEST_CASE(all_hosts_stopped_at_once)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string job =
+        fleet.submit(fleet.owner_of("D1"), {.tasks = 1,
+                                            .work = milliseconds(4000),
+                                            .timeout = milliseconds(8000)});
+    fleet.run_for(milliseconds(100));
+    for (const std::string& name : fleet.host_names())
+        fleet.stop_gracefully(name);
+    fleet.run_for(milliseconds(8000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 1);
+    check_no_violations(fleet);
+}
+
 // A rolling restart of all hosts must not fail any job.
 BOOST_AUTO_TEST_CASE(all_hosts_restarted_in_turn)
 {
