--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -41,7 +41,6 @@
     state.identity = peer;
     state.is_connected = true;
     state.last_received = now;
-    this->had_peers = true;
 }
 
 void host_view::disconnected(const std::string& peer, instant now)
@@ -49,6 +48,8 @@
     const auto found = this->peers.find(peer);
     if (found == this->peers.end() || !found->second.is_connected)
         return;
+    this->current_time = now;
+    found->second.was_silent = !this->is_live(found->second);
     found->second.is_connected = false;
     found->second.disconnected_at = now;
 }
@@ -151,6 +152,9 @@
 void host_view::tick(instant now)
 {
     this->current_time = now;
+    for (const auto& [name, peer] : this->peers)
+        if (!this->is_live(peer) && !has_left(peer))
+            this->peer_lost_at = now;
     std::erase_if(
         this->peers, [this](const auto& entry)
         { return !entry.second.is_connected && !this->is_live(entry.second); });
@@ -171,14 +175,20 @@
 bool host_view::is_live(const peer_state& peer) const
 {
     if (!peer.is_connected)
-        return this->current_time - peer.disconnected_at <
-               this->options.reconnect_window;
+        return !peer.was_silent && this->current_time - peer.disconnected_at <
+                                       this->options.reconnect_window;
     const bool is_local = peer.identity.domain == this->options.self.domain;
     return this->current_time - peer.last_received <
            (is_local ? this->options.silence_timeout
                      : this->options.remote_silence_timeout);
 }
 
+bool host_view::has_left(const peer_state& peer)
+{
+    return !peer.is_connected && !peer.was_silent &&
+           peer.last_heartbeat.is_stopping;
+}
+
 bool host_view::is_live(const std::string& host) const
 {
     if (host == this->options.self.name)
@@ -189,7 +199,10 @@
 
 bool host_view::is_isolated() const
 {
-    return this->had_peers &&
+    // The longest time between the losses of two peers in one cut.
+    const auto cut_span = this->options.remote_silence_timeout;
+    return this->peer_lost_at &&
+           this->current_time - *this->peer_lost_at < cut_span &&
            std::none_of(this->peers.begin(), this->peers.end(),
                         [this](const auto& entry)
                         { return this->is_live(entry.second); });
