End the jobs of a silent entry host before their owner can fall silent too

Callers saw: a caller whose entry host fell silent sent its job again 1,300 ms later, and the copy ran beside the first run if the job's owner had fallen silent as well, up to 600 ms after the entry host (1 s if the owner was in another domain).

Cause: an owner ended the jobs of a host of its domain after 600 ms of silence, and of another domain after 1,000 ms. An owner that fell silent just before that left the runs to its successor, which needed 600 ms of silence and a claim delay of 100 ms more: 1,430 ms at the worst phase of the heartbeats, 1,830 ms for an owner in another domain.

Fix: an owner ends the jobs of a host after 500 ms of silence, in any domain; a host sends heartbeats at the local interval to every host that may have a job of it, and any message counts as a sign of life. A shard whose owner is silent is claimed without the claim delay, which the silence has outlasted. Sum: 500 + tick 25 + 600 + ticks 50 + list 5 + stop 50 = 1,230 of 1,300 ms. The jobs are ended with a report, where they were withdrawn silently before: a host that was only late answers its callers instead of keeping them until their deadline. An owner that has stalled for 300 ms or more waits 50 ms before it takes peers for silent, as their messages may have arrived.

Weighed: a shorter limit for the succession too (more heartbeats, and owners that are late lose their shards); a limit of 450 ms (a margin of 120 ms, but a stall of the entry host of 275 ms would do). 500 ms bears stalls of 325 ms.

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace chicorydrum::shard
@@ -62,6 +63,9 @@
     /// When the last tick is this long ago, the process was paused. Shorter
     /// than the time in which others can succeed it.
     support::milliseconds pause_limit{400};
+    /// When the last tick is this long ago, peers may seem silent whose
+    /// messages have arrived but were not read yet.
+    support::milliseconds stall_limit{300};
 };
 
 class entry_host
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -64,6 +64,13 @@
     support::milliseconds silence_timeout{600};
     /// The same for a peer of another domain, which sends fewer heartbeats.
     support::milliseconds remote_silence_timeout{1000};
+    /// An owner ends the jobs of a host that sends nothing for this long. It is
+    /// shorter, as the owner may fall silent next and leave the runs to its
+    /// successor, and a host that is merely late loses no more than its jobs.
+    support::milliseconds caller_silence_timeout{500};
+    /// How long silence is not acted on after a stall of this process, so that
+    /// the messages that have arrived meanwhile are read first.
+    support::milliseconds stall_grace{50};
     /// How long a host whose link broke may take to reconnect. A reset
     /// connection is dialled again within a few milliseconds.
     support::milliseconds reconnect_window{150};
@@ -127,6 +134,10 @@
     void set_registration(std::int64_t version);
     /// Restarts the silence timeouts after a pause of this process.
     void reset_silence_timers(support::instant now);
+    /// Defers all decisions on silence, as this process has stalled.
+    void stalled(support::instant now);
+    /// Any message shows that \p peer is live.
+    void message_received(const std::string& peer, support::instant now);
 
     /// Removes dead hosts. Must be called before any query.
     void tick(support::instant now);
@@ -156,6 +167,8 @@
     void shard_released(int shard, support::instant now);
 
     bool is_live(const std::string& host) const;
+    /// Returns whether an owner keeps the jobs of \p host.
+    bool keeps_jobs_of(const std::string& host) const;
     /// Returns whether this host has lost all its peers.
     bool is_isolated() const;
     /// Returns the peers with an open link, including silent ones.
@@ -179,6 +192,10 @@
     };
 
     bool is_live(const peer_state& peer) const;
+    bool is_silent(const peer_state& peer, support::milliseconds limit) const;
+    support::milliseconds silence_limit_of(const peer_state& peer) const;
+    /// Returns since when \p shard counts as without owner.
+    support::instant ownerless_since(int shard, support::instant now) const;
     /// Returns the largest processor share for one more shard among the other
     /// hosts of the domain that have been connected for \p span, or 0.
     double best_share_of_others(support::instant now,
@@ -217,6 +234,9 @@
     std::optional<support::instant> stopping_since;
     /// By shard of the own domain.
     std::map<int, support::instant> without_owner_since;
+    /// The last known owner of each shard of the own domain.
+    std::map<int, std::string> last_owners;
+    support::instant silence_counts_from;
     /// When this host last gave each shard up.
     std::map<int, support::instant> released_at;
 };
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
     bool is_open(const std::string& id) const;
     /// Returns the ids of the jobs that wait for a result of \p host.
     std::vector<std::string> jobs_at(const std::string& host) const;
+    /// Returns the hosts that may have a job of this host.
+    std::set<std::string> holders() const;
 
     /// Handles the result of a job. A refusal counts only if it answers the
     /// newest submission.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -102,11 +102,12 @@
     void withdraw(const std::string& host, const schema::job_withdrawn& job,
                   support::instant now);
     /// Withdraws the jobs of an entry host except those with ids in \p open.
-    /// None is open if the host has failed, as its callers' connections are
-    /// lost with it.
     void withdraw_all(const std::string& host,
                       const std::vector<std::string>& open,
                       support::instant now);
+    /// Ends the jobs of an entry host that has failed, as its callers'
+    /// connections are lost with it. If it is only late, it is told.
+    void end_jobs_of(const std::string& host, support::instant now);
 
     void start_answered(const order_answered& answer, support::instant now);
     void stop_answered(const order_answered& answer, support::instant now);
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -255,6 +255,7 @@
                                        instant now)
 {
     this->begin_event(now);
+    this->view.message_received(peer, now);
     if (message.__isset.beat)
         this->handle_heartbeat(peer, message.beat, now);
     else if (message.__isset.submitted)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -67,6 +67,8 @@
 {
     this->current_time = now;
     const auto gap = now - this->last_tick;
+    if (gap >= this->options.stall_limit)
+        this->view.stalled(now);
     if (gap < this->options.pause_limit)
         return;
     this->last_tick = now;
@@ -94,8 +96,8 @@
     this->view.tick(now);
     for (const auto& [number, shard] : this->shards)
         for (const std::string& host : shard->caller_hosts())
-            if (!this->view.is_live(host))
-                shard->withdraw_all(host, {}, now);
+            if (!this->view.keeps_jobs_of(host))
+                shard->end_jobs_of(host, now);
     const shard_owners best = this->view.owners();
     std::vector<std::pair<int, std::string>> lost;
     for (const auto& [number, shard] : this->shards)
@@ -319,11 +321,15 @@
         return;
     const schema::shard_message local = this->make_heartbeat(true);
     const schema::shard_message remote = this->make_heartbeat(false);
+    // A holder of jobs ends them after a shorter silence.
+    const std::set<std::string> holders = this->intake.holders();
     for (const std::string& peer : this->view.connected_peers())
     {
         const bool is_local =
             this->view.domain_of(peer) == this->options.self.domain;
-        if (is_local ? local_is_due : remote_is_due)
+        const bool is_due =
+            is_local || holders.contains(peer) ? local_is_due : remote_is_due;
+        if (is_due)
             this->hooks.send(peer, is_local ? local : remote);
     }
     if (local_is_due)
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -148,6 +148,31 @@
     this->without_owner_since.clear();
 }
 
+void host_view::stalled(instant now)
+{
+    this->silence_counts_from = now + this->options.stall_grace;
+}
+
+void host_view::message_received(const std::string& peer, instant now)
+{
+    const auto found = this->peers.find(peer);
+    if (found != this->peers.end())
+        found->second.last_received = now;
+}
+
+instant host_view::ownerless_since(int shard, instant now) const
+{
+    const auto owner = this->last_owners.find(shard);
+    if (owner == this->last_owners.end())
+        return now;
+    const auto peer = this->peers.find(owner->second);
+    const bool was_silent =
+        peer != this->peers.end() && peer->second.is_connected &&
+        this->is_silent(peer->second, this->silence_limit_of(peer->second));
+    // The silence has lasted longer than the claim delay.
+    return was_silent ? now - this->options.claim_delay : now;
+}
+
 void host_view::tick(instant now)
 {
     this->current_time = now;
@@ -161,22 +186,47 @@
             current.find({.domain = this->options.self.domain, .shard = shard});
         const bool is_owned =
             found != current.end() && !found->second.is_offered;
-        if (is_owned)
-            this->without_owner_since.erase(shard);
-        else
-            this->without_owner_since.emplace(shard, now);
+        if (!is_owned)
+        {
+            this->without_owner_since.emplace(
+                shard, this->ownerless_since(shard, now));
+            continue;
+        }
+        this->without_owner_since.erase(shard);
+        this->last_owners[shard] = found->second.host;
     }
 }
 
+support::milliseconds host_view::silence_limit_of(const peer_state& peer) const
+{
+    const bool is_local = peer.identity.domain == this->options.self.domain;
+    return is_local ? this->options.silence_timeout
+                    : this->options.remote_silence_timeout;
+}
+
+bool host_view::is_silent(const peer_state& peer,
+                          support::milliseconds limit) const
+{
+    return this->current_time >= this->silence_counts_from &&
+           this->current_time - peer.last_received >= limit;
+}
+
 bool host_view::is_live(const peer_state& peer) const
 {
     if (!peer.is_connected)
         return this->current_time - peer.disconnected_at <
                this->options.reconnect_window;
-    const bool is_local = peer.identity.domain == this->options.self.domain;
-    return this->current_time - peer.last_received <
-           (is_local ? this->options.silence_timeout
-                     : this->options.remote_silence_timeout);
+    return !this->is_silent(peer, this->silence_limit_of(peer));
+}
+
+bool host_view::keeps_jobs_of(const std::string& host) const
+{
+    if (host == this->options.self.name)
+        return true;
+    const auto found = this->peers.find(host);
+    return found != this->peers.end() && this->is_live(found->second) &&
+           !this->is_silent(found->second,
+                            this->options.caller_silence_timeout);
 }
 
 bool host_view::is_live(const std::string& host) const
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -208,6 +208,15 @@
     return ids;
 }
 
+std::set<std::string> job_intake::holders() const
+{
+    std::set<std::string> hosts;
+    for (const auto& [call, job] : this->jobs)
+        for (const auto& [host, submission] : job.holders)
+            hosts.insert(host);
+    return hosts;
+}
+
 bool job_intake::cancel(const std::string& id)
 {
     std::vector<call_id> calls;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -243,6 +243,16 @@
         this->remove(id, now);
 }
 
+void shard_owner::end_jobs_of(const std::string& host, instant now)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : this->jobs)
+        if (job->caller.host == host)
+            ids.push_back(id);
+    for (const std::string& id : ids)
+        this->finish(id, schema::job_result::interrupted, "host_silent", now);
+}
+
 void shard_owner::finish(const std::string& id, schema::job_result outcome,
                          const std::string& reason, instant now)
 {
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -177,6 +177,71 @@
     check_no_violations(fleet);
 }
 
+// An entry host falls silent, and at any time after it the owner, at any phase
+// of their heartbeats. The job must be stopped before a copy starts in another
+// domain, by whoever notices last.
+BOOST_AUTO_TEST_CASE(entry_host_and_owner_silent_at_any_offset)
+{
+    for (int phase = 0; phase < 150; phase += 50)
+        for (int offset = 25; offset <= 700; offset += 25)
+        {
+            BOOST_TEST_CONTEXT("phase " << phase << " offset " << offset)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up + milliseconds(phase));
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry = other_host(fleet, owner);
+                fleet.send_copies_to("D2-h1");
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.run_for(milliseconds(100));
+                fleet.lose_caller(job);
+                fleet.pause(entry, milliseconds(5000));
+                fleet.run_for(milliseconds(offset));
+                fleet.pause(owner, milliseconds(5000));
+                fleet.run_for(milliseconds(7000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.caller(job).attempts == 2);
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// The same while the job runs in another domain, whose hosts hear the entry
+// host less often.
+BOOST_AUTO_TEST_CASE(entry_host_and_owner_in_another_domain_silent_in_turn)
+{
+    for (int offset = 100; offset <= 1000; offset += 50)
+    {
+        BOOST_TEST_CONTEXT("offset " << offset)
+        {
+            shard_fleet fleet({.domains = 2});
+            fleet.run_for(warm_up);
+            const std::string home_owner = fleet.owner_of("D1");
+            const std::string entry = other_host(fleet, home_owner);
+            fleet.send_copies_to(home_owner);
+            std::vector<std::string> others;
+            for (int i = 0; i < 4; ++i)
+                others.push_back(fleet.submit(home_owner, long_job));
+            fleet.run_for(milliseconds(20));
+            const std::string job = fleet.submit(entry, long_job);
+            fleet.run_for(milliseconds(80));
+            BOOST_TEST(fleet.has_logged("event=job_forwarded job=" + job +
+                                        " route=quote domain=D2"));
+            for (const std::string& other : others)
+                fleet.disconnect_caller(other);
+            fleet.lose_caller(job);
+            fleet.pause(entry, milliseconds(5000));
+            fleet.run_for(milliseconds(offset));
+            fleet.pause(fleet.owner_of("D2"), milliseconds(5000));
+            fleet.run_for(milliseconds(9000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            BOOST_TEST(fleet.caller(job).attempts == 2);
+            check_no_violations(fleet);
+        }
+    }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
