Endpoint model: ends in pieces, other kinds, replacement, overtaking answers

The virtual endpoints were tamer than the platform's page. Played now, by the new soak mix "incarnations" on top of the chained faults:

- a lease that is also extended by a start that receives stale_run or insufficient_capacity (in all mixes), and endpoints that guard their capacity;
- ends listed in pieces (a few at a time, so that small fleets meet it);
- runs that are being stopped and not listed as active any more;
- incarnations with an earlier start time and another clock;
- another process at the address, and the endpoint back later;
- entries that are removed and come back after 50 ms to 5 s;
- answers that overtake each other, by up to 15 ms.

--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -409,7 +409,7 @@
                      handle_answer](auto answer)
                     {
                         this->queue.after(
-                            link_delay,
+                            this->answer_delay(),
                             [this, name, incarnation, id, settled,
                              handle_answer, answer]
                             {
@@ -728,16 +728,42 @@
                                    milliseconds listed_after,
                                    std::optional<std::int64_t> clock_start_ms)
 {
-    this->endpoint(id).restart(clock_start_ms);
-    const auto list = [this, id]
-    {
-        this->store_row(directory_table::endpoints, id,
-                        {.endpoint = this->endpoint(id).entry()});
-    };
+    this->restart_endpoint(id, listed_after,
+                           new_incarnation{.clock_start_ms = clock_start_ms});
+}
+
+void shard_fleet::restart_endpoint(const std::string& id,
+                                   milliseconds listed_after,
+                                   const new_incarnation& next)
+{
+    this->endpoint(id).restart(next);
     if (listed_after.count() == 0)
-        list();
+        this->list_endpoint(id);
     else
-        this->queue.after(listed_after, list);
+        this->queue.after(listed_after,
+                          [this, id] { this->list_endpoint(id); });
+}
+
+void shard_fleet::list_endpoint(const std::string& id)
+{
+    this->store_row(directory_table::endpoints, id,
+                    {.endpoint = this->endpoint(id).entry()});
+}
+
+void shard_fleet::unlist_endpoint(const std::string& id, milliseconds span)
+{
+    this->remove_endpoint(id);
+    this->queue.after(span, [this, id] { this->list_endpoint(id); });
+}
+
+support::microseconds shard_fleet::answer_delay()
+{
+    const auto longest = support::duration_cast<support::microseconds>(
+        this->options.longest_answer_delay);
+    if (longest <= link_delay)
+        return link_delay;
+    return support::microseconds(std::uniform_int_distribution<std::int64_t>(
+        link_delay.count(), longest.count())(this->random));
 }
 
 void shard_fleet::task_started(const std::string& id,
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -41,6 +41,9 @@
     bool resumes_with_events = false;
     /// Whether callers resend a lost job to hosts of any domain.
     bool copies_leave_domain = false;
+    /// Answers of endpoints take up to this long, so that they overtake each
+    /// other.
+    support::milliseconds longest_answer_delay{0};
 };
 
 /// A caller's job and the answer it got.
@@ -139,6 +142,12 @@
         const std::string& endpoint,
         support::milliseconds listed_after = support::milliseconds(0),
         std::optional<std::int64_t> clock_start_ms = std::nullopt);
+    void restart_endpoint(const std::string& endpoint,
+                          support::milliseconds listed_after,
+                          const new_incarnation& next);
+    /// Removes the entry of \p endpoint, and lists it again after \p span.
+    void unlist_endpoint(const std::string& endpoint,
+                         support::milliseconds span);
     virtual_endpoint& endpoint(const std::string& id);
 
     // State queries.
@@ -216,6 +225,8 @@
               const shard::table_read& read);
     void write(const std::string& name, int incarnation,
                const shard::registration_write& write);
+    void list_endpoint(const std::string& id);
+    support::microseconds answer_delay();
     row_table& rows_of(shard::directory_table table)
     {
         return this->tables[static_cast<std::size_t>(table)];
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -26,8 +26,10 @@
   --mix NAME     Faults: "single", one at a time; "chained", several at the
                  same endpoints and hosts within seconds; "channels", broken
                  connections of callers and hosts, with copies sent to any
-                 domain; or "takeover", several that change owners, without late
-                 orders [default: single].
+                 domain; "takeover", several that change owners, without late
+                 orders; or "incarnations", as "chained" with endpoints that
+                 restart as another kind, leave the list or are replaced, list
+                 ends in pieces, and answer out of order [default: single].
   --verbose      Print the log of each failing seed.
 )";
 
@@ -46,15 +48,22 @@
     chained,
     channels,
     takeover,
+    incarnations,
 };
 
-constexpr std::array<std::string_view, 4> mix_names = {"single", "chained",
-                                                       "channels", "takeover"};
+/// Answers of half of the sessions overtake each other, by up to this time.
+int longest_answer_delay(std::uint64_t seed)
+{
+    return seed % 4 < 2 ? 15 : 0;
+}
+
+constexpr std::array<std::string_view, 5> mix_names = {
+    "single", "chained", "channels", "takeover", "incarnations"};
 
 class soak_session
 {
 public:
-    soak_session(std::uint64_t seed, fault_mix wanted_mix)
+    soak_session(std::uint64_t seed, fault_mix wanted_mix, bool keeps_log)
         : mix(wanted_mix),
           random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
           fleet({.domains = 2,
@@ -62,9 +71,15 @@
                  .endpoints_per_domain = 4,
                  .endpoints_per_shard = seed % 2 == 0 ? 32 : 2,
                  .seed = seed,
+                 .keeps_log = keeps_log,
                  .resumes_with_events = wanted_mix == fault_mix::chained ||
-                                        wanted_mix == fault_mix::takeover,
-                 .copies_leave_domain = wanted_mix == fault_mix::channels})
+                                        wanted_mix == fault_mix::takeover ||
+                                        wanted_mix == fault_mix::incarnations,
+                 .copies_leave_domain = wanted_mix == fault_mix::channels,
+                 .longest_answer_delay =
+                     milliseconds(wanted_mix == fault_mix::incarnations
+                                      ? longest_answer_delay(seed)
+                                      : 0)})
     {
     }
 
@@ -99,6 +114,8 @@
                                      const std::set<std::string>& hosts);
     void plan_chained_host_fault(milliseconds when, const std::string& host,
                                  const std::set<std::string>& endpoints);
+    void plan_answers();
+    void plan_incarnation_fault(milliseconds when, const std::string& id);
     void plan_channel_faults(milliseconds when);
     void plan_channel_fault(milliseconds when, const std::string& host);
     void plan_takeover(milliseconds when);
@@ -358,14 +375,60 @@
             endpoints.insert(domain + "e" + std::to_string(i));
     for (const std::string& id : endpoints)
         for (int left = 1 + this->pick(3); left > 0; --left)
-            this->plan_chained_endpoint_fault(
-                when + milliseconds(this->pick(3000)), id, hosts);
+        {
+            const milliseconds at = when + milliseconds(this->pick(3000));
+            if (this->mix == fault_mix::incarnations && this->pick(2) == 0)
+                this->plan_incarnation_fault(at, id);
+            else
+                this->plan_chained_endpoint_fault(at, id, hosts);
+        }
     for (int left = this->pick(3); left > 0; --left)
         this->plan_chained_host_fault(
             when + milliseconds(this->pick(3000)),
             domain + "h" + std::to_string(1 + this->pick(3)), endpoints);
 }
 
+void soak_session::plan_answers()
+{
+    for (const std::string& id : this->fleet.endpoint_names())
+        this->fleet.endpoint(id).set_answers(
+            {.ends_per_list = static_cast<std::size_t>(1 + this->pick(3)),
+             .omits_stopping_runs = this->pick(2) == 0,
+             .guards_capacity = this->pick(4) == 0});
+}
+
+void soak_session::plan_incarnation_fault(milliseconds when,
+                                          const std::string& id)
+{
+    const milliseconds listed_after(this->pick(3000));
+    const milliseconds span =
+        this->pick_time(milliseconds(50), milliseconds(5000));
+    const new_incarnation next{.clock_start_ms = this->pick(200000),
+                               .born_ms = 1 + this->pick(1000000)};
+    switch (this->pick(3))
+    {
+    case 0:
+        this->fleet.at(when,
+                       [this, id, listed_after, next] {
+                           this->fleet.restart_endpoint(id, listed_after, next);
+                       });
+        return;
+    case 1:
+        this->fleet.at(when, [this, id, span]
+                       { this->fleet.unlist_endpoint(id, span); });
+        return;
+    default:
+        this->fleet.at(
+            when, [this, id]
+            { this->fleet.endpoint(id).set_fault(endpoint_fault::replaced); });
+        this->fleet.at(when + span,
+                       [this, id, listed_after, next] {
+                           this->fleet.restart_endpoint(id, listed_after, next);
+                       });
+        return;
+    }
+}
+
 void soak_session::plan_channel_faults(milliseconds when)
 {
     for (int left = 1 + this->pick(4); left > 0; --left)
@@ -496,8 +559,11 @@
 std::vector<std::string> soak_session::run()
 {
     this->plan_load();
-    const bool has_few =
-        this->mix == fault_mix::chained || this->mix == fault_mix::takeover;
+    if (this->mix == fault_mix::incarnations)
+        this->plan_answers();
+    const bool has_few = this->mix == fault_mix::chained ||
+                         this->mix == fault_mix::takeover ||
+                         this->mix == fault_mix::incarnations;
     const int faults = 1 + this->pick(has_few ? 4 : 8);
     for (int i = 0; i < faults; ++i)
     {
@@ -508,6 +574,7 @@
             this->plan_fault(when);
             break;
         case fault_mix::chained:
+        case fault_mix::incarnations:
             this->plan_chain(when);
             break;
         case fault_mix::channels:
@@ -569,7 +636,7 @@
     std::uint64_t failing = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        soak_session session(seed, mix);
+        soak_session session(seed, mix, arguments.at("--verbose").asBool());
         const std::vector<std::string> found = session.run();
         if (found.empty())
             continue;
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -32,17 +32,22 @@
 
 void virtual_endpoint::set_fault(endpoint_fault new_fault)
 {
-    if (new_fault == endpoint_fault::dead)
+    if (new_fault == endpoint_fault::dead ||
+        new_fault == endpoint_fault::replaced)
         this->restart();
     this->fault = new_fault;
     for (auto& [task, one] : this->running)
         one.hangs = one.hangs || new_fault == endpoint_fault::hangs;
 }
 
-void virtual_endpoint::restart(std::optional<std::int64_t> clock_start_ms)
+void virtual_endpoint::restart(const new_incarnation& next)
 {
+    schema::endpoint_registration& entry = this->options.entry;
     this->options.clock_start_ms =
-        clock_start_ms.value_or(this->options.clock_start_ms);
+        next.clock_start_ms.value_or(this->options.clock_start_ms);
+    entry.born_ms = next.born_ms.value_or(entry.born_ms + 1);
+    entry.capacity.millicores =
+        next.millicores.value_or(entry.capacity.millicores);
     ++this->incarnation;
     for (const auto& [task, one] : this->running)
         this->on_ended(task, run_end::lapsed);
@@ -54,7 +59,6 @@
     this->lease_end_ms = 0;
     this->next_end = 1;
     this->incarnation_began = this->queue.now();
-    this->options.entry.born_ms += 1;
     this->fault = endpoint_fault::none;
 }
 
@@ -80,7 +84,7 @@
          expected_incarnation = this->incarnation]
         {
             const bool is_same = this->incarnation == expected_incarnation;
-            if (this->is_up() && (is_same || survives))
+            if (this->is_up() && !this->is_replaced() && (is_same || survives))
                 order();
         });
     return true;
@@ -103,6 +107,12 @@
 void virtual_endpoint::start(const shard::start_order& order,
                              std::function<void(order_answered)> reply)
 {
+    if (this->is_replaced())
+    {
+        reply(
+            {.order = order.order, .status = order_status::other_incarnation});
+        return;
+    }
     const auto execute_late =
         [this, order, lease_end = this->deferred_lease_end(order.lease_end_ms)]
     {
@@ -129,7 +139,7 @@
                       [this, order, expected_incarnation = this->incarnation]
                       {
                           if (this->incarnation == expected_incarnation &&
-                              this->is_up())
+                              this->is_up() && !this->is_replaced())
                               this->execute_start(order, {});
                       });
 }
@@ -151,8 +161,14 @@
         answer.status = order_status::stale_run;
     else if (order.lease_end_ms <= this->clock_ms())
         answer.status = order_status::expired;
+    else if (this->answers.guards_capacity &&
+             !this->has_capacity_for(this->need_of(order.task)))
+        answer.status = order_status::insufficient_capacity;
     else
         this->begin_run(order);
+    if (answer.status == order_status::stale_run ||
+        answer.status == order_status::insufficient_capacity)
+        this->extend_lease(order.lease_end_ms);
     if (reply)
         reply(answer);
 }
@@ -168,10 +184,7 @@
     one.length = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(this->work_of(order.task).count()) *
         this->options.slowness));
-    std::int64_t used = one.need.millicores;
-    for (const auto& [task, other] : this->running)
-        used += other.need.millicores;
-    if (used > this->options.entry.capacity.millicores)
+    if (!this->has_capacity_for(one.need))
         this->report_violation("runs exceed the capacity of " +
                                this->options.entry.id);
     ++this->start_count;
@@ -194,6 +207,14 @@
                       });
 }
 
+bool virtual_endpoint::has_capacity_for(const schema::resources& need) const
+{
+    std::int64_t used = need.millicores;
+    for (const auto& [task, other] : this->running)
+        used += other.need.millicores;
+    return used <= this->options.entry.capacity.millicores;
+}
+
 void virtual_endpoint::end_run(const shard::task_key& task, std::int64_t number,
                                run_end how)
 {
@@ -231,6 +252,12 @@
 void virtual_endpoint::stop(const shard::stop_order& order,
                             std::function<void(order_answered)> reply)
 {
+    if (this->is_replaced())
+    {
+        reply(
+            {.order = order.order, .status = order_status::other_incarnation});
+        return;
+    }
     const auto execute_late = [this, order]
     {
         this->execute_stop(order, [](const order_answered&) {});
@@ -271,6 +298,14 @@
 void virtual_endpoint::list(const shard::list_request& request,
                             std::function<void(shard::runs_listed)> reply)
 {
+    if (this->is_replaced())
+    {
+        shard::runs_listed refusal;
+        refusal.order = request.order;
+        refusal.status = order_status::other_incarnation;
+        reply(refusal);
+        return;
+    }
     const auto execute_late =
         [this, request,
          lease_end = this->deferred_lease_end(request.lease_end_ms.value_or(0))]
@@ -343,6 +378,8 @@
     list.born_ms = this->options.entry.born_ms;
     for (const auto& [task, one] : this->running)
     {
+        if (one.stopping && this->answers.omits_stopping_runs)
+            continue;
         const double passed =
             support::in_seconds(this->queue.now() - one.began) * 1000.0;
         const double part =
@@ -354,7 +391,10 @@
              .percent =
                  one.hangs ? 0 : static_cast<int>(std::min(1.0, part) * 100)});
     }
-    list.ended = this->ends;
+    const std::size_t listed =
+        std::min(this->ends.size(), this->answers.ends_per_list);
+    list.ended.assign(this->ends.begin(),
+                      this->ends.begin() + static_cast<std::ptrdiff_t>(listed));
     return list;
 }
 
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -44,6 +44,28 @@
     bool lease_counts_from_execution = false;
 };
 
+/// What the platform leaves open about an endpoint's answers.
+struct answer_rules
+{
+    /// Most ends in one list; later lists have the rest.
+    std::size_t ends_per_list = 500;
+    /// A run that is being stopped is not listed as active any more, although
+    /// it occupies its capacity until its end is listed.
+    bool omits_stopping_runs = false;
+    /// Starts beyond the capacity are rejected, but extend the lease.
+    bool guards_capacity = false;
+};
+
+/// How a new incarnation differs from the previous one; by default only in the
+/// time of its start.
+struct new_incarnation
+{
+    std::optional<std::int64_t> clock_start_ms = std::nullopt;
+    /// The time of day may have been set back since the previous start.
+    std::optional<std::int64_t> born_ms = std::nullopt;
+    std::optional<std::int64_t> millicores = std::nullopt;
+};
+
 /// The fault injected into an endpoint.
 enum class endpoint_fault
 {
@@ -60,6 +82,8 @@
     hangs,
     /// Every task fails.
     fails_all,
+    /// Another process uses its address, and its runs are lost.
+    replaced,
 };
 
 class virtual_endpoint
@@ -82,9 +106,12 @@
     {
         this->late_orders = rules;
     }
-    /// Starts a new incarnation under the same id, without runs or tokens. Its
-    /// clock starts at \p clock_start_ms, or as the previous one did.
-    void restart(std::optional<std::int64_t> clock_start_ms = std::nullopt);
+    void set_answers(answer_rules rules)
+    {
+        this->answers = rules;
+    }
+    /// Starts a new incarnation under the same id, without runs or tokens.
+    void restart(const new_incarnation& next = {});
 
     // Calls from hosts. A call may stay unanswered.
     void start(const shard::start_order& order,
@@ -153,6 +180,13 @@
     void execute_start(const shard::start_order& order,
                        std::function<void(shard::order_answered)> reply);
     void begin_run(const shard::start_order& order);
+    /// Returns whether \p need fits beside all runs.
+    bool has_capacity_for(const schema::resources& need) const;
+    /// Returns whether another process answers at the address.
+    bool is_replaced() const
+    {
+        return this->fault == endpoint_fault::replaced;
+    }
     void end_run(const shard::task_key& task, std::int64_t number,
                  shard::run_end how);
     void extend_lease(std::int64_t lease_end_ms);
@@ -166,6 +200,7 @@
     std::minstd_rand random;
     endpoint_fault fault = endpoint_fault::none;
     late_order_rules late_orders;
+    answer_rules answers;
     int incarnation = 0;
     int start_count = 0;
     support::instant incarnation_began;
