Do not take a run for lost while further ends may be listed

Callers saw a task that had completed run again, and a job that was delayed by the second run: an endpoint lists its ends 500 at a time. A run whose end was in a later piece was in neither list, which counted as proof that it was lost (rule 2 of docs/design/06-platform.md), and its task was started elsewhere.

late_orders/end_in_a_later_piece_of_the_list failed before: a second start, and the end that was listed next came too late.

--- a/shard/include/chicorydrum/shard/messages.hpp
+++ b/shard/include/chicorydrum/shard/messages.hpp
@@ -166,6 +166,9 @@
     std::int64_t born_ms = 0;
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
+    /// Further ends may follow in later lists, so that a run that is missing
+    /// here may have ended in any way.
+    bool has_more_ends = false;
 };
 
 // Callers.
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -334,6 +334,8 @@
 std::vector<ended_run>
 leased_endpoint::drop_missing_runs(const runs_listed& list, fencing_token token)
 {
+    if (list.has_more_ends)
+        return {};
     std::set<std::pair<task_key, std::int64_t>> present;
     for (const listed_run& listed : list.running)
         present.emplace(listed.task, listed.run);
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -116,7 +116,9 @@
     }
 
     void answer_list(const shard::list_request& request, std::int64_t born_ms,
-                     std::vector<shard::listed_run> running = {})
+                     std::vector<shard::listed_run> running = {},
+                     std::vector<shard::listed_end> ended = {},
+                     bool has_more_ends = false)
     {
         shard::runs_listed list;
         list.order = request.order;
@@ -124,6 +126,8 @@
         list.clock_ms = this->clock_ms();
         list.born_ms = born_ms;
         list.running = std::move(running);
+        list.ended = std::move(ended);
+        list.has_more_ends = has_more_ends;
         this->owner.listed(list, this->now);
     }
 
@@ -555,6 +559,34 @@
     BOOST_TEST(script.last_list("D1-e1").token > lost.token);
 }
 
+// A run has ended, and its end is in a later piece of the list of ends. It must
+// not be taken for lost, or its task starts again beside its end.
+BOOST_AUTO_TEST_CASE(end_in_a_later_piece_of_the_list)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1"), entry_of("D1-e2")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.answer_list(script.last_list("D1-e2"), 1);
+    script.submit("job1");
+    BOOST_REQUIRE(script.starts.size() == 1U);
+    const shard::start_order start = script.starts.front();
+    script.answer_start(start, order_status::accepted);
+    script.wait(milliseconds(25));
+    script.answer_list(script.last_list(start.to.id), 1, {},
+                       {{.number = 1, .task = {.job = "other"}, .run = 1}},
+                       true);
+    script.wait(milliseconds(25));
+    BOOST_TEST(script.starts.size() == 1U);
+    BOOST_TEST(script.owner.running_tasks() == 1);
+    BOOST_TEST(script.last_list(start.to.id).acknowledged_end == 1);
+    script.answer_list(script.last_list(start.to.id), 1, {},
+                       {{.number = 2, .task = start.task, .run = start.run}});
+    BOOST_TEST(script.starts.size() == 1U);
+    BOOST_REQUIRE(script.reports.size() == 1U);
+    BOOST_TEST(
+        (script.reports.back().outcome == schema::job_result::completed));
+}
+
 // An endpoint's entry names another domain from now on. It belongs to that
 // domain's owner and gets no new work here.
 BOOST_AUTO_TEST_CASE(endpoint_that_changes_its_domain)
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -393,6 +393,7 @@
     }
     const std::size_t listed =
         std::min(this->ends.size(), this->answers.ends_per_list);
+    list.has_more_ends = listed < this->ends.size();
     list.ended.assign(this->ends.begin(),
                       this->ends.begin() + static_cast<std::ptrdiff_t>(listed));
     return list;
