Keep the capacity of a run that an endpoint is stopping unlisted

Runners were filled beyond their capacity: a run whose stop is under way holds its capacity until its end is listed, for up to 50 ms, but nothing says that it is listed as active until then. A list that lacked it freed the capacity at once, and let the task start elsewhere beside it.

A stopping run that a list lacks now counts as ended 50 ms (on a clock 2% slow) after that list was received, unless its end is listed before: a stop that was executed later than the list cannot find a run that the list lacks. The rule costs nothing where ends are listed; the bound is stop_ms of the platform.

late_orders/stopping_run_that_is_not_listed failed before (both tasks of the next job started at once). answer_to_the_stop_of_an_earlier_run waits 75 ms before its precondition, an endpoint without runs, since the run was being stopped; what it checks afterwards is unchanged.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -41,6 +41,9 @@
     std::optional<order_id> started_after = {};
     /// The same for the stop, by the incarnation that the last list came from.
     std::optional<order_id> stopped_after = {};
+    /// Set when a list lacks a run that is being stopped: when the run has
+    /// certainly ended, even if its end is not listed.
+    std::optional<support::instant> gone_by = {};
     /// When an unconfirmed stop is sent again.
     support::instant next_stop = {};
     /// The order that started it; 0 if an earlier owner did.
@@ -88,6 +91,8 @@
     /// The lease requested at each extension; below the longest one, so that
     /// the endpoint never shortens it.
     support::milliseconds requested{900};
+    /// The longest time that an endpoint takes to stop a run, on its own clock.
+    support::milliseconds longest_stop{50};
 };
 
 /// Returns the time after which a lease that nobody extends has certainly
@@ -205,6 +210,10 @@
                                       fencing_token token, order_id last_order,
                                       support::instant now);
 
+    /// Drops and returns the stopped runs that lists lack and whose stop has
+    /// certainly been executed.
+    std::vector<ended_run> drop_stopped_runs(support::instant now);
+
     /// Records the endpoint's clock as it was when it sent an answer.
     void record_clock(std::int64_t clock_ms, support::instant now);
 
@@ -244,7 +253,8 @@
 
     std::vector<ended_run> apply_ends(const runs_listed& list);
     std::vector<ended_run> drop_missing_runs(const runs_listed& list,
-                                             fencing_token token);
+                                             fencing_token token,
+                                             support::instant now);
 
     schema::endpoint_registration registered;
     lease_rules rules;
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -276,11 +276,14 @@
     {
         this->last_end = 0;
         for (auto& [task, run] : this->active_runs)
+        {
             run.stopped_after.reset();
+            run.gone_by.reset();
+        }
     }
     this->listed_incarnation = list.born_ms;
     std::vector<ended_run> ended = this->apply_ends(list);
-    for (ended_run& missing : this->drop_missing_runs(list, token))
+    for (ended_run& missing : this->drop_missing_runs(list, token, now))
         ended.push_back(std::move(missing));
     for (const listed_run& listed : list.running)
     {
@@ -332,7 +335,8 @@
 }
 
 std::vector<ended_run>
-leased_endpoint::drop_missing_runs(const runs_listed& list, fencing_token token)
+leased_endpoint::drop_missing_runs(const runs_listed& list, fencing_token token,
+                                   support::instant now)
 {
     if (list.has_more_ends)
         return {};
@@ -343,7 +347,7 @@
     for (auto entry = this->active_runs.begin();
          entry != this->active_runs.end();)
     {
-        const endpoint_run& run = entry->second;
+        endpoint_run& run = entry->second;
         const auto was_before = [&list](const std::optional<order_id>& order)
         {
             return order && *order < list.order;
@@ -355,14 +359,22 @@
                                (is_missing || is_fenced_off);
         if (!has_ended)
         {
+            run.gone_by.reset();
+            ++entry;
+            continue;
+        }
+        // The endpoint may list a run that it is stopping as neither active
+        // nor ended.
+        if (run.state == run_state::stopping)
+        {
+            if (!run.gone_by)
+                run.gone_by = now + longest_duration(this->rules.longest_stop);
             ++entry;
             continue;
         }
-        const run_end how = run.state == run_state::stopping ? run_end::stopped
-                                                             : run_end::lapsed;
         ended.push_back({.task = entry->first,
                          .run = run.run,
-                         .how = how,
+                         .how = run_end::lapsed,
                          .started_at = run.started_at,
                          .evidence = is_missing ? end_evidence::missing
                                                 : end_evidence::fenced_off,
@@ -372,6 +384,29 @@
     return ended;
 }
 
+std::vector<ended_run> leased_endpoint::drop_stopped_runs(support::instant now)
+{
+    std::vector<ended_run> ended;
+    for (auto entry = this->active_runs.begin();
+         entry != this->active_runs.end();)
+    {
+        const endpoint_run& run = entry->second;
+        if (!run.gone_by || now < *run.gone_by)
+        {
+            ++entry;
+            continue;
+        }
+        ended.push_back({.task = entry->first,
+                         .run = run.run,
+                         .how = run_end::stopped,
+                         .started_at = run.started_at,
+                         .evidence = end_evidence::missing,
+                         .last_state = run.state});
+        entry = this->active_runs.erase(entry);
+    }
+    return ended;
+}
+
 bool leased_endpoint::has_confirmed_runs() const
 {
     return std::any_of(this->active_runs.begin(), this->active_runs.end(),
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -189,6 +189,8 @@
     if (now >= bound && record.lease.has_confirmed_runs() &&
         !record.is_responding)
         this->drop_endpoint_runs(record, end_evidence::lease_lapsed, now);
+    for (const ended_run& run : record.lease.drop_stopped_runs(now))
+        this->run_ended(record, run, now);
     if (record.lease.is_token_exhausted())
         this->report_fenced(record);
     this->stop_orphans(record, now);
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -476,6 +476,12 @@
         script.answer_list(script.last_list("D1-e1"), 2);
         script.wait(milliseconds(25));
         script.answer_list(script.last_list("D1-e1"), 2);
+        // The run may be neither active nor ended while it is stopped.
+        for (int i = 0; i < 3; ++i)
+        {
+            script.wait(milliseconds(25));
+            script.answer_list(script.last_list("D1-e1"), 2);
+        }
         BOOST_REQUIRE(script.owner.running_tasks() == 0);
         script.submit("job1");
         BOOST_REQUIRE(script.starts.size() == 2U);
@@ -587,6 +593,38 @@
         (script.reports.back().outcome == schema::job_result::completed));
 }
 
+// A run that is being stopped is listed neither as active nor as ended. Its
+// capacity must not be used for up to the time that a stop takes.
+BOOST_AUTO_TEST_CASE(stopping_run_that_is_not_listed)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.submit("job1", 2);
+    BOOST_REQUIRE(script.starts.size() == 2U);
+    for (const shard::start_order& start : std::vector(script.starts))
+        script.answer_start(start, order_status::accepted);
+    script.wait(milliseconds(25));
+    script.withdraw("job1");
+    BOOST_REQUIRE(script.stops.size() == 2U);
+    for (const shard::stop_order& stop : std::vector(script.stops))
+        script.owner.stop_answered({.order = stop.order,
+                                    .status = order_status::accepted,
+                                    .clock_ms = script.clock_ms()},
+                                   script.now);
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.submit("job2", 2);
+    for (int i = 0; i < 2; ++i)
+    {
+        script.wait(milliseconds(25));
+        script.answer_list(script.last_list("D1-e1"), 1);
+        BOOST_TEST(script.starts.size() == 2U);
+        BOOST_TEST(script.owner.running_tasks() == 2);
+    }
+    script.wait(milliseconds(25));
+    BOOST_TEST(script.starts.size() == 4U);
+}
+
 // An endpoint's entry names another domain from now on. It belongs to that
 // domain's owner and gets no new work here.
 BOOST_AUTO_TEST_CASE(endpoint_that_changes_its_domain)
