Follow the platform's list beside odd entries

In the list of the product's own interface one odd entry (a number too large, a member of another type, an entry that is no object) made chicorydrumd discard the whole list at each read: it followed neither hosts nor endpoints any more. Ports out of range, negative and truncated capacities were accepted.

Cause: parse_host_list() read members with the library's throwing conversions and caught the first error for the whole list; 1e999 makes the parser reject the document.

Fix: an entry that is not usable is left out, and their number is logged once for each list.

--- a/daemon/lib/platform_client.cpp
+++ b/daemon/lib/platform_client.cpp
@@ -2,6 +2,10 @@
 
 #include "chicorydrum/support/digest.hpp"
 #include "chicorydrum/support/json_fields.hpp"
+#include "chicorydrum/support/log.hpp"
+#include "chicorydrum/support/validation.hpp"
+
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -18,39 +22,125 @@
 using transport::client_outcome;
 using transport::http_method;
 
+constexpr std::int64_t max_port = 65535;
+constexpr std::int64_t max_connections = 1'000'000;
+
 std::string claim_row_key(const std::string& key)
 {
     return "claim/" + key;
 }
 
-decision::listing_state parse_state(const json& item)
+/// Reads the members of one entry of a list and records whether all of them are
+/// usable.
+class entry_reader
 {
-    return item.value("state", "live") == "leaving"
-               ? decision::listing_state::leaving
-               : decision::listing_state::live;
+public:
+    explicit entry_reader(const json& item) : entry(item)
+    {
+    }
+
+    std::string text(const char* name)
+    {
+        const auto found = this->entry.find(name);
+        if (found == this->entry.end())
+            return {};
+        this->is_usable = this->is_usable && found->is_string();
+        return support::text_field(this->entry, name);
+    }
+    /// Returns a text that is sent and logged.
+    std::string name(const char* name)
+    {
+        std::string value = this->text(name);
+        this->is_usable = this->is_usable && support::is_plain_name(value);
+        return value;
+    }
+    int integer(const char* name, int default_value, std::int64_t min,
+                std::int64_t max)
+    {
+        const auto found = this->entry.find(name);
+        if (found == this->entry.end())
+            return default_value;
+        const std::int64_t value = support::integer_field(this->entry, name);
+        this->is_usable = this->is_usable && found->is_number_integer() &&
+                          value >= min && value <= max;
+        return this->is_usable ? static_cast<int>(value) : default_value;
+    }
+    int port(const char* name)
+    {
+        return this->integer(name, 0, 1, max_port);
+    }
+    decision::listing_state state()
+    {
+        const std::string value = this->text("state");
+        const bool is_leaving = value == "leaving";
+        this->is_usable =
+            this->is_usable && (value.empty() || value == "live" || is_leaving);
+        return is_leaving ? decision::listing_state::leaving
+                          : decision::listing_state::live;
+    }
+    bool is_valid() const
+    {
+        return this->is_usable;
+    }
+
+private:
+    const json& entry;
+    bool is_usable = true;
+};
+
+std::optional<decision::endpoint_listing> parse_endpoint(const json& item)
+{
+    entry_reader reader(item);
+    decision::endpoint_listing endpoint{
+        .name = reader.name("name"),
+        .domain = reader.name("domain"),
+        .rack = reader.text("rack"),
+        .address = reader.name("address"),
+        .port = reader.port("port"),
+        .slots = reader.integer("slots", 8, 0, max_connections),
+        .connections = reader.integer("connections", 64, 0, max_connections),
+        .millicores =
+            reader.integer("millicores", 16000, 0, support::max_millicores),
+        .memory_mb =
+            reader.integer("memory_mb", 65536, 0, support::max_memory_mb),
+        .state = reader.state()};
+    if (!reader.is_valid() || endpoint.port == 0)
+        return std::nullopt;
+    return endpoint;
 }
 
-decision::endpoint_listing parse_endpoint(const json& item)
+std::optional<decision::host_listing> parse_host(const json& item)
 {
-    return {.name = item.at("name"),
-            .domain = item.at("domain"),
-            .rack = item.value("rack", ""),
-            .address = item.at("address"),
-            .port = item.at("port"),
-            .slots = item.value("slots", 8),
-            .connections = item.value("connections", 64),
-            .millicores = item.value("millicores", 16000),
-            .memory_mb = item.value("memory_mb", 65536),
-            .state = parse_state(item)};
+    entry_reader reader(item);
+    decision::host_listing host{.name = reader.name("name"),
+                                .domain = reader.name("domain"),
+                                .address = reader.name("address"),
+                                .peer_port = reader.port("peer_port"),
+                                .state = reader.state()};
+    if (!reader.is_valid() || host.peer_port == 0)
+        return std::nullopt;
+    return host;
 }
 
-decision::host_listing parse_host(const json& item)
+/// Returns the usable entries of \p items.
+template <typename T>
+std::vector<T> parse_entries(const json& items,
+                             std::optional<T> (*parse)(const json&))
 {
-    return {.name = item.at("name"),
-            .domain = item.at("domain"),
-            .address = item.at("address"),
-            .peer_port = item.at("peer_port"),
-            .state = parse_state(item)};
+    std::vector<T> entries;
+    for (const json& item : items)
+    {
+        auto entry = item.is_object() ? parse(item) : std::nullopt;
+        if (entry)
+            entries.push_back(std::move(*entry));
+    }
+    if (entries.size() < items.size())
+        support::write_log(
+            support::log_line("host_list_malformed",
+                              support::log_level::warning)
+                .add("entries", static_cast<std::int64_t>(items.size()))
+                .add("usable", static_cast<std::int64_t>(entries.size())));
+    return entries;
 }
 
 } // namespace
@@ -58,22 +148,17 @@
 support::result<decision::host_list_read>
 parse_host_list(const std::string& text)
 {
-    try
-    {
-        const json parsed = support::parse_json(text);
-        decision::host_list_read list;
-        for (const json& item : parsed.at("entry_hosts"))
-            list.hosts.push_back(parse_host(item));
-        for (const json& item : parsed.at("endpoints"))
-            list.endpoints.push_back(parse_endpoint(item));
-        return list;
-    }
-    catch (const json::exception& malformed)
-    {
+    const json parsed = support::parse_repaired_json(text);
+    const auto hosts = parsed.find("entry_hosts");
+    const auto endpoints = parsed.find("endpoints");
+    if (!parsed.is_object() || hosts == parsed.end() ||
+        endpoints == parsed.end() || !hosts->is_array() ||
+        !endpoints->is_array())
         return support::fail(error_kind::bad_request,
-                             std::string("malformed host list: ") +
-                                 malformed.what());
-    }
+                             "the host list is malformed");
+    return decision::host_list_read{
+        .hosts = parse_entries(*hosts, parse_host),
+        .endpoints = parse_entries(*endpoints, parse_endpoint)};
 }
 
 platform_client::platform_client(platform_client_options opts)
@@ -161,7 +246,7 @@
         return;
     }
     this->host_list_revision = support::integer_field(
-        support::parse_json_object(outcome->body), "revision");
+        support::parse_repaired_json(outcome->body), "revision");
     this->options.on_event(std::move(*list));
 }
 
@@ -204,24 +289,24 @@
     const std::string& key,
     std::function<void(support::result<decision::table_row>)> done)
 {
-    this->send(
-        this->make_request(http_method::get, "/table/" + key, ""),
-        [done = std::move(done)](const client_outcome& outcome)
-        {
-            if (outcome && outcome->status == 404)
-                return done(decision::table_row{});
-            if (!outcome || outcome->status != 200)
-                return done(support::fail(error_kind::store_unavailable,
-                                          "the platform did not answer"));
-            const json parsed = support::parse_json(outcome->body);
-            if (!parsed.is_object())
-                return done(support::fail(error_kind::store_unavailable,
-                                          "the platform's answer is "
-                                          "malformed"));
-            done(decision::table_row{
-                .value = support::text_field(parsed, "value"),
-                .version = support::integer_field(parsed, "version")});
-        });
+    this->send(this->make_request(http_method::get, "/table/" + key, ""),
+               [done = std::move(done)](const client_outcome& outcome)
+               {
+                   if (outcome && outcome->status == 404)
+                       return done(decision::table_row{});
+                   if (!outcome || outcome->status != 200)
+                       return done(
+                           support::fail(error_kind::store_unavailable,
+                                         "the platform did not answer"));
+                   const json parsed = support::parse_json(outcome->body);
+                   if (!parsed.is_object())
+                       return done(support::fail(error_kind::store_unavailable,
+                                                 "the platform's answer is "
+                                                 "malformed"));
+                   done(decision::table_row{
+                       .value = support::text_field(parsed, "value"),
+                       .version = support::integer_field(parsed, "version")});
+               });
 }
 
 void platform_client::transact(const std::vector<decision::table_write>& writes,
--- a/support/include/chicorydrum/support/json_fields.hpp
+++ b/support/include/chicorydrum/support/json_fields.hpp
@@ -20,6 +20,13 @@
 /// them does not hide the others. Returns a discarded value if it is not JSON.
 nlohmann::json parse_json(std::string_view text);
 
+/// Replaces what is not Unicode in strings by U+FFFD and numbers that are too
+/// large by null, so that one entry does not make a whole list unreadable.
+std::string repair_json(std::string_view text);
+
+/// Parses \p text; repairs it first if it is not JSON.
+nlohmann::json parse_repaired_json(std::string_view text);
+
 /// Parses \p text as a JSON object; returns an empty object if it is not one.
 nlohmann::json parse_json_object(std::string_view text);
 
