Don't follow redirects in calls to endpoints and the store

What callers could see: a start, stop or list that is answered with a redirect was sent a second time, to the address named in the answer, which nobody here had chosen. A pooled address that has changed hands may answer anything.

Cause: the library follows redirects by itself unless it is told not to. An order counts as sent once; its second execution was ruled out by nobody. The call then ended as one without answer.

Evidence: http/redirect_is_not_followed failed before for the first case (301 on a dedicated connection): bytes arrived at the other address, and no outcome with a status. Now the status is the outcome, for 301, 302, 307 and 308, on pooled and on dedicated connections; the codec takes such a status for no answer.

Ruled out by request_without_answer_is_not_sent_again, which passed before too: the library sends a request again when a reused connection is closed or reset by a server that has read it.

--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -225,7 +225,9 @@
     info.context = this->options.loop.context();
     info.vhost =
         is_pooled ? this->channels[open.reservation.channel] : this->vhost;
-    info.ssl_connection = is_pooled ? LCCSCF_PIPELINE : 0;
+    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+    if (is_pooled)
+        info.ssl_connection |= LCCSCF_PIPELINE;
     info.keep_warm_secs =
         static_cast<std::uint16_t>(this->options.idle_timeout.count());
     info.address = open.request.address.c_str();
--- a/transport/unittests/http_test.cpp
+++ b/transport/unittests/http_test.cpp
@@ -4,9 +4,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <map>
+#include <optional>
 #include <thread>
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -142,6 +145,141 @@
     int listener;
 };
 
+/// Answers the requests it receives, on any number of connections, with given
+/// responses in turn, and counts them. An empty response closes the connection,
+/// and `reset` resets it.
+class scripted_server
+{
+public:
+    static constexpr const char* reset = "reset";
+
+    explicit scripted_server(std::vector<std::string> answers)
+        : responses(std::move(answers)),
+          listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(::bind(this->listener,
+                             reinterpret_cast<sockaddr*>(&address),
+                             sizeof address) == 0);
+        BOOST_REQUIRE(::listen(this->listener, 8) == 0);
+        this->serving = std::thread([this] { this->serve(); });
+    }
+    ~scripted_server()
+    {
+        this->is_ending = true;
+        this->serving.join();
+        ::close(this->listener);
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    int port() const
+    {
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address),
+                      &size);
+        return ntohs(address.sin_port);
+    }
+    int requests() const
+    {
+        return this->received;
+    }
+    /// Returns whether any byte has arrived.
+    bool has_traffic() const
+    {
+        return this->has_received;
+    }
+
+private:
+    void serve()
+    {
+        std::vector<pollfd> sockets{
+            {.fd = this->listener, .events = POLLIN, .revents = 0}};
+        while (!this->is_ending)
+        {
+            ::poll(sockets.data(), sockets.size(), 5);
+            if ((sockets[0].revents & POLLIN) != 0)
+                sockets.push_back(
+                    {.fd = ::accept(this->listener, nullptr, nullptr),
+                     .events = POLLIN,
+                     .revents = 0});
+            for (std::size_t i = 1; i < sockets.size(); ++i)
+                if (sockets[i].fd >= 0 && sockets[i].revents != 0 &&
+                    !this->answer(sockets[i].fd))
+                {
+                    ::close(sockets[i].fd);
+                    sockets[i].fd = -1;
+                }
+        }
+        for (std::size_t i = 1; i < sockets.size(); ++i)
+            if (sockets[i].fd >= 0)
+                ::close(sockets[i].fd);
+    }
+
+    /// Returns whether \p connection stays open.
+    bool answer(int connection)
+    {
+        std::string buffer(4096, '\0');
+        const ssize_t count =
+            ::recv(connection, buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+            return false;
+        std::string& request = this->partial[connection];
+        this->has_received = true;
+        request.append(buffer, 0, static_cast<std::size_t>(count));
+        if (!request.ends_with("body"))
+            return true;
+        request.clear();
+        const auto number = static_cast<std::size_t>(this->received++);
+        if (number >= this->responses.size() || this->responses[number].empty())
+            return false;
+        const std::string& response = this->responses[number];
+        if (response == reset)
+        {
+            const linger at_once{.l_onoff = 1, .l_linger = 0};
+            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once,
+                         sizeof at_once);
+            return false;
+        }
+        ::send(connection, response.data(), response.size(), MSG_NOSIGNAL);
+        return true;
+    }
+
+    std::vector<std::string> responses;
+    int listener;
+    std::map<int, std::string> partial;
+    std::atomic<bool> is_ending = false;
+    std::atomic<bool> has_received = false;
+    std::atomic<int> received = 0;
+    std::thread serving;
+};
+
+/// Sends a request to \p server, waits for its outcome, and then for further
+/// requests that the client might send by itself.
+client_outcome call_and_wait(event_loop& loop, http_client& client,
+                             const scripted_server& server)
+{
+    std::optional<client_outcome> outcome;
+    client_request request;
+    request.address = "127.0.0.1";
+    request.port = server.port();
+    request.method = http_method::post;
+    request.path = "/order";
+    request.body = "body";
+    request.timeout = support::milliseconds(500);
+    client.send(std::move(request), [&outcome](client_outcome ended)
+                { outcome = std::move(ended); });
+    loop.run_until([&outcome] { return outcome.has_value(); });
+    bool has_waited = false;
+    timer wait = loop.make_timer([&has_waited] { has_waited = true; });
+    wait.start(support::milliseconds(100));
+    loop.run_until([&has_waited] { return has_waited; });
+    return *outcome;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http)
@@ -262,6 +400,51 @@
     }
 }
 
+// A server that receives a request on a reused connection and closes it without
+// answer may have executed it. The library must not send it a second time.
+BOOST_AUTO_TEST_CASE(request_without_answer_is_not_sent_again)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for (const std::size_t pooled : {0, 2})
+        for (const std::string end : {"", scripted_server::reset})
+        {
+            scripted_server server({ok, end, ok});
+            event_loop loop{{.max_connections = 50}};
+            http_client client(
+                {.loop = loop, .max_pooled_connections = pooled});
+            BOOST_TEST(call_and_wait(loop, client, server).has_value());
+            const client_outcome second = call_and_wait(loop, client, server);
+            BOOST_REQUIRE(!second);
+            BOOST_TEST((second.error() == client_error::no_response));
+            BOOST_TEST(server.requests() == 2);
+        }
+}
+
+// An answer that names another address is an answer. The library must not send
+// the request there, and so a second time.
+BOOST_AUTO_TEST_CASE(redirect_is_not_followed)
+{
+    for (const int status : {301, 302, 307, 308})
+        for (const std::size_t pooled : {0, 2})
+        {
+            scripted_server other({"HTTP/1.1 200 OK\r\n"
+                                   "content-length: 2\r\n\r\nok"});
+            scripted_server server(
+                {"HTTP/1.1 " + std::to_string(status) +
+                 " Elsewhere\r\nlocation: http://127.0.0.1:" +
+                 std::to_string(other.port()) +
+                 "/order\r\ncontent-length: 0\r\n\r\n"});
+            event_loop loop{{.max_connections = 50}};
+            http_client client(
+                {.loop = loop, .max_pooled_connections = pooled});
+            const client_outcome outcome = call_and_wait(loop, client, server);
+            BOOST_TEST(server.requests() == 1);
+            BOOST_TEST(!other.has_traffic());
+            BOOST_REQUIRE(outcome.has_value());
+            BOOST_TEST(outcome->status == status);
+        }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::transport
