Wait for live hosts without link before ending an adoption

Callers saw a task stopped and started again when the links of a new owner were reset while it took a shard over: the work done so far was lost.

Cause: the owner waits for the answers of its connected peers, and stops the runs that no job claims when all have answered. A peer whose link has just broken still counts as alive for 150 ms, so that its jobs are kept everywhere else, but it was not waited for; without any link nobody was.

Evidence: takeover/links_of_the_successor_reset failed before with two starts instead of one: run_stopped in the millisecond of shard_owned, the host with the job connected again 25 ms later. No two runs at one time were seen: the owner waits for the end of the stopped run.

The owner now waits for all peers that count as alive. The adoption window still bounds the wait by 400 ms, and a peer that does not return counts as alive for 150 ms only.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -159,6 +159,9 @@
     /// Returns whether this host has just lost all its peers, not only because
     /// they have stopped as planned.
     bool is_isolated() const;
+    /// Returns the peers that count as alive, including those whose link has
+    /// just broken.
+    std::vector<std::string> live_peers() const;
     /// Returns the peers with an open link, including silent ones.
     std::vector<std::string> connected_peers() const;
     std::string domain_of(const std::string& host) const;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -179,15 +179,13 @@
 
 void entry_host::end_answered_adoptions()
 {
-    const std::vector<std::string> peers = this->view.connected_peers();
+    const std::vector<std::string> peers = this->view.live_peers();
     for (const auto& [number, shard] : this->shards)
     {
         const auto has_answered =
             [this, shard_number = number,
              token = shard->token()](const std::string& peer)
         {
-            if (!this->view.is_live(peer))
-                return true;
             const auto answers = this->answered_by.find(peer);
             if (answers == this->answered_by.end())
                 return false;
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -435,6 +435,15 @@
     this->released_at[shard] = now;
 }
 
+std::vector<std::string> host_view::live_peers() const
+{
+    std::vector<std::string> live_names;
+    for (const auto& [name, peer] : this->peers)
+        if (this->is_live(peer))
+            live_names.push_back(name);
+    return live_names;
+}
+
 std::vector<std::string> host_view::connected_peers() const
 {
     std::vector<std::string> connected_names;
--- a/test/shards/takeover_test.cpp
+++ b/test/shards/takeover_test.cpp
@@ -371,6 +371,27 @@
     check_no_violations(fleet);
 }
 
+// The links of a new owner are reset while it takes its shard over. It must
+// wait for the hosts that connect again with their jobs, or it stops the runs.
+BOOST_AUTO_TEST_CASE(links_of_the_successor_reset)
+{
+    shard_fleet fleet({.endpoints_per_domain = 2, .powers = {1, 0.9, 0.1}});
+    fleet.run_for(warm_up);
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+    const std::string job = fleet.submit("D1-h3", one_long_task);
+    fleet.run_for(milliseconds(100));
+    fleet.kill("D1-h1");
+    fleet.run_for(milliseconds(270));
+    BOOST_TEST(fleet.owners_of("D1") == 0);
+    fleet.reset_links("D1-h2");
+    fleet.run_for(milliseconds(10));
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h2");
+    fleet.run_for(milliseconds(4000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.starts_of(job) == 1);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
