Use an endpoint only while its entry is that of the listed incarnation

An endpoint may restart under its id as another kind, and its list may arrive before its entry: the entry is written by the store and read every 500 ms, and not at all while the store is away. Until then the owner used the capacity, pool and labels of the earlier incarnation, so that a smaller one was filled beyond its capacity and another pool's got tasks that it may not run.

An endpoint now gets tasks only while the start time in its entry equals that of its last list. They are compared for equality only: the time of day may have been set back between two starts. Either missing counts as before. The cost is an idle endpoint until the store lists its restart.

late_orders/incarnation_of_another_kind_answers_before_it_is_listed failed before with a later and with an earlier start time: two tasks of 1000 on an endpoint of 1000. What remains: a start sent before anything of the new incarnation has reached the owner; only polling of idle endpoints would narrow that window.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -224,6 +224,14 @@
         return this->listed_incarnation;
     }
 
+    /// Returns whether the entry is that of the incarnation that was listed
+    /// last. Another one may have another capacity, pool or other labels.
+    bool has_current_entry() const
+    {
+        return this->listed_incarnation == 0 || this->registered.born_ms == 0 ||
+               this->listed_incarnation == this->registered.born_ms;
+    }
+
     /// Returns whether a run is active whose start was confirmed.
     bool has_confirmed_runs() const;
     /// Drops and returns the runs that \p evidence proves to have ended. A
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -28,8 +28,8 @@
                  const schema::task_group& group)
 {
     const schema::endpoint_registration& endpoint = record.lease.entry();
-    return record.is_listed && !endpoint.is_draining &&
-           endpoint.pool == job.terms.pool &&
+    return record.is_listed && record.lease.has_current_entry() &&
+           !endpoint.is_draining && endpoint.pool == job.terms.pool &&
            (group.required_label.empty() ||
             has_label(endpoint, group.required_label));
 }
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -593,6 +593,36 @@
         (script.reports.back().outcome == schema::job_result::completed));
 }
 
+// An endpoint restarts as another kind, and answers before the platform lists
+// its new entry. It must get no task that only the earlier kind could run, nor
+// may its capacity be taken from the earlier entry.
+BOOST_AUTO_TEST_CASE(incarnation_of_another_kind_answers_before_it_is_listed)
+{
+    // An incarnation that starts later may have an earlier time of day.
+    for (const std::int64_t born_ms : {1, 9})
+    {
+        scripted_owner script;
+        script.set_endpoints({entry_of("D1-e1", 5)});
+        script.answer_list(script.last_list("D1-e1"), 5);
+        script.submit("job1");
+        BOOST_REQUIRE(script.starts.size() == 1U);
+        script.answer_start(script.starts.front(), order_status::accepted);
+        script.wait(milliseconds(25));
+        for (int i = 0; i < 5; ++i)
+        {
+            script.answer_list(script.last_list("D1-e1"), born_ms);
+            script.wait(milliseconds(25));
+        }
+        script.submit("job2", 2);
+        BOOST_TEST(script.starts.size() == 1U);
+        schema::endpoint_registration smaller = entry_of("D1-e1", born_ms);
+        smaller.capacity.millicores = 1000;
+        script.set_endpoints({smaller});
+        script.answer_list(script.last_list("D1-e1"), born_ms);
+        BOOST_TEST(script.starts.size() == 2U);
+    }
+}
+
 // A run that is being stopped is listed neither as active nor as ended. Its
 // capacity must not be used for up to the time that a stop takes.
 BOOST_AUTO_TEST_CASE(stopping_run_that_is_not_listed)
