Stop the later run of a task whose earlier run has completed

A task went on to run for up to its whole length after its job had been answered as completed, at the cost of other jobs' capacity: a run seemed lost when its endpoint's lease had lapsed, the task ran elsewhere, and then the endpoint listed that the first run had completed. The task was counted as done, and only runs of tasks that are still placed are stopped at the end of a job. A cancelled job could be left with a run in the same way.

All other runs of a task are stopped when one has completed.

late_orders/completed_run_is_listed_beside_a_later_run failed before (no stop).

--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -319,6 +319,9 @@
         this->update_run_times(job, ended, where, now);
         where.run_succeeded();
         job.set_state(*task, task_state::done);
+        // A later run, started when this one seemed lost.
+        for (const auto& [id, record] : this->endpoints)
+            this->stop_run(*record, ended.task, now);
         if (job.is_complete())
             this->finish(job.id(), schema::job_result::completed, "", now);
         return;
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -623,6 +623,41 @@
     }
 }
 
+// A run seems lost with its endpoint's lease and its task runs elsewhere, then
+// the endpoint lists that the run had completed. The later run must be stopped,
+// or it goes on without its job.
+BOOST_AUTO_TEST_CASE(completed_run_is_listed_beside_a_later_run)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1"), entry_of("D1-e2")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.answer_list(script.last_list("D1-e2"), 1);
+    script.submit("job1", 1, milliseconds(9000));
+    BOOST_REQUIRE(script.starts.size() == 1U);
+    const shard::start_order first = script.starts.front();
+    script.answer_start(first, order_status::accepted);
+    for (int i = 0; i < 100 && script.starts.size() == 1U; ++i)
+        script.wait(milliseconds(25));
+    BOOST_REQUIRE(script.starts.size() == 2U);
+    const shard::start_order second = script.starts.back();
+    BOOST_REQUIRE(second.to.id != first.to.id);
+    script.answer_start(second, order_status::accepted);
+    // Only the answer to a request that is not overdue counts.
+    for (int i = 0; i < 20 && script.reports.empty(); ++i)
+    {
+        script.wait(milliseconds(25));
+        script.answer_list(
+            script.last_list(first.to.id), 1, {},
+            {{.number = 1, .task = first.task, .run = first.run}});
+    }
+    BOOST_REQUIRE(script.reports.size() == 1U);
+    BOOST_TEST(
+        (script.reports.back().outcome == schema::job_result::completed));
+    BOOST_REQUIRE(script.stops.size() == 1U);
+    BOOST_TEST(script.stops.front().to.id == second.to.id);
+    BOOST_TEST(script.stops.front().run == second.run);
+}
+
 // A run that is being stopped is listed neither as active nor as ended. Its
 // capacity must not be used for up to the time that a stop takes.
 BOOST_AUTO_TEST_CASE(stopping_run_that_is_not_listed)
