Dial hosts no more whose rows were removed

Cause: the directory reported rows with a record only.

Fix: it reports hosts whose row was removed, or is missing in an answer with all rows, to the links and to the view. A row that was overwritten with something unreadable is no removal: the host is there and registers again. An open link stays open. A dial in progress to a removed host ends with the timeout of the connection.

--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -54,6 +54,9 @@
     /// Adds \p host or updates its address.
     void update_host(const std::string& host,
                      const schema::host_record& record);
+    /// Dials \p host no more. An open link to it stays open.
+    void remove_host(const std::string& host);
+
     std::int64_t dials() const
     {
         return this->dial_count;
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -266,6 +266,10 @@
     {
         this->links.update_host(peer, record);
     };
+    hooks.host_removed = [this](const std::string& peer)
+    {
+        this->links.remove_host(peer);
+    };
     hooks.read = [this, now](const shard::table_read& read)
     {
         ++this->host_metrics.store_reads;
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -62,6 +62,11 @@
     this->check_timer.start(support::milliseconds(1));
 }
 
+void shard_links::remove_host(const std::string& host)
+{
+    this->known_hosts.erase(host);
+}
+
 void shard_links::check()
 {
     this->checks_soon = false;
--- a/daemon/unittests/shard_links_test.cpp
+++ b/daemon/unittests/shard_links_test.cpp
@@ -215,6 +215,28 @@
     BOOST_TEST(hosts.one.links.dials() == 0);
 }
 
+// Guards against a list of hosts to dial that only grows.
+BOOST_AUTO_TEST_CASE(removed_hosts_are_not_dialled)
+{
+    two_hosts hosts;
+    schema::host_record record = hosts.other.record;
+    // Nothing listens there.
+    record.peer_port = first_port + 9;
+    hosts.one.links.update_host("h9", record);
+    hosts.run_for(milliseconds(300));
+    BOOST_TEST(hosts.one.links.dials() > 0);
+    hosts.one.links.remove_host("h9");
+    const std::int64_t before = hosts.one.links.dials();
+    hosts.run_for(milliseconds(500));
+    BOOST_TEST(hosts.one.links.dials() == before);
+    // A link that is open stays.
+    hosts.one.learn(hosts.other);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.one.links.remove_host("h2");
+    hosts.talk();
+    BOOST_TEST(hosts.one.lost == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::daemon
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -127,6 +127,8 @@
     /// A host is new or has changed.
     std::function<void(const std::string&, const schema::host_record&)>
         host_read;
+    /// The row of a host that was read before was removed.
+    std::function<void(const std::string&)> host_removed;
     std::function<void(std::int64_t version)> registered;
     /// The whole host table was read for the first time. If it has a row of an
     /// earlier process of this host, it also lists this host's peers.
@@ -218,6 +220,8 @@
     void apply(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
     void apply_hosts(const table_rows& rows, support::instant now);
+    /// Reports the hosts whose rows \p rows shows as removed.
+    void report_removed_hosts(const table_rows& rows);
     void apply_endpoints(const table_rows& rows, support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
@@ -230,6 +234,8 @@
     std::minstd_rand random;
     std::array<table_state, directory_tables> tables;
     std::map<std::string, known_endpoint> known;
+    /// The other hosts that were reported.
+    std::set<std::string> known_hosts;
     std::int64_t endpoint_changes = 0;
     std::optional<support::instant> endpoints_read_at;
     bool owns = false;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -33,6 +33,8 @@
     /// Reports another entry host and its address for peers.
     std::function<void(const std::string& host, const schema::host_record&)>
         host_known;
+    /// Reports that a host is not registered any more.
+    std::function<void(const std::string& host)> host_removed;
     std::function<void(const table_read&)> read;
     std::function<void(const registration_write&)> write;
     /// Decodes a configuration that a peer has shared.
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -104,6 +104,7 @@
                           support::instant now);
     /// The table lists a host of the own domain.
     void host_listed(const std::string& host);
+    void host_unlisted(const std::string& host);
     /// All hosts that the domain had before this process started were listed.
     void listing_complete();
     void set_stopping(support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -205,9 +205,12 @@
             this->own_version = row.version;
             continue;
         }
-        if (row.record)
-            this->hooks.host_read(row.name, *row.record);
+        if (!row.record)
+            continue;
+        this->known_hosts.insert(row.name);
+        this->hooks.host_read(row.name, *row.record);
     }
+    this->report_removed_hosts(rows);
     if (rows.is_whole && !this->hosts_are_complete)
     {
         this->hosts_are_complete = true;
@@ -226,6 +229,28 @@
     this->repeat_write(now);
 }
 
+void directory::report_removed_hosts(const table_rows& rows)
+{
+    std::set<std::string> present;
+    std::set<std::string> removed;
+    for (const host_row& row : rows.hosts)
+    {
+        // A host whose row was overwritten is there and registers again.
+        const bool is_present = row.record || row.version > 0;
+        (is_present ? present : removed).insert(row.name);
+    }
+    std::erase_if(this->known_hosts,
+                  [&](const std::string& host)
+                  {
+                      const bool is_gone =
+                          !present.contains(host) &&
+                          (rows.is_whole || removed.contains(host));
+                      if (is_gone)
+                          this->hooks.host_removed(host);
+                      return is_gone;
+                  });
+}
+
 void directory::apply_endpoints(const table_rows& rows, instant now)
 {
     if (!this->endpoints_read_at)
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -79,6 +79,12 @@
                      this->view.host_listed(host);
                  this->hooks.host_known(host, record);
              },
+             .host_removed =
+                 [this](const std::string& host)
+             {
+                 this->view.host_unlisted(host);
+                 this->hooks.host_removed(host);
+             },
              .registered = [this](std::int64_t version)
              { this->view.set_registration(version); },
              .hosts_complete =
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -90,6 +90,11 @@
     this->listed.insert(host);
 }
 
+void host_view::host_unlisted(const std::string& host)
+{
+    this->listed.erase(host);
+}
+
 void host_view::listing_complete()
 {
     this->listing_is_complete = true;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -31,6 +31,8 @@
                  .config_read = [](const routing_config&) {},
                  .host_read = [](const std::string&,
                                  const schema::host_record&) {},
+                 .host_removed = [this](const std::string& host)
+                 { this->removed_hosts += host + " "; },
                  .registered = [](std::int64_t) {},
                  .hosts_complete = [](bool) {},
                  .log =
@@ -85,6 +87,7 @@
     std::vector<table_read> reads;
     std::vector<registration_write> writes;
     std::vector<std::string> lines;
+    std::string removed_hosts;
     directory table;
 };
 
@@ -239,6 +242,40 @@
     BOOST_TEST(this->table.endpoints().size() == 2U);
 }
 
+// Guards against a list of hosts to dial that only grows.
+BOOST_FIXTURE_TEST_CASE(removed_hosts_are_reported, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 6;
+    rows.is_whole = true;
+    for (const char* const name : {"h2", "h3", "h4", "h5"})
+        rows.hosts.push_back(
+            {.name = name, .record = make_record(2), .version = 5});
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts.empty());
+    rows.version = 8;
+    rows.is_whole = false;
+    // Removed, unreadable, and never read.
+    rows.hosts = {{.name = "h2", .record = {}, .version = 0},
+                  {.name = "h3", .record = {}, .version = 7},
+                  {.name = "h9", .record = {}, .version = 0}};
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts == "h2 ");
+    // Removed and written again in one answer.
+    rows.version = 10;
+    rows.hosts = {{.name = "h4", .record = {}, .version = 0},
+                  {.name = "h4", .record = make_record(3), .version = 10}};
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts == "h2 ");
+    rows.version = 12;
+    rows.is_whole = true;
+    rows.hosts = {{.name = "h4", .record = make_record(3), .version = 10}};
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts == "h2 h3 h5 ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -488,6 +488,8 @@
     };
     hooks.host_known = [](const std::string&, const schema::host_record&) {
     };
+    hooks.host_removed = [](const std::string&) {
+    };
     hooks.read = [this, name, incarnation](const shard::table_read& wanted)
     {
         this->read(name, incarnation, wanted);
