Discard what a link carries after a silence

Callers saw: a job ran twice at once when its submission was held up in a cut link for 1,300 ms or more and arrived when the link returned, before the link was closed at 1,500 ms of silence. Its caller had sent a copy to another domain.

Cause: a link kept what it held up for as long as it was open, and nothing in a message tells its age. The owner started the job, whose withdrawal was behind it in the same link.

The virtual fleet dropped messages of a cut before; it now holds those between hosts up, as TCP does, until the cut ends or the link is closed.

Fix: a host that receives a message on a link after a silence that makes the peer count as dead discards it and closes the link. The new link starts with the open jobs and the present state. A host that was merely late, or frozen, connects again. A link whose peer was dead by silence no longer counts as live for the reconnect window when it is closed.

Ruled out: closing the link when it falls silent.

--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -51,6 +51,10 @@
     explicit shard_links(shard_links_options opts);
 
     void send(const std::string& host, const schema::shard_message& message);
+    /// Closes the link to \p host, if any, and discards what it still carries.
+    /// It is dialled again.
+    /// Calls on_lost at once.
+    void close(const std::string& host);
     /// Adds \p host or updates its address.
     void update_host(const std::string& host,
                      const schema::host_record& record);
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -261,6 +261,10 @@
     {
         this->links.send(peer, message);
     };
+    hooks.close_link = [this](const std::string& peer)
+    {
+        this->links.close(peer);
+    };
     hooks.host_known =
         [this](const std::string& peer, const schema::host_record& record)
     {
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -260,6 +260,22 @@
     this->options.on_lost(host);
 }
 
+void shard_links::close(const std::string& host)
+{
+    const auto found = this->link_of_host.find(host);
+    if (found == this->link_of_host.end())
+        return;
+    const transport::link_id id = found->second;
+    this->link_of_host.erase(found);
+    if (const auto entry = this->known_hosts.find(host);
+        entry != this->known_hosts.end())
+        entry->second.unlinked_since = transport::event_loop::now();
+    // Frames that arrive before the connection ends are rejected.
+    this->links[id].host.clear();
+    this->network.close(id);
+    this->options.on_lost(host);
+}
+
 void shard_links::send(const std::string& host,
                        const schema::shard_message& message)
 {
--- a/daemon/unittests/shard_links_test.cpp
+++ b/daemon/unittests/shard_links_test.cpp
@@ -139,6 +139,23 @@
     BOOST_TEST(hosts.other.messages > 0);
 }
 
+// A host closes a link that may carry messages from before a silence. Both
+// sides must learn of it and connect again.
+BOOST_AUTO_TEST_CASE(closed_link_is_dialled_again)
+{
+    two_hosts hosts;
+    hosts.one.learn(hosts.other);
+    hosts.other.learn(hosts.one);
+    BOOST_TEST(hosts.wait_for_link());
+    hosts.other.links.close("h1");
+    BOOST_TEST(hosts.other.lost == 1);
+    hosts.talk();
+    BOOST_TEST(hosts.are_linked());
+    BOOST_TEST(hosts.one.lost == 1);
+    BOOST_TEST(hosts.other.lost == 1);
+    BOOST_TEST(hosts.other.messages > 0);
+}
+
 BOOST_AUTO_TEST_CASE(simultaneous_dials_leave_one_link)
 {
     two_hosts hosts(milliseconds(0));
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -31,6 +31,9 @@
     std::function<void(const caller_answer&)> answer;
     std::function<void(const std::string& host, const schema::shard_message&)>
         send;
+    /// Closes the link to a peer, so that no message that it has held up
+    /// arrives any more. Calls peer_lost().
+    std::function<void(const std::string& host)> close_link;
     /// Reports another entry host and its address for peers.
     std::function<void(const std::string& host, const schema::host_record&)>
         host_known;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -171,6 +171,9 @@
     bool keeps_jobs_of(const std::string& host) const;
     /// Returns whether this host has lost all its peers.
     bool is_isolated() const;
+    /// Returns whether \p host has an open link on which nothing has arrived
+    /// for so long that it counts as dead.
+    bool has_silent_link(const std::string& host, support::instant now);
     /// Returns the peers with an open link, including silent ones.
     std::vector<std::string> connected_peers() const;
     std::string domain_of(const std::string& host) const;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -255,6 +255,15 @@
                                        instant now)
 {
     this->begin_event(now);
+    if (this->view.has_silent_link(peer, now))
+    {
+        // The message and those behind it may have been held up since before
+        // the silence. A new link starts with the present state of both sides.
+        this->hooks.log(log_line("link_was_silent", support::log_level::warning)
+                            .add("peer", peer));
+        this->hooks.close_link(peer);
+        return;
+    }
     this->view.message_received(peer, now);
     if (message.__isset.beat)
         this->handle_heartbeat(peer, message.beat, now);
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -213,10 +213,10 @@
 
 bool host_view::is_live(const peer_state& peer) const
 {
-    if (!peer.is_connected)
-        return this->current_time - peer.disconnected_at <
-               this->options.reconnect_window;
-    return !this->is_silent(peer, this->silence_limit_of(peer));
+    if (this->is_silent(peer, this->silence_limit_of(peer)))
+        return false;
+    return peer.is_connected || this->current_time - peer.disconnected_at <
+                                    this->options.reconnect_window;
 }
 
 bool host_view::keeps_jobs_of(const std::string& host) const
@@ -467,6 +467,14 @@
     this->released_at[shard] = now;
 }
 
+bool host_view::has_silent_link(const std::string& host, instant now)
+{
+    this->current_time = now;
+    const auto found = this->peers.find(host);
+    return found != this->peers.end() && found->second.is_connected &&
+           !this->is_live(found->second);
+}
+
 std::vector<std::string> host_view::connected_peers() const
 {
     std::vector<std::string> connected_names;
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds order_timeout{250};
 constexpr milliseconds list_slack{250};
 constexpr milliseconds store_timeout{1000};
-/// Silence after which the daemon closes a link.
+/// Silence after which the daemon closes a link if the host has not.
 constexpr milliseconds link_silence{1500};
 /// Delay after which callers resend a job whose call was lost.
 constexpr milliseconds resend_delay{1300};
@@ -277,6 +277,16 @@
 void shard_fleet::heal()
 {
     this->partitions.clear();
+    for (const held_message& held : std::exchange(this->held_messages, {}))
+    {
+        // A host may close the link at its first message.
+        if (!this->links.contains(link_of(held.from, held.to)))
+            continue;
+        this->deliver(held.to, held.incarnation,
+                      [from = held.from, message = held.message](
+                          shard::entry_host& host, support::instant now)
+                      { host.peer_message_received(from, message, now); });
+    }
 }
 
 void shard_fleet::maintain_links()
@@ -330,6 +340,10 @@
     if (this->links.erase(link_of(one, other)) == 0)
         return;
     this->silent_links.erase(link_of(one, other));
+    std::erase_if(this->held_messages,
+                  [&one, &other](const held_message& held) {
+                      return link_of(held.from, held.to) == link_of(one, other);
+                  });
     for (const auto& [to, from] :
          {std::pair(one, other), std::pair(other, one)})
         this->deliver(
@@ -473,12 +487,17 @@
             link_delay,
             [this, name, incarnation, peer, peer_incarnation, link, message]
             {
-                const bool arrives =
+                const bool is_open =
                     this->links.contains(link) &&
                     !this->silent_links.contains(link) &&
-                    !this->drops(name, peer) &&
                     this->processes.at(name).incarnation == incarnation;
-                if (arrives)
+                if (is_open && this->drops(name, peer))
+                    this->held_messages.push_back(
+                        {.from = name,
+                         .to = peer,
+                         .incarnation = peer_incarnation,
+                         .message = message});
+                else if (is_open)
                     this->deliver(
                         peer, peer_incarnation,
                         [name, message](shard::entry_host& host,
@@ -486,6 +505,10 @@
                         { host.peer_message_received(name, message, now); });
             });
     };
+    hooks.close_link = [this, name](const std::string& peer)
+    {
+        this->drop_link(name, peer);
+    };
     hooks.host_known = [](const std::string&, const schema::host_record&) {
     };
     hooks.read = [this, name, incarnation](const shard::table_read& wanted)
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -113,6 +113,8 @@
     /// Pauses \p host like pause(); its steady clock stands still meanwhile.
     void suspend(const std::string& host, support::milliseconds span);
     /// Drops all messages between two sets of hosts, endpoints or "store".
+    /// Those between hosts are held up until heal(), unless their link is
+    /// closed before.
     void partition(const std::set<std::string>& one,
                    const std::set<std::string>& other);
     /// Drops messages from \p from to \p to only.
@@ -229,6 +231,14 @@
     std::map<std::string, std::unique_ptr<virtual_endpoint>> endpoints;
     std::set<std::pair<std::string, std::string>> links;
     std::set<std::pair<std::string, std::string>> silent_links;
+    struct held_message
+    {
+        std::string from;
+        std::string to;
+        int incarnation = 0;
+        schema::shard_message message;
+    };
+    std::vector<held_message> held_messages;
     std::string host_of_copies;
     struct partition_rule
     {
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -242,6 +242,64 @@
     }
 }
 
+// A submission is held up in a cut link until its caller has sent a copy to
+// another domain. The owner must not start the job when the link returns.
+BOOST_AUTO_TEST_CASE(submission_held_up_in_a_cut_link)
+{
+    for (int span = 1350; span < 1500; span += 25)
+        for (const bool is_one_way : {true, false})
+        {
+            BOOST_TEST_CONTEXT("span " << span << " one way " << is_one_way)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry = other_host(fleet, owner);
+                fleet.send_copies_to("D2-h1");
+                if (is_one_way)
+                    fleet.partition_one_way({entry}, {owner});
+                else
+                    fleet.partition({entry}, {owner});
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.lose_caller(job, milliseconds(50));
+                fleet.run_for(milliseconds(span));
+                fleet.heal();
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.starts_of(job) == 4);
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// A host is cut off from its owner only, and does not learn that its caller is
+// gone. It must not submit the job again when the link returns: a copy runs in
+// another domain.
+BOOST_AUTO_TEST_CASE(host_returns_to_its_owner_beside_a_copy)
+{
+    for (const int span : {1000, 1400, 2500})
+    {
+        BOOST_TEST_CONTEXT("span " << span)
+        {
+            shard_fleet fleet({.domains = 2});
+            fleet.run_for(warm_up);
+            const std::string owner = fleet.owner_of("D1");
+            const std::string entry = other_host(fleet, owner);
+            fleet.send_copies_to("D2-h1");
+            const std::string job = fleet.submit(entry, long_job);
+            fleet.run_for(milliseconds(100));
+            fleet.lose_caller(job);
+            fleet.partition({entry}, {owner});
+            fleet.run_for(milliseconds(span));
+            fleet.heal();
+            fleet.run_for(milliseconds(9000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+    }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
