End the open jobs of a host that is cut off from its domain only

Callers saw: a job ran twice at once when its entry host lost all hosts of its own domain but heard another one, and did not learn that its caller was gone.

Cause: a host ended its open jobs only when it heard no peer at all. One that heard another domain kept them, claimed its domain's shards for itself and took the jobs up there, or went on with those that it owned, while the caller's copy ran.

Fix: a host that hears no host of its domain, while a link to one of them is open but silent, counts as isolated and ends its open jobs as interrupted, 625 ms after the cut. A host whose process ends closes its links and does not count, so that planned stops and kills in a small domain end no jobs.

Cost: in a domain of two hosts, the freeze of one ends the other's open jobs. The two cannot be told apart without asking other domains; weighed, as a flag in the heartbeats and an answer with the hosts heard lately, and left for later.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -169,7 +169,8 @@
     bool is_live(const std::string& host) const;
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
-    /// Returns whether this host has lost all its peers.
+    /// Returns whether this host has lost all its peers, or those of its domain
+    /// by silence.
     bool is_isolated() const;
     /// Returns whether \p host has an open link on which nothing has arrived
     /// for so long that it counts as dead.
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -239,10 +239,21 @@
 
 bool host_view::is_isolated() const
 {
-    return this->had_peers &&
-           std::none_of(this->peers.begin(), this->peers.end(),
-                        [this](const auto& entry)
-                        { return this->is_live(entry.second); });
+    bool hears_any = false;
+    bool hears_domain = false;
+    bool has_silent_link = false;
+    for (const auto& [name, peer] : this->peers)
+    {
+        const bool is_local = peer.identity.domain == this->options.self.domain;
+        const bool hears_peer = this->is_live(peer);
+        hears_any = hears_any || hears_peer;
+        hears_domain = hears_domain || (is_local && hears_peer);
+        has_silent_link =
+            has_silent_link || (is_local && peer.is_connected && !hears_peer);
+    }
+    // Hosts that end close their links, so silent ones may be alive.
+    return (this->had_peers && !hears_any) ||
+           (has_silent_link && !hears_domain);
 }
 
 shard_owners host_view::owners() const
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -300,6 +300,42 @@
     }
 }
 
+// A host is cut off from its domain, but hears another one, while its caller is
+// lost without its learning of it. It must end the job, as its peers do, and
+// not take it up in a shard that it claims itself.
+BOOST_AUTO_TEST_CASE(host_cut_off_from_its_domain_only)
+{
+    for (const bool is_owner : {true, false})
+        for (const int reached : {0, 2, 4})
+        {
+            BOOST_TEST_CONTEXT("owner " << is_owner << " reaches " << reached)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry =
+                    is_owner ? owner : other_host(fleet, owner);
+                fleet.send_copies_to("D2-h1");
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.run_for(milliseconds(100));
+                fleet.lose_caller(job);
+                std::set<std::string> others;
+                for (const std::string& name : fleet.host_names())
+                    if (name != entry && name.starts_with("D1-"))
+                        others.insert(name);
+                for (int i = reached + 1; i <= 4; ++i)
+                    others.insert("D1-e" + std::to_string(i));
+                fleet.partition({entry}, others);
+                fleet.run_for(milliseconds(6000));
+                fleet.heal();
+                fleet.run_for(milliseconds(6000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                check_no_violations(fleet);
+            }
+        }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
