End the open jobs of a host that wakes from a long pause

Callers saw: a job ran twice at once when its entry host was frozen while its links were silent. The host woke, connected again and submitted the job a second time; the caller had sent a copy to another domain.

The host itself kept them through a pause. It learns of the ends by the owners' reports, but a link that went silent or is reset loses them, and then it resubmits on the new link.

Fix: a host whose pause is as long as its owners wait for it ends its open jobs as interrupted before it handles anything else. Shorter pauses keep them.

--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -81,6 +81,9 @@
         this->release_shard(this->shards.begin()->first, "paused", now);
     // Callers whose time passed meanwhile may have sent their jobs elsewhere.
     this->intake.tick(now);
+    // The owners have ended this host's jobs, as its callers counted as lost.
+    if (gap >= this->options.view.caller_silence_timeout)
+        this->intake.end_all("paused");
 }
 
 shard_owner* entry_host::find_shard(const std::string& domain, int number)
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -336,6 +336,31 @@
         }
 }
 
+// A host is paused while its links are silent, so that no report of its jobs'
+// ends reaches it. It must not submit them again when it wakes: a copy runs in
+// another domain.
+BOOST_AUTO_TEST_CASE(paused_host_wakes_beside_a_copy)
+{
+    for (int span = 1400; span <= 2600; span += 200)
+    {
+        BOOST_TEST_CONTEXT("span " << span)
+        {
+            shard_fleet fleet({.domains = 2});
+            fleet.run_for(warm_up);
+            const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+            fleet.send_copies_to("D2-h1");
+            const std::string job = fleet.submit(entry, long_job);
+            fleet.run_for(milliseconds(100));
+            fleet.lose_caller(job);
+            fleet.silence_links(entry);
+            fleet.pause(entry, milliseconds(span));
+            fleet.run_for(milliseconds(9000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+    }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
