--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -171,8 +171,11 @@
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
     /// Returns whether this host has just lost all its peers, not only because
-    /// they have stopped as planned.
+    /// they have stopped as planned, or those of its domain by silence.
     bool is_isolated() const;
+    /// Returns whether \p host has an open link on which nothing has arrived
+    /// for so long that it counts as dead.
+    bool has_silent_link(const std::string& host, support::instant now);
     /// Returns the peers that count as alive, including those whose link has
     /// just broken.
     std::vector<std::string> live_peers() const;
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -222,10 +222,11 @@
 
 bool host_view::is_live(const peer_state& peer) const
 {
-    if (!peer.is_connected)
-        return !peer.was_silent && this->current_time - peer.disconnected_at <
-                                       this->options.reconnect_window;
-    return !this->is_silent(peer, this->silence_limit_of(peer));
+    if (this->is_silent(peer, this->silence_limit_of(peer)))
+        return false;
+    return peer.is_connected ||
+           (!peer.was_silent && this->current_time - peer.disconnected_at <
+                                    this->options.reconnect_window);
 }
 
 bool host_view::keeps_jobs_of(const std::string& host) const
@@ -256,11 +257,23 @@
 {
     // The longest time between the losses of two peers in one cut.
     const auto cut_span = this->options.remote_silence_timeout;
-    return this->peer_lost_at &&
-           this->current_time - *this->peer_lost_at < cut_span &&
-           std::none_of(this->peers.begin(), this->peers.end(),
-                        [this](const auto& entry)
-                        { return this->is_live(entry.second); });
+    const bool has_lost_peer =
+        this->peer_lost_at &&
+        this->current_time - *this->peer_lost_at < cut_span;
+    bool hears_any = false;
+    bool hears_domain = false;
+    bool has_silent_link = false;
+    for (const auto& [name, peer] : this->peers)
+    {
+        const bool is_local = peer.identity.domain == this->options.self.domain;
+        const bool hears_peer = this->is_live(peer);
+        hears_any = hears_any || hears_peer;
+        hears_domain = hears_domain || (is_local && hears_peer);
+        has_silent_link =
+            has_silent_link || (is_local && peer.is_connected && !hears_peer);
+    }
+    // Hosts that end close their links, so silent ones may be alive.
+    return (has_lost_peer && !hears_any) || (has_silent_link && !hears_domain);
 }
 
 shard_owners host_view::owners() const
@@ -499,6 +512,14 @@
     return live_names;
 }
 
+bool host_view::has_silent_link(const std::string& host, instant now)
+{
+    this->current_time = now;
+    const auto found = this->peers.find(host);
+    return found != this->peers.end() && found->second.is_connected &&
+           !this->is_live(found->second);
+}
+
 std::vector<std::string> host_view::connected_peers() const
 {
     std::vector<std::string> connected_names;
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -242,6 +242,125 @@
     }
 }
 
+// A submission is held up in a cut link until its caller has sent a copy to
+// another domain. The owner must not start the job when the link returns.
+BOOST_AUTO_TEST_CASE(submission_held_up_in_a_cut_link)
+{
+    for (int span = 1350; span < 1500; span += 25)
+        for (const bool is_one_way : {true, false})
+        {
+            BOOST_TEST_CONTEXT("span " << span << " one way " << is_one_way)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry = other_host(fleet, owner);
+                fleet.send_copies_to("D2-h1");
+                if (is_one_way)
+                    fleet.partition_one_way({entry}, {owner});
+                else
+                    fleet.partition({entry}, {owner});
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.lose_caller(job, milliseconds(50));
+                fleet.run_for(milliseconds(span));
+                fleet.heal();
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.starts_of(job) == 4);
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// A host is cut off from its owner only, and does not learn that its caller is
+// gone. It must not submit the job again when the link returns: a copy runs in
+// another domain.
+BOOST_AUTO_TEST_CASE(host_returns_to_its_owner_beside_a_copy)
+{
+    for (const int span : {1000, 1400, 2500})
+    {
+        BOOST_TEST_CONTEXT("span " << span)
+        {
+            shard_fleet fleet({.domains = 2});
+            fleet.run_for(warm_up);
+            const std::string owner = fleet.owner_of("D1");
+            const std::string entry = other_host(fleet, owner);
+            fleet.send_copies_to("D2-h1");
+            const std::string job = fleet.submit(entry, long_job);
+            fleet.run_for(milliseconds(100));
+            fleet.lose_caller(job);
+            fleet.partition({entry}, {owner});
+            fleet.run_for(milliseconds(span));
+            fleet.heal();
+            fleet.run_for(milliseconds(9000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+    }
+}
+
+// A host is cut off from its domain, but hears another one, while its caller is
+// lost without its learning of it. It must end the job, as its peers do, and
+// not take it up in a shard that it claims itself.
+BOOST_AUTO_TEST_CASE(host_cut_off_from_its_domain_only)
+{
+    for (const bool is_owner : {true, false})
+        for (const int reached : {0, 2, 4})
+        {
+            BOOST_TEST_CONTEXT("owner " << is_owner << " reaches " << reached)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry =
+                    is_owner ? owner : other_host(fleet, owner);
+                fleet.send_copies_to("D2-h1");
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.run_for(milliseconds(100));
+                fleet.lose_caller(job);
+                std::set<std::string> others;
+                for (const std::string& name : fleet.host_names())
+                    if (name != entry && name.starts_with("D1-"))
+                        others.insert(name);
+                for (int i = reached + 1; i <= 4; ++i)
+                    others.insert("D1-e" + std::to_string(i));
+                fleet.partition({entry}, others);
+                fleet.run_for(milliseconds(6000));
+                fleet.heal();
+                fleet.run_for(milliseconds(6000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// A host is paused while its links are silent, so that no report of its jobs'
+// ends reaches it. It must not submit them again when it wakes: a copy runs in
+// another domain.
+BOOST_AUTO_TEST_CASE(paused_host_wakes_beside_a_copy)
+{
+    for (int span = 1400; span <= 2600; span += 200)
+    {
+        BOOST_TEST_CONTEXT("span " << span)
+        {
+            shard_fleet fleet({.domains = 2});
+            fleet.run_for(warm_up);
+            const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+            fleet.send_copies_to("D2-h1");
+            const std::string job = fleet.submit(entry, long_job);
+            fleet.run_for(milliseconds(100));
+            fleet.lose_caller(job);
+            fleet.silence_links(entry);
+            fleet.pause(entry, milliseconds(span));
+            fleet.run_for(milliseconds(9000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+    }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
