Let an endpoint settle before a new owner uses its capacity

Runners were filled beyond their capacity after a change of owners: the earlier owner stops runs, which are not listed any more but hold their capacity for up to 50 ms, and the new owner takes its first list for complete.

An endpoint that becomes known gets no task for 51 ms (stop_ms on a clock 2% slow). The cost is that time after each takeover and restart.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -68,6 +68,10 @@
     /// How long a run of an earlier owner is kept for its job to be submitted
     /// again; with failure detection it stays below the callers' resend delay.
     support::milliseconds adoption_window{400};
+    /// How long an endpoint that becomes known gets no task: runs that an
+    /// earlier owner is stopping there may not be listed. The longest stop, on
+    /// a clock 2% slow.
+    support::milliseconds settling_time{51};
     /// Maximum number of results that are kept for resubmitted jobs.
     std::size_t max_ended_jobs = 1024;
 };
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -141,7 +141,7 @@
     for (const auto& [id, record] : this->endpoints)
     {
         if (!is_suitable(*record, job, group) || !record->is_responding ||
-            now < record->quarantined_until)
+            now < record->quarantined_until || now < record->settled_at)
             continue;
         double expected =
             this->expected_ms(job, task.group, record->lease.entry());
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -416,6 +416,7 @@
                         .add("token", record.lease.token())
                         .add("runs", static_cast<std::int64_t>(
                                          record.lease.runs().size())));
+    record.settled_at = now + this->options.settling_time;
     for (const auto& [id, job] : this->jobs)
         this->adopt_runs(*job);
     this->needs_placing = true;
