Don't offer a copy elsewhere while the refused job may run

Cause: a copy of a job meets the job in its home shard. A job that its home shard has refused for overload is offered to other shards, and those know nothing of each other: a copy that the home shard refuses as well is offered by its own entry host, to whichever shard that host finds least loaded. The sums of docs/design/06-platform.md assume that a copy comes 1,300 ms after its caller was lost. A host that is slow, or has just started, reads a request late: its caller has sent the copy to another host, and both submit the job at once.

Scenarios, without the check in refused_jobs: copy_of_an_offered_job_arrives_at_once fails with two runs of each task for copies 0 to 30 ms after the loss, and request_of_an_offered_job_is_read_late with two runs of each task. Both pass now.

Fix: the home shard remembers the jobs that it has refused, until their deadline, or until 1,000 ms after the call that was refused has ended and withdrawn the job, or until their entry host has been lost for so long that its jobs have ended. A submission by another call gets "interrupted" meanwhile. A caller that was refused everywhere comes back after 1,000 ms and is taken like a new one (refused_caller_comes_back, which passed before too).

What remains: a new owner of the home shard knows no refusals; copies that reach entry hosts of another domain have another home shard and rest on the 1,300 ms.

--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -115,6 +115,9 @@
                     support::instant now);
     /// Withdraws a job from all owners that may have it.
     void withdraw(call_id call, const open_job& job);
+    /// Withdraws a job that has ended, and tells its home shard, if that has
+    /// refused it, that it runs nowhere any more.
+    void withdraw_ended(call_id call, const open_job& job);
     /// Withdraws a job wherever it may be, and answers its caller.
     void finish(call_id call, answer_kind kind,
                 support::milliseconds retry_after, const std::string& reason);
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -6,6 +6,7 @@
 #include "chicorydrum/decision/run_time_model.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
+#include "chicorydrum/shard/refused_jobs.hpp"
 #include "chicorydrum/support/log.hpp"
 
 #include <functional>
@@ -131,7 +132,8 @@
     /// Returns the millicores of active and waiting tasks, and those of the
     /// endpoints.
     schema::ownership load() const;
-    /// Returns the entry hosts whose callers wait for a job here.
+    /// Returns the entry hosts whose callers wait for a job here, or for one
+    /// that was refused here and may run elsewhere.
     std::vector<std::string> caller_hosts() const;
     std::size_t open_jobs() const
     {
@@ -186,6 +188,9 @@
     bool may_have_run(const owned_job& job) const;
     void end_expired_jobs(support::instant now);
     void cache_result(const std::string& id, schema::job_result outcome);
+    /// Remembers that \p call was told that job \p id has not run.
+    void record_refusal(const std::string& id, caller_call call,
+                        support::instant deadline, support::instant now);
 
     // Overload.
     /// Returns \p use, decayed exponentially until \p now.
@@ -284,6 +289,9 @@
     std::map<std::string, std::unique_ptr<owned_job>> jobs;
     std::unordered_map<order_id, sent_order> orders;
     std::vector<ended_job> recently_ended;
+    /// Jobs whose home is this shard, and which their hosts may have offered to
+    /// others.
+    refused_jobs refused;
     /// Completed runs whose job has not been submitted to this owner yet.
     std::map<task_key, support::instant> unclaimed_completions;
     /// Raises of the token at endpoints that were removed: they refuse lower
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -158,7 +158,7 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     // Withdrawn first, so that no task runs when the answer arrives.
-    this->withdraw(call, job);
+    this->withdraw_ended(call, job);
     this->hooks.log(log_line("job_answered")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -176,7 +176,7 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     this->hooks.log(log_line("caller_left").add("job", job.work.id));
-    this->withdraw(call, job);
+    this->withdraw_ended(call, job);
 }
 
 void job_intake::withdraw(call_id call, const open_job& job)
@@ -192,6 +192,23 @@
         this->hooks.withdraw(host, message);
 }
 
+void job_intake::withdraw_ended(call_id call, const open_job& job)
+{
+    this->withdraw(call, job);
+    if (job.refused_by.empty())
+        return;
+    const shard_name& home = job.refused_by.front();
+    const auto owner = this->owners.find(home);
+    if (owner == this->owners.end())
+        return;
+    schema::job_withdrawn message;
+    message.call = static_cast<std::int64_t>(call);
+    message.id = job.work.id;
+    message.domain = home.domain;
+    message.shard = home.shard;
+    this->hooks.withdraw(owner->second.host, message);
+}
+
 bool job_intake::is_open(const std::string& id) const
 {
     return std::any_of(this->jobs.begin(), this->jobs.end(),
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -117,7 +117,17 @@
             host, caller.result_of(ended.id, ended.outcome, "repeated"));
         return true;
     }
-    return false;
+    if (!this->refused.may_run_elsewhere(job.work.id,
+                                         {.host = host, .call = job.call}, now))
+        return false;
+    this->hooks.log(log_line("copy_interrupted")
+                        .add("job", job.work.id)
+                        .add("host", host)
+                        .add("reason", "offered_elsewhere"));
+    this->hooks.report(host, caller.result_of(job.work.id,
+                                              schema::job_result::interrupted,
+                                              "offered_elsewhere"));
+    return true;
 }
 
 std::string
@@ -159,6 +169,10 @@
     schema::job_ended ended =
         waiting_call(job, host, now).result_of(job.work.id, outcome, reason);
     ended.retry_after_ms = retry_after.count();
+    if (outcome == schema::job_result::not_run)
+        this->record_refusal(job.work.id, {.host = host, .call = job.call},
+                             now + support::microseconds(job.time_left_us),
+                             now);
     this->hooks.log(log_line("job_refused")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -211,6 +225,7 @@
 void shard_owner::withdraw(const std::string& host,
                            const schema::job_withdrawn& job, instant now)
 {
+    this->refused.call_ended(job.id, {.host = host, .call = job.call}, now);
     const auto found = this->jobs.find(job.id);
     if (found == this->jobs.end())
         return;
@@ -251,6 +266,7 @@
             ids.push_back(id);
     for (const std::string& id : ids)
         this->finish(id, schema::job_result::interrupted, "host_silent", now);
+    this->refused.host_lost(host, now);
 }
 
 void shard_owner::finish(const std::string& id, schema::job_result outcome,
@@ -263,7 +279,12 @@
     this->stop_runs_of(*job, now);
     schema::job_ended ended = job->caller.result_of(id, outcome, reason);
     if (outcome == schema::job_result::not_run)
+    {
         ended.retry_after_ms = this->predicted_wait().count();
+        this->record_refusal(
+            id, {.host = job->caller.host, .call = job->caller.call},
+            job->deadline, now);
+    }
     if (outcome == schema::job_result::completed ||
         outcome == schema::job_result::failed)
         this->cache_result(id, outcome);
@@ -289,6 +310,14 @@
     this->recently_ended.push_back({.id = id, .outcome = outcome});
 }
 
+void shard_owner::record_refusal(const std::string& id, caller_call call,
+                                 instant deadline, instant now)
+{
+    // Copies are submitted to the home shard first.
+    if (shard_of(id, this->options.shards) == this->options.shard)
+        this->refused.add(id, std::move(call), deadline, now);
+}
+
 void shard_owner::stop_runs_of(const owned_job& job, instant now)
 {
     for (const auto& group : job.tasks)
@@ -402,6 +431,7 @@
 
 void shard_owner::end_expired_jobs(instant now)
 {
+    this->refused.remove_expired(now);
     struct job_end
     {
         std::string id;
@@ -473,6 +503,8 @@
     std::set<std::string> hosts;
     for (const auto& [id, job] : this->jobs)
         hosts.insert(job->caller.host);
+    for (const std::string& host : this->refused.hosts())
+        hosts.insert(host);
     return {hosts.begin(), hosts.end()};
 }
 
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -893,6 +893,13 @@
     this->send_job(job, others[this->random() % others.size()]);
 }
 
+void shard_fleet::submit_again(const std::string& job)
+{
+    caller_record& record = this->callers.at(job);
+    record.answer.reset();
+    this->send_job(job, record.host);
+}
+
 void shard_fleet::disconnect_caller(const std::string& job)
 {
     caller_record& record = this->callers.at(job);
@@ -918,7 +925,8 @@
 }
 
 void shard_fleet::lose_caller(const std::string& job,
-                              std::optional<milliseconds> told_after)
+                              std::optional<milliseconds> told_after,
+                              std::optional<milliseconds> copy_after)
 {
     const std::string name = this->caller(job).host;
     process& target = this->processes.at(name);
@@ -927,7 +935,8 @@
                      [&job](const auto& entry) { return entry.second == job; });
     if (lost == target.calls.end())
         return;
-    this->queue.after(resend_delay, [this, job] { this->resend(job); });
+    this->queue.after(copy_after.value_or(resend_delay),
+                      [this, job] { this->resend(job); });
     if (told_after)
         this->queue.after(
             *told_after,
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -92,14 +92,18 @@
     /// Sends a job to \p host. After a lost call it is resent to another host
     /// of the domain, as callers do.
     std::string submit(const std::string& host, const job_shape& shape = {});
+    /// Sends a refused job again to the same host.
+    void submit_again(const std::string& job);
     void disconnect_caller(const std::string& job);
     /// Sends the copies of all lost jobs to \p host.
     void send_copies_to(const std::string& host);
     /// Breaks the connection of a job's caller. Its host learns of it after
-    /// \p told_after, if given.
+    /// \p told_after, if given. The copy is sent after \p copy_after, if given,
+    /// else after the usual delay.
     void
     lose_caller(const std::string& job,
-                std::optional<support::milliseconds> told_after = std::nullopt);
+                std::optional<support::milliseconds> told_after = std::nullopt,
+                std::optional<support::milliseconds> copy_after = std::nullopt);
     const caller_record& caller(const std::string& job) const;
     int answered(shard::answer_kind kind) const;
     int unanswered() const;
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -17,6 +17,15 @@
 const job_shape long_job{.work = milliseconds(2500),
                          .timeout = milliseconds(9000)};
 
+/// Fills the two endpoints of \p domain with tasks that take 3 s.
+void fill_domain(shard_fleet& fleet, const std::string& domain)
+{
+    fleet.submit(fleet.owner_of(domain), {.tasks = 4,
+                                          .work = milliseconds(3000),
+                                          .timeout = milliseconds(9000)});
+    fleet.run_for(milliseconds(100));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(submissions)
@@ -392,6 +401,77 @@
     }
 }
 
+// A job runs in another domain, as its home shard had refused it, when its
+// caller's connection breaks. The copy arrives before the run has been stopped,
+// is refused as well, and must not be offered to a third domain meanwhile.
+BOOST_AUTO_TEST_CASE(copy_of_an_offered_job_arrives_at_once)
+{
+    for (int copy_after = 0; copy_after <= 60; copy_after += 10)
+    {
+        BOOST_TEST_CONTEXT("copy after " << copy_after)
+        {
+            shard_fleet fleet({.domains = 3, .endpoints_per_domain = 2});
+            fleet.run_for(warm_up);
+            const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+            fill_domain(fleet, "D1");
+            const std::string job =
+                fleet.submit(entry, {.tasks = 2,
+                                     .work = milliseconds(1200),
+                                     .timeout = milliseconds(4000)});
+            fleet.run_for(milliseconds(400));
+            BOOST_TEST(fleet.starts_of(job) == 2);
+            fleet.lose_caller(job, milliseconds(0), milliseconds(copy_after));
+            fleet.run_for(milliseconds(6000));
+            BOOST_TEST(fleet.caller(job).answer.has_value());
+            check_no_violations(fleet);
+        }
+    }
+}
+
+// A job that its home shard had refused runs in another domain, and a second
+// host reads the same job late, from a caller that has left. The job must not
+// be offered to a third domain while it runs.
+BOOST_AUTO_TEST_CASE(request_of_an_offered_job_is_read_late)
+{
+    shard_fleet fleet({.domains = 3, .endpoints_per_domain = 2});
+    fleet.run_for(warm_up);
+    const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+    fill_domain(fleet, "D1");
+    const std::string job =
+        fleet.submit(entry, {.tasks = 2,
+                             .work = milliseconds(1200),
+                             .timeout = milliseconds(4000)});
+    fleet.run_for(milliseconds(400));
+    BOOST_TEST(fleet.starts_of(job) == 2);
+    fleet.lose_caller(job, std::nullopt, milliseconds(0));
+    fleet.run_for(milliseconds(100));
+    BOOST_TEST(fleet.starts_of(job) == 2);
+    fleet.run_for(milliseconds(6000));
+    check_no_violations(fleet);
+}
+
+// A caller whose job was refused everywhere comes back when it was told to. The
+// job must be taken like a new one.
+BOOST_AUTO_TEST_CASE(refused_caller_comes_back)
+{
+    shard_fleet fleet({.domains = 1, .endpoints_per_domain = 2});
+    fleet.run_for(warm_up);
+    const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+    fill_domain(fleet, "D1");
+    const job_shape shape{
+        .tasks = 2, .work = milliseconds(700), .timeout = milliseconds(4000)};
+    const std::string job = fleet.submit(entry, shape);
+    fleet.run_for(milliseconds(50));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::not_run));
+    fleet.add_endpoint("D1", 3);
+    fleet.add_endpoint("D1", 4);
+    fleet.run_for(fleet.caller(job).retry_after);
+    fleet.submit_again(job);
+    fleet.run_for(milliseconds(3000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
