--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -705,6 +705,12 @@
     record = Record(here / "record.txt")
     record.note("script", "begins", trouble=trouble)
 
+    def stop(number, frame):
+        raise KeyboardInterrupt
+
+    # Ends the processes that were started also if the script is ended.
+    signal.signal(signal.SIGTERM, stop)
+
     async def play(folder):
         day = Day(Path(folder), record)
         try:
@@ -717,8 +723,10 @@
         try:
             asyncio.run(play(folder))
             status = 1 if record.broken else 0
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
-            record.note("script", "COULD NOT RUN", why=repr(error))
+        except BaseException as error:
+            # A break that was seen before stands.
+            status = 1 if record.broken else 2
+            record.note("script", "COULD NOT RUN TO ITS END", why=repr(error))
         if os.environ.get("KEEP_LOGS"):
             os.system(f"cp {folder}/*.log '{os.environ['KEEP_LOGS']}'/")
     record.note("script", "ends", status=status, broken=len(record.broken))
