Endpoints: use only whole entries, and evidence from where an endpoint was listed

- A row that differs from the known one in address, capacity, labels or pool for the same incarnation is a contradiction: logged once (endpoint_contradicted), not used; the last good entry stands until it counts as missing.
- 'Another incarnation' ends runs only if it comes from where the endpoint was last listed.
Runs elsewhere end with their lease.

Pattern: an input ends a claim on capacity only if it comes from what holds the claim.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -212,6 +212,8 @@
     {
         schema::endpoint_registration entry;
         std::optional<support::instant> missing_since;
+        /// The last row that contradicted the entry; logged once.
+        std::optional<schema::endpoint_registration> contradiction = {};
     };
 
     table_state& state_of(directory_table table);
@@ -226,6 +228,9 @@
     /// Reports the hosts whose rows \p rows shows as removed.
     void report_removed_hosts(const table_rows& rows);
     void apply_endpoints(const table_rows& rows, support::instant now);
+    /// Notes that a row names no usable endpoint: the last good entry stands
+    /// until it counts as missing.
+    void note_missing(const std::string& id, support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
     /// Writes the registration again: at once after a stable registration, then
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -248,9 +248,9 @@
     std::optional<sent_order> settle_order(order_id order, order_status status,
                                            std::optional<std::int64_t> clock_ms,
                                            support::instant now);
-    /// Returns whether another process answers at the endpoint's address, so
-    /// that all runs there have ended. It says nothing about runs at an address
-    /// to which the endpoint has moved since.
+    /// Returns whether another process answers where the endpoint was last
+    /// listed, so that all runs there have ended. The same answer from any
+    /// other address says nothing about them.
     static bool is_replaced(const endpoint_record& where,
                             const sent_order& order, order_status status);
     /// Reports that \p record refuses this owner's token.
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -15,6 +15,29 @@
 using support::log_line;
 using support::milliseconds;
 
+/// Returns the member in which \p later contradicts \p known, or an empty
+/// text. Only a new incarnation may change its address, capacity or kind, so
+/// that another writer has left a row of the same one that differs in these.
+std::string_view contradicted_member(const schema::endpoint_registration& known,
+                                     const schema::endpoint_registration& later)
+{
+    if (known.born_ms == 0)
+        return {};
+    if (later.born_ms == 0)
+        return "born_ms";
+    if (later.born_ms != known.born_ms)
+        return {};
+    if (later.address != known.address || later.port != known.port)
+        return "address";
+    if (later.capacity != known.capacity)
+        return "capacity";
+    if (later.labels != known.labels)
+        return "labels";
+    if (later.pool != known.pool)
+        return "pool";
+    return {};
+}
+
 } // namespace
 
 std::string_view name_of(directory_table table)
@@ -269,16 +292,34 @@
     std::set<std::string> present;
     for (const endpoint_row& row : rows.endpoints)
     {
+        present.insert(row.id);
         if (!row.entry)
         {
-            const auto found = this->known.find(row.id);
-            if (found != this->known.end() && !found->second.missing_since)
-                found->second.missing_since = now;
+            this->note_missing(row.id, now);
             continue;
         }
-        present.insert(row.id);
+        const auto earlier = this->known.find(row.id);
+        if (earlier != this->known.end())
+        {
+            const std::string_view member =
+                contradicted_member(earlier->second.entry, *row.entry);
+            if (!member.empty())
+            {
+                if (earlier->second.contradiction != *row.entry)
+                    this->hooks.log(log_line("endpoint_contradicted",
+                                             support::log_level::warning)
+                                        .add("endpoint", row.id)
+                                        .add("member", member)
+                                        .add("born_ms", row.entry->born_ms)
+                                        .add("address", row.entry->address));
+                earlier->second.contradiction = *row.entry;
+                this->note_missing(row.id, now);
+                continue;
+            }
+        }
         known_endpoint& endpoint = this->known[row.id];
         endpoint.missing_since.reset();
+        endpoint.contradiction.reset();
         if (endpoint.entry == *row.entry)
             continue;
         endpoint.entry = *row.entry;
@@ -286,9 +327,16 @@
     }
     if (!rows.is_whole)
         return;
-    for (auto& [id, endpoint] : this->known)
-        if (!present.contains(id) && !endpoint.missing_since)
-            endpoint.missing_since = now;
+    for (const auto& [id, endpoint] : this->known)
+        if (!present.contains(id))
+            this->note_missing(id, now);
+}
+
+void directory::note_missing(const std::string& id, instant now)
+{
+    const auto found = this->known.find(id);
+    if (found != this->known.end() && !found->second.missing_since)
+        found->second.missing_since = now;
 }
 
 void directory::drop_missing_endpoints(instant now)
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -5,6 +5,8 @@
 
 #include "chicorydrum/shard/leased_endpoint.hpp"
 
+#include <optional>
+
 namespace chicorydrum::shard
 {
 
@@ -31,6 +33,9 @@
     int overdue_lists = 0;
     /// When the last answered list was requested.
     support::instant listed_as_of = {};
+    /// Where the last list came from; unset before the first one. All runs that
+    /// are known to be active are there.
+    std::optional<endpoint_address> listed_at = {};
     support::instant next_list = {};
     /// When a call last got no answer. Ends of runs that started earlier may
     /// have been observed late, so that their run times are unreliable.
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -382,6 +382,7 @@
     record->is_responding = true;
     record->overdue_lists = 0;
     record->listed_as_of = record->list_requested_at;
+    record->listed_at = settled->to;
     const std::int64_t before = record->lease.last_listed_incarnation();
     if (before != 0 && before != list.born_ms)
     {
--- a/shard/lib/shard_orders.cpp
+++ b/shard/lib/shard_orders.cpp
@@ -148,7 +148,7 @@
                               const sent_order& order, order_status status)
 {
     return status == order_status::other_incarnation &&
-           order.to == where.lease.address();
+           order.to == where.lease.address() && where.listed_at == order.to;
 }
 
 void shard_owner::start_answered(const order_answered& answer, instant now)
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -88,6 +88,7 @@
     std::vector<registration_write> writes;
     std::vector<std::string> lines;
     std::string removed_hosts;
+    std::int64_t version = 0;
     directory table;
 };
 
@@ -276,6 +277,61 @@
     BOOST_TEST(this->removed_hosts == "h2 h3 h5 ");
 }
 
+// Guards against a row of another writer that moves a running endpoint to
+// another address, or changes its capacity or kind.
+BOOST_FIXTURE_TEST_CASE(rows_that_contradict_an_incarnation_are_not_used,
+                        directory_fixture)
+{
+    const auto read = [this](std::optional<schema::endpoint_registration> entry)
+    {
+        table_rows rows;
+        rows.table = directory_table::endpoints;
+        rows.status = read_status::read;
+        rows.version = ++this->version;
+        rows.endpoints = {{.id = "i-1", .entry = std::move(entry)}};
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(100));
+    };
+    schema::endpoint_registration good;
+    good.id = "i-1";
+    good.pool = "pool";
+    good.address = "10.1.0.9";
+    good.port = 80;
+    good.capacity.millicores = 16000;
+    good.labels = {"a", "r1"};
+    good.born_ms = 7;
+    std::vector<schema::endpoint_registration> odd(6, good);
+    odd[0].address = "10.1.0.10";
+    odd[1].port = 81;
+    odd[2].capacity.millicores = 24000;
+    odd[3].labels = {"b", "r1"};
+    odd[4].pool = "other";
+    odd[5].born_ms = 0;
+    for (const schema::endpoint_registration& entry : odd)
+    {
+        read(good);
+        const auto before = this->table.endpoints_version();
+        read(entry);
+        read(entry);
+        BOOST_TEST((this->table.endpoints() == std::vector{good}));
+        BOOST_TEST(this->table.endpoints_version() == before);
+    }
+    BOOST_TEST(this->count_lines("endpoint_contradicted") == 6);
+    // What the endpoint itself may change, and another incarnation.
+    schema::endpoint_registration leaving = good;
+    leaving.is_draining = true;
+    read(leaving);
+    BOOST_TEST((this->table.endpoints() == std::vector{leaving}));
+    odd[0].born_ms = 8;
+    read(odd[0]);
+    BOOST_TEST((this->table.endpoints() == std::vector{odd[0]}));
+    // An endpoint whose own row does not come back counts as missing.
+    odd[1].born_ms = 8;
+    read(odd[1]);
+    this->run_for(milliseconds(3000));
+    BOOST_TEST(this->table.endpoints().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -268,6 +268,10 @@
                   {"mem_mb", entry.capacity.memory_mb},
                   {"gpu", 0}}},
                 {"labels", {"a", "r1"}},
+                {"version", "v1"},
+                {"slots", 8},
+                {"cold_left_ms", 0},
+                {"seq", 1},
                 {"born", entry.born_ms}}
         .dump();
 }
--- a/test/faults/odd_entries.cpp
+++ b/test/faults/odd_entries.cpp
@@ -34,6 +34,10 @@
         {"zone", R"("d1")"},
         {"state", R"("ready")"},
         {"capacity", R"({"cpu":16000,"mem_mb":65536})"},
+        {"version", R"("v1")"},
+        {"slots", "8"},
+        {"cold_left_ms", "0"},
+        {"seq", "1"},
         {"born", "1"}};
     members[member] = value;
     std::string text;
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -452,6 +452,43 @@
     BOOST_TEST(script.starts.size() == 2U);
 }
 
+// An entry leads to an address where another endpoint answers that it is not
+// the one asked for, before the endpoint was ever listed there. Its run at the
+// earlier address goes on, so that the task must not be started elsewhere until
+// the lease has lapsed.
+BOOST_AUTO_TEST_CASE(refusal_from_an_address_that_was_never_listed)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1"), entry_of("D1-e2")});
+    script.answer_list(script.last_list("D1-e1"), 1);
+    script.answer_list(script.last_list("D1-e2"), 1);
+    script.submit("job1");
+    BOOST_REQUIRE(script.starts.size() == 1U);
+    script.answer_start(script.starts.front(), order_status::accepted);
+    const shard::start_order start = script.starts.front();
+    script.wait(milliseconds(25));
+    for (const std::int64_t born_ms : {1, 2})
+    {
+        schema::endpoint_registration elsewhere = entry_of("D1-e1", born_ms);
+        elsewhere.address = "10.1.1.2";
+        script.set_endpoints({elsewhere, entry_of("D1-e2")});
+        script.wait(milliseconds(25));
+        shard::runs_listed refusal;
+        refusal.order = script.last_list("D1-e1").order;
+        refusal.status = order_status::other_incarnation;
+        script.owner.listed(refusal, script.now);
+        script.wait(milliseconds(100));
+        BOOST_TEST(script.starts.size() == 1U);
+        script.set_endpoints({entry_of("D1-e1"), entry_of("D1-e2")});
+    }
+    // The endpoint answers at its own address again: the run goes on.
+    script.wait(milliseconds(200));
+    script.answer_list(script.last_list("D1-e1"), 1,
+                       {{.task = start.task, .run = start.run, .percent = 50}});
+    BOOST_TEST(script.starts.size() == 1U);
+    BOOST_TEST(script.owner.running_tasks() == 1);
+}
+
 // The same, and the task runs at the present address again and is being
 // stopped. The answer to the earlier run's stop says nothing about the present
 // run.
