Entry hosts: refuse requests that were read too late

- A request of a caller that has closed its connection is not delivered.
- The server tells how long ago a request's last bytes arrived (TCP_INFO); a request's time to its deadline and its target count from then.
- After a pause, requests that are read within 250 ms count as old as the pause, as a suspended machine's kernel does not count that time.
- A request that may have waited 1,000 ms, or until its deadline, is answered as not run: callers send a lost one again after 1,300 ms.

Pattern: the age of a request is not the age of its reading.

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -71,6 +71,13 @@
     /// When the last tick is this long ago, peers may seem silent whose
     /// messages have arrived but were not read yet.
     support::milliseconds stall_limit{300};
+    /// A request that may have waited this long before it was read is refused:
+    /// callers send a lost one again after 1,300 ms, maybe to another domain,
+    /// and it takes up to 300 ms to learn that they have left and to stop.
+    support::milliseconds oldest_request{1000};
+    /// Requests that are read within this time of a pause may have waited since
+    /// it began.
+    support::milliseconds wake_time{250};
 };
 
 class entry_host
@@ -159,6 +166,9 @@
     /// Must be called first by every function that handles an event: after a
     /// pause of this process, gives all shards up before anything else happens.
     void begin_event(support::instant now);
+    /// Returns for how long \p request may have waited before it was read.
+    support::milliseconds waiting_time(const caller_submission& request,
+                                       support::instant now) const;
     /// Returns the owned shard \p number of \p domain, or null.
     shard_owner* find_shard(const std::string& domain, int number);
     shard_hooks hooks_for_shard(int number);
@@ -192,6 +202,9 @@
     entry_host_hooks hooks;
     support::instant current_time;
     support::instant last_tick;
+    /// The last pause of this process.
+    support::instant paused_at;
+    support::instant woke_at;
     support::instant next_local_heartbeat;
     support::instant next_remote_heartbeat;
     config_view active_config;
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -48,8 +48,11 @@
 public:
     job_intake(intake_options opts, intake_hooks callbacks);
 
+    /// The caller waits for \p timeout since its request arrived, \p waited
+    /// before it was read.
     void submit(call_id call, schema::job work, schema::job_policy terms,
-                support::milliseconds timeout, support::instant now);
+                support::milliseconds timeout, support::milliseconds waited,
+                support::instant now);
     /// Withdraws the job of a caller that disconnected.
     void caller_left(call_id call);
     /// Cancels a job that waits here. Returns false if there is none.
@@ -85,6 +88,8 @@
         schema::job work;
         schema::job_policy terms;
         support::instant arrived;
+        /// When this host read the request, maybe long after it had arrived.
+        support::instant read;
         support::instant deadline;
         /// The shard that the job is bound to until the shard refuses it, and
         /// the owner that it was sent to; none before the first owner is known.
--- a/shard/include/chicorydrum/shard/messages.hpp
+++ b/shard/include/chicorydrum/shard/messages.hpp
@@ -187,6 +187,8 @@
     bool must_be_stored = false;
     /// How long the caller waits, if specified.
     std::optional<support::milliseconds> timeout;
+    /// How long the request has waited in its connection, as far as known.
+    support::milliseconds waited{0};
 };
 
 /// A caller queries a job's state, cancels the job, or queries a route's count
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -100,17 +100,30 @@
 
 // Callers.
 
+milliseconds entry_host::waiting_time(const caller_submission& request,
+                                      instant now) const
+{
+    const bool is_waking = this->woke_at != instant() &&
+                           now - this->woke_at < this->options.wake_time;
+    const milliseconds since_pause =
+        is_waking ? support::duration_cast<milliseconds>(now - this->paused_at)
+                  : milliseconds(0);
+    return std::max(request.waited, since_pause);
+}
+
 void entry_host::submitted(caller_submission request, instant now)
 {
     this->begin_event(now);
     const auto refuse =
-        [this, &request](answer_kind kind, const std::string& reason)
+        [this, &request, now](answer_kind kind, const std::string& reason)
     {
-        this->hooks.log(log_line("request_refused")
-                            .add("path", request.path)
-                            .add("answer", name_of(kind))
-                            .add("reason", reason)
-                            .add("config", this->active_config.version()));
+        this->hooks.log(
+            log_line("request_refused")
+                .add("path", request.path)
+                .add("answer", name_of(kind))
+                .add("reason", reason)
+                .add("waited_ms", this->waiting_time(request, now).count())
+                .add("config", this->active_config.version()));
         this->hooks.answer({.call = request.call,
                             .kind = kind,
                             .retry_after = milliseconds(1000)});
@@ -147,12 +160,18 @@
         refuse(answer_kind::not_run, "host_stops");
         return;
     }
+    const milliseconds waited = this->waiting_time(request, now);
+    if (waited >= std::min(this->options.oldest_request, timeout))
+    {
+        refuse(answer_kind::not_run, "read_late");
+        return;
+    }
     schema::job work = std::move(*request.work);
     work.id = match->rest;
     work.route = match->route->name;
     this->intake.submit(request.call, std::move(work),
                         this->active_config.terms_of(*match->route), timeout,
-                        now);
+                        waited, now);
     this->deliver_local_results(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -72,6 +72,8 @@
         this->view.stalled(now);
     if (gap < this->options.pause_limit)
         return;
+    this->paused_at = this->last_tick;
+    this->woke_at = now;
     this->last_tick = now;
     this->hooks.log(log_line("pause_detected", support::log_level::warning)
                         .add("gap_ms", support::whole_ms(gap)));
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -30,13 +30,14 @@
 
 void job_intake::submit(call_id call, schema::job work,
                         schema::job_policy terms, milliseconds timeout,
-                        instant now)
+                        milliseconds waited, instant now)
 {
     open_job& job = this->jobs[call];
     job.work = std::move(work);
     job.terms = std::move(terms);
-    job.arrived = now;
-    job.deadline = now + timeout;
+    job.arrived = now - waited;
+    job.read = now;
+    job.deadline = job.arrived + timeout;
     if (this->jobs.size() > this->options.max_open_jobs)
     {
         this->finish(call, answer_kind::not_run, default_retry_after,
@@ -58,7 +59,7 @@
         if (owner != this->owners.end())
             return owner->second.is_reachable ? std::optional(home)
                                               : std::nullopt;
-        if (now - job.arrived < this->options.home_wait)
+        if (now - job.read < this->options.home_wait)
             return std::nullopt;
     }
     std::optional<shard_name> best;
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -26,7 +26,8 @@
                                 start);
         schema::job work;
         work.id = "job";
-        this->intake.submit(1, work, {}, milliseconds(2000), start);
+        this->intake.submit(1, work, {}, milliseconds(2000), milliseconds(0),
+                            start);
     }
 
     void move_to(const std::string& host, fencing_token token)
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -853,6 +853,7 @@
     request.host = "host";
     request.path = "/" + shape.route + "/" + job + shape.id_suffix;
     request.timeout = shape.timeout;
+    request.waited = shape.waited;
     schema::job work;
     schema::task_group group;
     group.count = shape.tasks;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -71,6 +71,8 @@
     std::string route = "quote";
     /// Appended to the id in the path.
     std::string id_suffix = {};
+    /// How long the request waits in its connection before it is read.
+    support::milliseconds waited{0};
 };
 
 /// A simulated installation. In domain "D1" the hosts are named "D1-h1", ...
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -370,6 +370,57 @@
     }
 }
 
+// Requests lie in the connections of a paused host until their callers have
+// left and have sent them again to another domain. The host reads them when it
+// wakes, before it learns that the callers are gone.
+BOOST_AUTO_TEST_CASE(request_read_after_a_pause_beside_its_copy)
+{
+    const milliseconds patience(1500);
+    for (const bool reads_first : {true, false})
+        for (int span = 3000; span <= 4200; span += 200)
+        {
+            BOOST_TEST_CONTEXT("span " << span)
+            {
+                shard_fleet fleet(
+                    {.domains = 2, .resumes_with_events = reads_first});
+                fleet.run_for(warm_up);
+                const std::string entry =
+                    other_host(fleet, fleet.owner_of("D1"));
+                fleet.send_copies_to("D2-h1");
+                fleet.pause(entry, milliseconds(span));
+                fleet.run_for(milliseconds(50));
+                job_shape shape = long_job;
+                shape.timeout = patience;
+                const std::string job = fleet.submit(entry, shape);
+                fleet.run_for(patience);
+                // Learnt some time after the host has woken.
+                fleet.lose_caller(job, milliseconds(span));
+                fleet.run_for(milliseconds(9000));
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// The same, and the host is not paused: its connections alone deliver late, as
+// those of a host that has no processor time for its callers.
+BOOST_AUTO_TEST_CASE(request_that_waited_in_its_connection)
+{
+    for (const int waited : {0, 900, 1100, 2500})
+    {
+        shard_fleet fleet({.domains = 2});
+        fleet.run_for(warm_up);
+        const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+        const std::string job =
+            fleet.submit(entry, {.waited = milliseconds(waited)});
+        fleet.run_for(milliseconds(3000));
+        const bool is_late = waited > 1000;
+        BOOST_TEST((fleet.caller(job).answer ==
+                    (is_late ? answer_kind::not_run : answer_kind::completed)));
+        BOOST_TEST((fleet.starts_of(job) == 0) == is_late);
+        check_no_violations(fleet);
+    }
+}
+
 // A host that was cut off, or paused, comes back while the copy of one of its
 // jobs runs in another domain. It has not heard yet that the caller is lost,
 // and must not take the job up again.
--- a/transport/include/chicorydrum/transport/http.hpp
+++ b/transport/include/chicorydrum/transport/http.hpp
@@ -2,6 +2,8 @@
 /// HTTP requests and responses, independent of the transport library.
 #pragma once
 
+#include "chicorydrum/support/clock.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +40,9 @@
     std::string host = {};
     /// The headers of http_server_options::captured_headers that are present.
     std::vector<http_header> headers = {};
+    /// How long ago its last bytes arrived, as far as the kernel tells: a
+    /// process that was stopped or busy reads them late.
+    support::milliseconds waited{0};
 };
 
 /// Returns the value of the header \p name, or an empty string.
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -1,15 +1,14 @@
 #include "chicorydrum/transport/http_client.hpp"
 
 #include "client_connect.hpp"
+#include "connection_state.hpp"
 
 #include <array>
-#include <cerrno>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
 #include <libwebsockets.h>
-#include <sys/socket.h>
 
 namespace chicorydrum::transport
 {
@@ -33,14 +32,11 @@
     lws* idle = nullptr;
 };
 
-/// Returns whether the server has closed or reset \p connection.
+/// Returns whether the server has closed or reset an idle \p connection, or
+/// has sent something that no request of ours asked for.
 bool is_stale(lws* connection)
 {
-    char byte = 0;
-    const ssize_t count = ::recv(lws_get_socket_fd(connection), &byte, 1,
-                                 MSG_PEEK | MSG_DONTWAIT);
-    const bool is_open = count < 0 && (errno == EAGAIN || errno == EINTR);
-    return !is_open;
+    return remote_state_of(connection) != remote_state::idle;
 }
 
 /// The channel that a request uses, if any, and its server as ADDRESS:PORT.
--- a/transport/lib/http_server.cpp
+++ b/transport/lib/http_server.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/transport/http_server.hpp"
 
+#include "connection_state.hpp"
+
 #include <array>
 #include <stdexcept>
 #include <unordered_map>
@@ -199,9 +201,14 @@
         this->reject(data.current, rejection::too_large);
         return 0;
     }
+    // A request that was read late may have no caller any more, who may have
+    // sent it again elsewhere.
+    if (remote_state_of(open.connection) == remote_state::closed)
+        return -1;
     open.delivered = true;
     open.receive_timer.reset();
     lws_set_timeout(open.connection, NO_PENDING_TIMEOUT, 0);
+    open.request.waited = time_since_last_bytes(open.connection);
     this->options.on_request(data.current, std::move(open.request));
     return 0;
 }
--- /dev/null
+++ b/transport/unittests/late_request_test.cpp
@@ -0,0 +1,115 @@
+/// \file
+/// Requests that lie in their connections while the server's process does not
+/// read, as when it is stopped or has no processor time.
+#include "chicorydrum/transport/http_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace chicorydrum::transport
+{
+
+namespace
+{
+
+constexpr int port = 19491;
+
+/// A server that records its requests and answers them.
+struct recording_server
+{
+    recording_server()
+        : server({.loop = this->loop,
+                  .address = "127.0.0.1",
+                  .port = port,
+                  .on_request =
+                      [this](exchange_id id, http_request request)
+                  {
+                      this->requests.push_back(std::move(request));
+                      this->server.respond(id, {});
+                  },
+                  .on_abandoned = [this](exchange_id) { ++this->abandoned; },
+                  .on_rejected =
+                      [](rejection)
+                  {
+                      return http_response{};
+                  }})
+    {
+    }
+
+    void run_for(support::milliseconds span)
+    {
+        bool is_over = false;
+        timer end = this->loop.make_timer([&is_over] { is_over = true; });
+        end.start(span);
+        this->loop.run_until([&is_over] { return is_over; });
+    }
+
+    event_loop loop{{.max_connections = 50}};
+    http_server server;
+    std::vector<http_request> requests;
+    int abandoned = 0;
+};
+
+/// Opens a connection to the server and sends a request.
+int send_request()
+{
+    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    BOOST_REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&address),
+                            sizeof address) == 0);
+    const std::string request = "POST /job HTTP/1.1\r\nhost: a\r\n"
+                                "content-length: 2\r\n\r\n{}";
+    BOOST_REQUIRE(::send(client, request.data(), request.size(),
+                         MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
+    return client;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(late_requests)
+
+// Guards against work for a caller who has left before its request was read,
+// and who may have sent it again elsewhere.
+BOOST_FIXTURE_TEST_CASE(request_of_a_caller_that_left_is_not_delivered,
+                        recording_server)
+{
+    const int gone = send_request();
+    ::close(gone);
+    std::this_thread::sleep_for(support::milliseconds(50));
+    this->run_for(support::milliseconds(100));
+    BOOST_TEST(this->requests.empty());
+    BOOST_TEST(this->abandoned == 0);
+    const int waiting = send_request();
+    this->run_for(support::milliseconds(100));
+    BOOST_TEST(this->requests.size() == 1U);
+    ::close(waiting);
+}
+
+// Guards against a request whose age is taken to be that of its reading.
+BOOST_FIXTURE_TEST_CASE(request_tells_how_long_it_has_waited, recording_server)
+{
+    const int early = send_request();
+    std::this_thread::sleep_for(support::milliseconds(400));
+    const int late = send_request();
+    this->run_for(support::milliseconds(100));
+    BOOST_REQUIRE(this->requests.size() == 2U);
+    const auto [least, most] = std::minmax(this->requests.front().waited,
+                                           this->requests.back().waited);
+    BOOST_TEST(most.count() >= 350);
+    BOOST_TEST(least.count() < 350);
+    ::close(early);
+    ::close(late);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::transport
