Jobs: cancel at any host, and keep cancelled jobs known

A DELETE at another host than that of the POST was answered 410 while the job ran on, and a request that arrived once more after its job had been cancelled started all its tasks again.

The home shard tells the host of a job that it has refused, which may have offered it elsewhere. - Results of completed and failed jobs are found by a hash of the id, not by a walk through 1,024 results at each submission.

Pattern: what ends a job is known wherever a request for it can arrive.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -60,6 +60,8 @@
   not_run = 2
   /// Tasks may have run and none is running; the caller may resubmit the job.
   interrupted = 3
+  /// A caller has cancelled the job; none of its tasks starts any more.
+  cancelled_by_caller = 4
 }
 
 /// The first message of each side on a new link.
@@ -158,6 +160,25 @@
   3: i32 shard
 }
 
+/// A caller of the sender has cancelled the job, which any host may have sent to
+/// the shard, or may still send.
+struct job_cancelled {
+  1: string id
+  2: string domain
+  3: i32 shard
+}
+
+/// The owner of a shard remembers the cancellation.
+struct cancellation_recorded {
+  1: string id
+  2: string domain
+  3: i32 shard
+  /// Fencing token of the owner, whose successors do not know of it.
+  4: i64 token
+  /// The job was open there.
+  5: bool was_open
+}
+
 /// The newest configuration, in the platform's encoding.
 struct config_shared {
   1: i64 version
@@ -196,4 +217,6 @@
   5: job_ended ended
   6: job_not_owned not_owned
   7: config_shared config
+  8: job_cancelled cancelled
+  9: cancellation_recorded recorded
 }
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -3,6 +3,7 @@
 /// shards that it owns. Performs no input or output itself.
 #pragma once
 
+#include "chicorydrum/shard/cancellations.hpp"
 #include "chicorydrum/shard/config_view.hpp"
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/host_view.hpp"
@@ -55,6 +56,7 @@
     shard_options shard;
     directory_options table;
     intake_options intake;
+    cancellation_options cancellations;
     /// To hosts of the own domain.
     support::milliseconds local_heartbeat_interval{150};
     /// To hosts of other domains.
@@ -158,6 +160,13 @@
                             const schema::job_submitted& job,
                             support::instant now);
     void decline(const std::string& peer, const schema::job_submitted& job);
+    /// Tells the owner of a job's home shard that the job is cancelled.
+    void tell_cancellation(const std::string& owner,
+                           const schema::job_cancelled& job);
+    /// Cancels a job in a shard of this host. Returns nothing if this host does
+    /// not own the shard.
+    std::optional<schema::cancellation_recorded>
+    record_cancellation(const schema::job_cancelled& job, support::instant now);
     void report_end(const std::string& host, const schema::job_ended& end);
     /// Passes the results that owned shards reported to the intake. Must be
     /// called last by every function that calls a shard or makes the intake
@@ -210,6 +219,7 @@
     config_view active_config;
     host_view view;
     job_intake intake;
+    shard::cancellations cancellations;
     directory table;
     /// By number; all belong to this host's domain.
     std::map<int, std::unique_ptr<shard_owner>> shards;
--- a/shard/include/chicorydrum/shard/refused_jobs.hpp
+++ b/shard/include/chicorydrum/shard/refused_jobs.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,8 @@
     /// Records that the owners end all jobs of entry host \p host, which they
     /// count as lost.
     void host_lost(const std::string& host, support::instant now);
+    /// Returns the call of job \p id that may have it in another shard.
+    std::optional<caller_call> call_of(const std::string& id) const;
     void remove_expired(support::instant now);
     /// Returns the entry hosts that have such jobs open.
     std::vector<std::string> hosts() const;
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "chicorydrum/decision/run_time_model.hpp"
+#include "chicorydrum/shard/ended_jobs.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/refused_jobs.hpp"
@@ -73,8 +74,6 @@
     /// earlier owner is stopping there may not be listed. The longest stop, on
     /// a clock 2% slow.
     support::milliseconds settling_time{51};
-    /// Maximum number of results that are kept for resubmitted jobs.
-    std::size_t max_ended_jobs = 1024;
 };
 
 class shard_owner
@@ -106,6 +105,9 @@
     /// of it has arrived since.
     void withdraw(const std::string& host, const schema::job_withdrawn& job,
                   support::instant now);
+    /// Ends job \p id, and every later submission of it, as cancelled. Returns
+    /// whether it was open.
+    bool cancel(const std::string& id, support::instant now);
     /// Withdraws the jobs of an entry host except those with ids in \p open.
     void withdraw_all(const std::string& host,
                       const std::vector<std::string>& open,
@@ -161,11 +163,6 @@
         double core_ms = 0;
         support::instant as_of;
     };
-    struct ended_job
-    {
-        std::string id;
-        schema::job_result outcome;
-    };
 
     // Jobs.
     void refuse(const std::string& host, const schema::job_submitted& job,
@@ -187,7 +184,6 @@
     /// Returns whether \p job cannot be answered as not run.
     bool may_have_run(const owned_job& job) const;
     void end_expired_jobs(support::instant now);
-    void cache_result(const std::string& id, schema::job_result outcome);
     /// Remembers that \p call was told that job \p id has not run.
     void record_refusal(const std::string& id, caller_call call,
                         support::instant deadline, support::instant now);
@@ -288,7 +284,8 @@
     std::map<std::string, std::unique_ptr<endpoint_record>> endpoints;
     std::map<std::string, std::unique_ptr<owned_job>> jobs;
     std::unordered_map<order_id, sent_order> orders;
-    std::vector<ended_job> recently_ended;
+    /// Completed, failed and cancelled jobs.
+    ended_jobs results;
     /// Jobs whose home is this shard, and which their hosts may have offered to
     /// others.
     refused_jobs refused;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -22,6 +22,13 @@
     return intake;
 }
 
+cancellation_options cancellations_of(const entry_host_options& options)
+{
+    cancellation_options cancellations = options.cancellations;
+    cancellations.domain = options.self.domain;
+    return cancellations;
+}
+
 directory_options table_of(const entry_host_options& options)
 {
     directory_options table = options.table;
@@ -66,6 +73,12 @@
                   this->hooks.send(owner, message);
               },
               .log = this->hooks.log}),
+      cancellations(cancellations_of(this->options),
+                    {.answer = this->hooks.answer,
+                     .tell = [this](const std::string& owner,
+                                    const schema::job_cancelled& job)
+                     { this->tell_cancellation(owner, job); },
+                     .log = this->hooks.log}),
       table(table_of(this->options),
             {.read = this->hooks.read,
              .write = this->hooks.write,
@@ -191,10 +204,14 @@
         for (const auto& [number, shard] : this->shards)
             answer.count += shard->waiting_by_route()[match->route->name];
     }
-    else if (query.cancels)
-        answer.kind = this->intake.cancel(match->rest)
-                          ? answer_kind::cancelled
-                          : answer_kind::unknown_job;
+    else if (query.cancels && support::is_job_id(match->rest))
+    {
+        // Its caller is answered when the owners have recorded it.
+        const bool was_open = this->intake.cancel(match->rest);
+        this->cancellations.begin(query.call, match->rest, was_open, now);
+        this->deliver_local_results(now);
+        return;
+    }
     else
         answer.kind = this->intake.is_open(match->rest)
                           ? answer_kind::running
@@ -207,6 +224,36 @@
     this->hooks.answer(answer);
 }
 
+void entry_host::tell_cancellation(const std::string& owner,
+                                   const schema::job_cancelled& job)
+{
+    if (owner == this->options.self.name)
+    {
+        if (const auto record =
+                this->record_cancellation(job, this->current_time))
+            this->cancellations.recorded(*record);
+        return;
+    }
+    schema::shard_message message;
+    message.__set_cancelled(job);
+    this->hooks.send(owner, message);
+}
+
+std::optional<schema::cancellation_recorded>
+entry_host::record_cancellation(const schema::job_cancelled& job, instant now)
+{
+    shard_owner* const shard = this->find_shard(job.domain, job.shard);
+    if (shard == nullptr)
+        return std::nullopt;
+    schema::cancellation_recorded record;
+    record.id = job.id;
+    record.domain = job.domain;
+    record.shard = job.shard;
+    record.token = shard->token();
+    record.was_open = shard->cancel(job.id, now);
+    return record;
+}
+
 void entry_host::caller_left(call_id call, instant now)
 {
     this->begin_event(now);
@@ -309,6 +356,18 @@
     }
     else if (message.__isset.ended)
         this->intake.ended(peer, message.ended, now);
+    else if (message.__isset.cancelled)
+    {
+        if (const auto record =
+                this->record_cancellation(message.cancelled, now))
+        {
+            schema::shard_message reply;
+            reply.__set_recorded(*record);
+            this->hooks.send(peer, reply);
+        }
+    }
+    else if (message.__isset.recorded)
+        this->cancellations.recorded(message.recorded);
     else if (message.__isset.not_owned)
         this->hooks.log(log_line("owner_declined").add("peer", peer));
     else if (message.__isset.config)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -45,6 +45,7 @@
         log_line("stop_forced")
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
     this->intake.end_all("host_stops");
+    this->cancellations.end_all("host_stops");
 }
 
 void entry_host::tick(instant now)
@@ -61,6 +62,8 @@
         shard->tick(now);
     this->deliver_local_results(now);
     this->intake.tick(now);
+    this->cancellations.tick(now);
+    this->deliver_local_results(now);
     this->send_heartbeats(now, false);
 }
 
@@ -130,6 +133,8 @@
             this->claim(number, now);
     this->end_jobs_if_isolated();
     this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
+    this->cancellations.set_owners(this->view.owners(),
+                                   this->view.shard_count());
     this->deliver_local_results(now);
     this->answer_new_owners();
     this->end_answered_adoptions();
@@ -366,7 +371,7 @@
 
 bool entry_host::is_drained() const
 {
-    return this->open_jobs() == 0 &&
+    return this->open_jobs() == 0 && this->cancellations.waiting_calls() == 0 &&
            std::all_of(this->shards.begin(), this->shards.end(),
                        [](const auto& entry)
                        { return entry.second->open_jobs() == 0; });
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -270,6 +270,9 @@
     case schema::job_result::failed:
         this->finish(call, answer_kind::failed, {}, end.reason);
         return;
+    case schema::job_result::cancelled_by_caller:
+        this->finish(call, answer_kind::cancelled, {}, end.reason);
+        return;
     case schema::job_result::not_run:
         if (!is_current || this->offer_elsewhere(call, job, now))
             return;
--- a/shard/lib/refused_jobs.cpp
+++ b/shard/lib/refused_jobs.cpp
@@ -68,6 +68,13 @@
     this->open.erase(found);
 }
 
+std::optional<caller_call> refused_jobs::call_of(const std::string& id) const
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? std::nullopt
+                                     : std::optional(found->second.call);
+}
+
 void refused_jobs::remove_expired(instant now)
 {
     std::vector<std::string> expired;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -39,6 +39,8 @@
         return "not_run";
     case schema::job_result::interrupted:
         return "interrupted";
+    case schema::job_result::cancelled_by_caller:
+        return "cancelled";
     }
     return "unknown";
 }
@@ -109,12 +111,14 @@
                                                 "superseded"));
         return true;
     }
-    for (const ended_job& ended : this->recently_ended)
+    if (const auto outcome = this->results.find(job.work.id))
     {
-        if (ended.id != job.work.id)
-            continue;
-        this->hooks.report(
-            host, caller.result_of(ended.id, ended.outcome, "repeated"));
+        this->hooks.log(log_line("job_repeated")
+                            .add("job", job.work.id)
+                            .add("host", host)
+                            .add("outcome", text_of(*outcome)));
+        this->hooks.report(host,
+                           caller.result_of(job.work.id, *outcome, "repeated"));
         return true;
     }
     if (!this->refused.may_run_elsewhere(job.work.id,
@@ -245,6 +249,28 @@
     this->jobs.erase(found);
 }
 
+bool shard_owner::cancel(const std::string& id, instant now)
+{
+    const bool is_open = this->jobs.contains(id);
+    this->hooks.log(
+        log_line("job_cancelled").add("job", id).add("open", is_open));
+    if (is_open)
+        this->finish(id, schema::job_result::cancelled_by_caller, "cancelled",
+                     now);
+    this->results.add(id, schema::job_result::cancelled_by_caller, now);
+    // The host of a job that was refused here may have offered it to others.
+    const auto offered = this->refused.call_of(id);
+    if (!offered)
+        return is_open;
+    schema::job_ended end;
+    end.call = offered->call;
+    end.id = id;
+    end.outcome = schema::job_result::cancelled_by_caller;
+    end.reason = "cancelled";
+    this->hooks.report(offered->host, end);
+    return true;
+}
+
 void shard_owner::withdraw_all(const std::string& host,
                                const std::vector<std::string>& open,
                                instant now)
@@ -287,7 +313,7 @@
     }
     if (outcome == schema::job_result::completed ||
         outcome == schema::job_result::failed)
-        this->cache_result(id, outcome);
+        this->results.add(id, outcome, now);
     this->hooks.log(
         log_line("job_ended")
             .add("job", id)
@@ -299,17 +325,6 @@
     this->hooks.report(job->caller.host, ended);
 }
 
-void shard_owner::cache_result(const std::string& id,
-                               schema::job_result outcome)
-{
-    if (this->recently_ended.size() >= this->options.max_ended_jobs)
-        this->recently_ended.erase(
-            this->recently_ended.begin(),
-            this->recently_ended.begin() +
-                static_cast<std::ptrdiff_t>(this->options.max_ended_jobs / 2));
-    this->recently_ended.push_back({.id = id, .outcome = outcome});
-}
-
 void shard_owner::record_refusal(const std::string& id, caller_call call,
                                  instant deadline, instant now)
 {
@@ -432,6 +447,7 @@
 void shard_owner::end_expired_jobs(instant now)
 {
     this->refused.remove_expired(now);
+    this->results.remove_expired(now);
     struct job_end
     {
         std::string id;
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -135,13 +135,32 @@
 {
     const bool is_known_outcome =
         ended.outcome >= schema::job_result::completed &&
-        ended.outcome <= schema::job_result::interrupted;
+        ended.outcome <= schema::job_result::cancelled_by_caller;
     return range_check()
         .require(is_known_outcome, "outcome", "known")
         .integer("retry_after_ms", ended.retry_after_ms, 0, max_exact_integer)
         .outcome();
 }
 
+result<void> check_cancellation(const schema::job_cancelled& job)
+{
+    return range_check()
+        .require(is_job_id(job.id), "id", "a job's id")
+        .require(is_plain_name(job.domain), "domain", plain)
+        .integer("shard", job.shard, 0, max_shards - 1)
+        .outcome();
+}
+
+result<void> check_record(const schema::cancellation_recorded& record)
+{
+    return range_check()
+        .require(is_job_id(record.id), "id", "a job's id")
+        .require(is_plain_name(record.domain), "domain", plain)
+        .integer("shard", record.shard, 0, max_shards - 1)
+        .integer("token", record.token, 1, max_owner_token)
+        .outcome();
+}
+
 } // namespace
 
 bool is_job_id(std::string_view text)
@@ -232,6 +251,10 @@
         return check_submission(message.submitted);
     if (message.__isset.ended)
         return check_end(message.ended);
+    if (message.__isset.cancelled)
+        return check_cancellation(message.cancelled);
+    if (message.__isset.recorded)
+        return check_record(message.recorded);
     return {};
 }
 
--- /dev/null
+++ b/test/shards/cancellation_test.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// Jobs that are cancelled at any host, and requests that arrive once more
+/// after that.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+const job_shape long_job{.work = milliseconds(6000),
+                         .timeout = milliseconds(12000)};
+/// An owner acts on a cancellation within two messages and a tick, and a run
+/// takes 50 ms to stop.
+constexpr milliseconds stop_bound{100};
+
+std::size_t running_tasks(shard_fleet& fleet)
+{
+    std::size_t running = 0;
+    for (const std::string& id : fleet.endpoint_names())
+        running += fleet.endpoint(id).running_count();
+    return running;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cancellation)
+
+// A caller's cancelling call reaches another host than its job, as when a host
+// was added meanwhile. The job must end, and the answer say so.
+BOOST_AUTO_TEST_CASE(job_is_cancelled_at_any_host)
+{
+    for (const char* const at : {"D1-h1", "D1-h2", "D1-h3", "D2-h1", "D2-h3"})
+        for (const char* const entry : {"D1-h1", "D1-h2", "D1-h3"})
+        {
+            BOOST_TEST_CONTEXT(entry << " and " << at)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string job = fleet.submit(entry, long_job);
+                fleet.run_for(milliseconds(200));
+                BOOST_REQUIRE(running_tasks(fleet) == 4U);
+                fleet.cancel(job, at);
+                fleet.run_for(stop_bound);
+                BOOST_TEST(running_tasks(fleet) == 0U);
+                BOOST_TEST((fleet.caller(job).cancel_answer ==
+                            answer_kind::cancelled));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::cancelled));
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// The request of a cancelled job arrives once more, seconds later and at any
+// host. It must start nothing.
+BOOST_AUTO_TEST_CASE(request_is_repeated_after_the_job_was_cancelled)
+{
+    for (const char* const at : {"D1-h1", "D1-h2", "D1-h3", "D2-h1", "D2-h3"})
+        for (const int delay : {100, 3500, 9000})
+        {
+            BOOST_TEST_CONTEXT(at << " after " << delay)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string job = fleet.submit("D1-h1", long_job);
+                fleet.run_for(milliseconds(200));
+                fleet.cancel(job, "D1-h1");
+                fleet.run_for(milliseconds(delay));
+                fleet.repeat(job, at);
+                fleet.run_for(milliseconds(1000));
+                BOOST_TEST(fleet.starts_of(job) == 4);
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::cancelled));
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// The owner that has recorded a cancellation crashes, and the request arrives
+// once more at its successor.
+BOOST_AUTO_TEST_CASE(successor_knows_a_cancelled_job)
+{
+    for (const bool cancelled_by_owner : {true, false})
+    {
+        shard_fleet fleet({.domains = 1, .hosts_per_domain = 4});
+        fleet.run_for(warm_up);
+        const std::string owner = fleet.owner_of("D1");
+        const std::string entry = other_host(fleet, owner);
+        const std::string job = fleet.submit(entry, long_job);
+        fleet.run_for(milliseconds(200));
+        const std::string at = cancelled_by_owner ? owner : entry;
+        fleet.cancel(job, at);
+        fleet.run_for(stop_bound);
+        BOOST_TEST((fleet.caller(job).cancel_answer == answer_kind::cancelled));
+        const std::string killed = cancelled_by_owner ? entry : owner;
+        fleet.kill(killed);
+        fleet.run_for(milliseconds(3000));
+        fleet.repeat(job, other_host(fleet, killed));
+        fleet.run_for(milliseconds(1000));
+        BOOST_TEST(fleet.starts_of(job) == 4);
+        check_no_violations(fleet);
+    }
+}
+
+// A job is cancelled while its host cannot reach the owner, and so before the
+// owner has heard of the job.
+BOOST_AUTO_TEST_CASE(cancellation_overtakes_the_job)
+{
+    shard_fleet fleet({.domains = 1});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, owner);
+    std::string third;
+    for (const std::string& name : fleet.host_names())
+        if (name != owner && name != entry)
+            third = name;
+    fleet.partition({entry}, {owner});
+    const std::string job = fleet.submit(entry, long_job);
+    fleet.run_for(milliseconds(100));
+    fleet.cancel(job, third);
+    fleet.run_for(milliseconds(100));
+    BOOST_TEST(fleet.caller(job).is_cancelled());
+    fleet.heal();
+    fleet.run_for(milliseconds(5000));
+    BOOST_TEST(fleet.starts_of(job) == 0);
+    check_no_violations(fleet);
+}
+
+// A job that its home shard has refused runs in another domain. Its home shard
+// must carry the cancellation to the host that has offered it.
+BOOST_AUTO_TEST_CASE(offered_job_is_cancelled_at_another_host)
+{
+    shard_fleet fleet({.domains = 2, .endpoints_per_domain = 2});
+    fleet.run_for(warm_up);
+    fleet.submit(fleet.owner_of("D1"), {.tasks = 4,
+                                        .work = milliseconds(3000),
+                                        .timeout = milliseconds(9000)});
+    fleet.run_for(milliseconds(100));
+    const std::string owner = fleet.owner_of("D1");
+    const std::string entry = other_host(fleet, owner);
+    const std::string job =
+        fleet.submit(entry, {.tasks = 2,
+                             .work = milliseconds(1000),
+                             .timeout = milliseconds(2000)});
+    fleet.run_for(milliseconds(300));
+    BOOST_REQUIRE(fleet.starts_of(job) == 2);
+    fleet.cancel(job, owner);
+    fleet.run_for(stop_bound);
+    BOOST_TEST(running_tasks(fleet) == 4U);
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::cancelled));
+    BOOST_TEST((fleet.caller(job).cancel_answer == answer_kind::cancelled));
+    check_no_violations(fleet);
+}
+
+// A host of another domain is cut off. Cancelling must not wait for it.
+BOOST_AUTO_TEST_CASE(cut_off_domain_does_not_hold_up_cancelling)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    std::set<std::string> here;
+    std::set<std::string> there;
+    for (const std::string& name : fleet.host_names())
+        (name.starts_with("D1") ? here : there).insert(name);
+    fleet.partition(here, there);
+    fleet.run_for(milliseconds(3000));
+    const std::string job = fleet.submit("D1-h1", long_job);
+    fleet.run_for(milliseconds(200));
+    fleet.cancel(job, "D1-h2");
+    fleet.run_for(stop_bound);
+    BOOST_TEST((fleet.caller(job).cancel_answer == answer_kind::cancelled));
+    BOOST_TEST(running_tasks(fleet) == 0U);
+    // The copy of a caller at the other side is cancelled when the domains
+    // reach each other again.
+    fleet.heal();
+    fleet.run_for(milliseconds(3000));
+    fleet.repeat(job, "D2-h1");
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    check_no_violations(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -192,6 +192,7 @@
     ++killed.incarnation;
     for (const std::string& other : this->host_names())
         this->drop_link(name, other);
+    killed.cancelling_calls.clear();
     this->drop_calls(name);
 }
 
@@ -811,6 +812,8 @@
         this->queue.now() - draining->second > drain_limit)
         this->report_violation("a start on a draining endpoint: " + id);
     const caller_record& caller = this->callers.at(task.job);
+    if (caller.is_cancelled())
+        this->report_violation("a start after the cancelling of " + task.job);
     const bool is_refused =
         caller.answer == shard::answer_kind::not_run && caller.attempts == 1;
     if (is_refused)
@@ -901,6 +904,27 @@
     this->send_job(job, record.host);
 }
 
+void shard_fleet::repeat(const std::string& job, const std::string& host)
+{
+    this->send_job(job, host);
+}
+
+void shard_fleet::cancel(const std::string& job, const std::string& host)
+{
+    process& target = this->processes.at(host);
+    if (!target.host)
+        return;
+    shard::caller_query query;
+    query.call = this->next_call++;
+    query.host = "host";
+    query.path = "/" + this->shapes.at(job).route + "/" + job;
+    query.cancels = true;
+    target.cancelling_calls[query.call] = job;
+    this->deliver(host, target.incarnation,
+                  [query](shard::entry_host& entry, support::instant now)
+                  { entry.queried(query, now); });
+}
+
 void shard_fleet::disconnect_caller(const std::string& job)
 {
     caller_record& record = this->callers.at(job);
@@ -954,6 +978,16 @@
 void shard_fleet::answer(const std::string& host,
                          const shard::caller_answer& response)
 {
+    auto& cancelling = this->processes.at(host).cancelling_calls;
+    const auto cancelled = cancelling.find(response.call);
+    if (cancelled != cancelling.end())
+    {
+        caller_record& record = this->callers.at(cancelled->second);
+        record.cancel_answer = response.kind;
+        record.cancelled_at = this->queue.now();
+        cancelling.erase(cancelled);
+        return;
+    }
     auto& calls = this->processes.at(host).calls;
     const auto found = calls.find(response.call);
     if (found == calls.end())
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -57,6 +57,16 @@
     support::milliseconds retry_after{0};
     int attempts = 0;
     bool has_disconnected = false;
+    /// The answer to the last cancelling call, and when it came.
+    std::optional<shard::answer_kind> cancel_answer = {};
+    support::instant cancelled_at = {};
+
+    /// Returns whether no task of it may start any more.
+    bool is_cancelled() const
+    {
+        return this->cancel_answer == shard::answer_kind::cancelled ||
+               this->cancel_answer == shard::answer_kind::unknown_job;
+    }
 };
 
 struct job_shape
@@ -96,6 +106,10 @@
     std::string submit(const std::string& host, const job_shape& shape = {});
     /// Sends a refused job again to the same host.
     void submit_again(const std::string& job);
+    /// Sends the request of \p job once more, to \p host.
+    void repeat(const std::string& job, const std::string& host);
+    /// Cancels \p job at \p host.
+    void cancel(const std::string& job, const std::string& host);
     void disconnect_caller(const std::string& job);
     /// Sends the copies of all lost jobs to \p host.
     void send_copies_to(const std::string& host);
@@ -194,6 +208,7 @@
         support::instant paused_until;
         std::vector<std::function<void()>> deferred_events;
         std::map<shard::call_id, std::string> calls;
+        std::map<shard::call_id, std::string> cancelling_calls;
     };
     struct stored_row
     {
--- a/transport/lib/peer_codec.cpp
+++ b/transport/lib/peer_codec.cpp
@@ -50,7 +50,7 @@
 {
     const auto& set = message.__isset;
     return set.hello + set.beat + set.submitted + set.withdrawn + set.ended +
-           set.not_owned + set.config;
+           set.not_owned + set.config + set.cancelled + set.recorded;
 }
 
 int count_members(const schema::host_record& /*record*/)
