Endpoints: a closed connection is news of a possible new incarnation

The client found its pooled connections closed, opened new ones and sent the starts to whatever answered.

- The HTTP client reports pooled connections that their server has closed.
The owner starts nothing there before it has listed the endpoint; a list from an incarnation that is not the entry's keeps it unused until the entry is read.
A start that was not sent does not quarantine the endpoint any more.
- A free channel with an open connection is taken before one without, so that fewer connections are opened.

What stays open: an endpoint that loses power, or restarts behind a cut, closes nothing visibly; a start that opens a new connection before anything else was sent there reaches it unseen.

The virtual fleet routes orders by address and can close connections at a restart; the takeover mix does so, as TCP does. The other mixes keep restarts that nobody notices. New: the soak mix 'strays' (requests cancelled, repeated or read late, entries of other writers, endpoints of other kinds).

Pattern: no order goes to an incarnation that was not seen under its entry.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -185,7 +185,13 @@
       store(parse_socket(this->settings.store)),
       endpoint_calls({.loop = this->loop,
                       .max_response_bytes = max_response_bytes,
-                      .max_pooled_connections = endpoint_connections}),
+                      .max_pooled_connections = endpoint_connections,
+                      .on_idle_closed =
+                          [this](const std::string& address, int port)
+                      {
+                          this->host.endpoint_disconnected(
+                              address, port, transport::event_loop::now());
+                      }}),
       store_calls({.loop = this->loop,
                    .max_response_bytes = max_response_bytes,
                    .max_pooled_connections = store_connections}),
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -97,6 +97,10 @@
     void start_answered(const order_answered& answer, support::instant now);
     void stop_answered(const order_answered& answer, support::instant now);
     void runs_listed(const shard::runs_listed& list, support::instant now);
+    /// The server at an endpoint's address has closed a connection that no call
+    /// was using. Another incarnation may answer there.
+    void endpoint_disconnected(const std::string& address, int port,
+                               support::instant now);
 
     // Peers.
     void peer_connected(const host_identity& peer, support::instant now);
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -119,6 +119,10 @@
     void start_answered(const order_answered& answer, support::instant now);
     void stop_answered(const order_answered& answer, support::instant now);
     void listed(const runs_listed& list, support::instant now);
+    /// An idle connection to \p address was closed: the endpoint there gets no
+    /// start before it is listed again.
+    void endpoint_disconnected(const std::string& address, int port,
+                               support::instant now);
 
     /// Every live host has submitted what it has open in this shard: ends the
     /// adoption window.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -292,6 +292,15 @@
     this->update_ownership_if_fenced(now);
 }
 
+void entry_host::endpoint_disconnected(const std::string& address, int port,
+                                       instant now)
+{
+    this->begin_event(now);
+    for (const auto& [number, shard] : this->shards)
+        shard->endpoint_disconnected(address, port, now);
+    this->deliver_local_results(now);
+}
+
 void entry_host::update_ownership_if_fenced(instant now)
 {
     if (!this->fenced.empty())
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -409,6 +409,25 @@
     this->tick_endpoint(*record, now);
 }
 
+void shard_owner::endpoint_disconnected(const std::string& address, int port,
+                                        instant now)
+{
+    for (const auto& [id, record] : this->endpoints)
+    {
+        const schema::endpoint_registration& entry = record->lease.entry();
+        if (entry.address != address || entry.port != port)
+            continue;
+        if (record->is_responding)
+            this->hooks.log(log_line("endpoint_lost")
+                                .add("endpoint", id)
+                                .add("status", "disconnected"));
+        record->is_responding = false;
+        record->needs_list = true;
+        record->next_list = now;
+        this->tick_endpoint(*record, now);
+    }
+}
+
 void shard_owner::endpoint_became_known(endpoint_record& record, instant now)
 {
     this->hooks.log(log_line("endpoint_known")
--- a/shard/lib/shard_orders.cpp
+++ b/shard/lib/shard_orders.cpp
@@ -190,7 +190,15 @@
         this->tick_endpoint(*record, now);
         return;
     }
+    if (answer.status == order_status::not_sent)
+    {
+        // Another incarnation may answer at the address by now.
+        record->is_responding = false;
+        record->needs_list = true;
+        record->next_list = now;
+    }
     this->start_refused(*record, *settled, answer.status, now);
+    this->tick_endpoint(*record, now);
     this->place(now);
 }
 
@@ -203,6 +211,7 @@
     if (is_replaced(where, start, status))
         this->drop_endpoint_runs(where, end_evidence::other_incarnation, now);
     else if (status != order_status::stale_run &&
+             status != order_status::not_sent &&
              status != order_status::other_incarnation &&
              (status != order_status::stale_token || was_superseded))
         where.quarantine(now);
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -489,6 +489,33 @@
     BOOST_TEST(script.owner.running_tasks() == 1);
 }
 
+// An idle endpoint restarts as a smaller one of another kind. Until its entry
+// is read, the owner must not start tasks there that only the former kind could
+// run.
+BOOST_AUTO_TEST_CASE(idle_endpoint_restarts_as_another_kind)
+{
+    for (int offset = 0; offset < 500; offset += 50)
+        for (const int listed_after : {0, 1000})
+        {
+            BOOST_TEST_CONTEXT("offset " << offset)
+            {
+                shard_fleet fleet({.profiles = {{.millicores = 24000}}});
+                fleet.run_for(warm_up + milliseconds(offset));
+                fleet.restart_endpoint(
+                    "D1-e1", milliseconds(listed_after),
+                    new_incarnation{.millicores = 8000,
+                                    .labels = {{"rack-1", "kind-a"}},
+                                    .closes_connections = true});
+                fleet.run_for(milliseconds(50));
+                fleet.submit("D1-h1", {.tasks = 9,
+                                       .millicores = 7500,
+                                       .required_label = "kind-b"});
+                fleet.run_for(milliseconds(2500));
+                check_no_violations(fleet);
+            }
+        }
+}
+
 // The same, and the task runs at the present address again and is being
 // stopped. The answer to the earlier run's stop says nothing about the present
 // run.
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -412,14 +412,35 @@
                                   shard::entry_host& host, support::instant now)
                               { handle_answer(host, no_answer, now); });
             });
+        virtual_endpoint& addressed = this->endpoint_at(order.to);
+        const int sent_to = addressed.incarnation_number();
+        const bool was_closed =
+            this->closed_connections.contains({name, addressed.entry().id});
         this->queue.after(
             link_delay,
             [this, name, incarnation, id, order, settled, send_request,
-             handle_answer]
+             handle_answer, no_answer, sent_to, was_closed]
             {
-                virtual_endpoint& target = *this->endpoints.at(id);
-                if (this->drops(name, id) || !target.is_up())
+                // Another endpoint may listen at the address.
+                virtual_endpoint& target = this->endpoint_at(order.to);
+                const std::string& reached = target.entry().id;
+                if (this->drops(name, reached) || !target.is_up())
                     return;
+                const bool is_closed =
+                    was_closed ||
+                    this->closed_connections.contains({name, reached}) ||
+                    (this->has_closed.contains(reached) &&
+                     sent_to != target.incarnation_number());
+                if (is_closed && !std::exchange(*settled, true))
+                {
+                    this->closed_connections.erase({name, reached});
+                    this->deliver(
+                        name, incarnation,
+                        [handle_answer, no_answer](shard::entry_host& host,
+                                                   support::instant now)
+                        { handle_answer(host, no_answer, now); });
+                    return;
+                }
                 send_request(
                     target, order,
                     [this, name, incarnation, id, settled,
@@ -697,10 +718,11 @@
     schema::endpoint_registration& entry = wanted.entry;
     entry.id = domain + "-e" + std::to_string(number);
     entry.pool = "workers";
-    entry.address = "10.1.1.1";
-    entry.port = 1;
+    entry.address = "10.1." + domain.substr(1) + ".1";
+    entry.port = number;
     entry.domain = domain;
-    entry.labels = {"rack-" + std::to_string(number % 2)};
+    entry.labels = {"rack-" + std::to_string(number % 2),
+                    number % 2 == 0 ? "kind-a" : "kind-b"};
     const auto& profiles = this->options.profiles;
     const endpoint_profile& profile =
         profiles[static_cast<std::size_t>(number - 1) % profiles.size()];
@@ -738,6 +760,29 @@
     this->store_row(directory_table::endpoints, entry.id, {.endpoint = entry});
 }
 
+virtual_endpoint& shard_fleet::endpoint_at(const shard::endpoint_address& to)
+{
+    const auto found = std::find_if(
+        this->endpoints.begin(), this->endpoints.end(),
+        [&to](const auto& one)
+        {
+            const auto& entry = one.second->entry();
+            return entry.address == to.address && entry.port == to.port;
+        });
+    return found == this->endpoints.end() ? *this->endpoints.at(to.id)
+                                          : *found->second;
+}
+
+void shard_fleet::forge_entry(const std::string& id, const std::string& other,
+                              milliseconds span)
+{
+    schema::endpoint_registration forged = this->endpoint(id).entry();
+    forged.address = this->endpoint(other).entry().address;
+    forged.port = this->endpoint(other).entry().port;
+    this->store_row(directory_table::endpoints, id, {.endpoint = forged});
+    this->queue.after(span, [this, id] { this->list_endpoint(id); });
+}
+
 virtual_endpoint& shard_fleet::endpoint(const std::string& id)
 {
     return *this->endpoints.at(id);
@@ -769,6 +814,8 @@
                                    const new_incarnation& next)
 {
     this->endpoint(id).restart(next);
+    if (next.closes_connections)
+        this->close_connections(id);
     if (listed_after.count() == 0)
         this->list_endpoint(id);
     else
@@ -776,6 +823,29 @@
                           [this, id] { this->list_endpoint(id); });
 }
 
+void shard_fleet::close_connections(const std::string& id)
+{
+    const schema::endpoint_registration& entry = this->endpoint(id).entry();
+    this->has_closed.insert(id);
+    for (const std::string& name : this->host_names())
+    {
+        this->closed_connections.insert({name, id});
+        if (this->are_partitioned(name, id))
+            continue;
+        this->queue.after(
+            link_delay,
+            [this, name, id, address = entry.address, port = entry.port]
+            {
+                this->closed_connections.erase({name, id});
+                this->deliver(
+                    name, this->processes.at(name).incarnation,
+                    [address, port](shard::entry_host& host,
+                                    support::instant now)
+                    { host.endpoint_disconnected(address, port, now); });
+            });
+    }
+}
+
 void shard_fleet::list_endpoint(const std::string& id)
 {
     this->store_row(directory_table::endpoints, id,
@@ -812,6 +882,11 @@
         this->queue.now() - draining->second > drain_limit)
         this->report_violation("a start on a draining endpoint: " + id);
     const caller_record& caller = this->callers.at(task.job);
+    const std::string& label = this->shapes.at(task.job).required_label;
+    const auto& labels = this->endpoint(id).entry().labels;
+    if (!label.empty() &&
+        std::find(labels.begin(), labels.end(), label) == labels.end())
+        this->report_violation("a start on " + id + ", which lacks " + label);
     if (caller.is_cancelled())
         this->report_violation("a start after the cancelling of " + task.job);
     const bool is_refused =
@@ -864,6 +939,7 @@
     group.need.memory_mb = shape.memory_mb;
     group.estimate_ms =
         (shape.estimate.count() > 0 ? shape.estimate : shape.work).count();
+    group.required_label = shape.required_label;
     work.groups.push_back(group);
     request.work = work;
     target.calls[request.call] = job;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -81,6 +81,8 @@
     std::string route = "quote";
     /// Appended to the id in the path.
     std::string id_suffix = {};
+    /// The label that an endpoint must have, if any.
+    std::string required_label = {};
     /// How long the request waits in its connection before it is read.
     support::milliseconds waited{0};
 };
@@ -170,6 +172,10 @@
     /// Removes the entry of \p endpoint, and lists it again after \p span.
     void unlist_endpoint(const std::string& endpoint,
                          support::milliseconds span);
+    /// Another writer leaves an entry under the id of an endpoint that leads to
+    /// \p other. The endpoint writes its own one again after \p span.
+    void forge_entry(const std::string& id, const std::string& other,
+                     support::milliseconds span);
     virtual_endpoint& endpoint(const std::string& id);
 
     // State queries.
@@ -249,7 +255,12 @@
     void write(const std::string& name, int incarnation,
                const shard::registration_write& write);
     void list_endpoint(const std::string& id);
+    /// Closes the connections of all hosts to an endpoint, and tells those that
+    /// reach it. For the others, their next order shows it.
+    void close_connections(const std::string& id);
     support::microseconds answer_delay();
+    /// Returns the endpoint that listens at an address.
+    virtual_endpoint& endpoint_at(const shard::endpoint_address& to);
     row_table& rows_of(shard::directory_table table)
     {
         return this->tables[static_cast<std::size_t>(table)];
@@ -263,6 +274,10 @@
     std::map<std::string, std::unique_ptr<virtual_endpoint>> endpoints;
     std::set<std::pair<std::string, std::string>> links;
     std::set<std::pair<std::string, std::string>> silent_links;
+    /// Hosts and endpoints whose connections have closed unseen.
+    std::set<std::pair<std::string, std::string>> closed_connections;
+    /// Endpoints that have closed their connections at a restart.
+    std::set<std::string> has_closed;
     struct held_message
     {
         std::string from;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -27,9 +27,12 @@
                  same endpoints and hosts within seconds; "channels", broken
                  connections of callers and hosts, with copies sent to any
                  domain; "takeover", several that change owners, without late
-                 orders; or "incarnations", as "chained" with endpoints that
-                 restart as another kind, leave the list or are replaced, list
-                 ends in pieces, and answer out of order [default: single].
+                 orders; "incarnations", as "chained" with endpoints that
+                 restart, leave the list or are replaced, list ends in pieces,
+                 and answer out of order; or "strays", requests that are
+                 cancelled or repeated at any host or read late, entries of
+                 other writers, and endpoints that restart as another kind
+                 [default: single].
   --verbose      Print the log of each failing seed.
 )";
 
@@ -42,6 +45,10 @@
 /// resend delay.
 constexpr int long_work = 4;
 
+/// How long the callers of the "strays" mix wait for an answer before they
+/// leave and send the job again.
+constexpr milliseconds caller_patience{1500};
+
 enum class fault_mix
 {
     single,
@@ -49,6 +56,7 @@
     channels,
     takeover,
     incarnations,
+    strays,
 };
 
 /// Answers of half of the sessions overtake each other, by up to this time.
@@ -57,8 +65,8 @@
     return seed % 4 < 2 ? 15 : 0;
 }
 
-constexpr std::array<std::string_view, 5> mix_names = {
-    "single", "chained", "channels", "takeover", "incarnations"};
+constexpr std::array<std::string_view, 6> mix_names = {
+    "single", "chained", "channels", "takeover", "incarnations", "strays"};
 
 class soak_session
 {
@@ -75,7 +83,8 @@
                  .resumes_with_events = wanted_mix == fault_mix::chained ||
                                         wanted_mix == fault_mix::takeover ||
                                         wanted_mix == fault_mix::incarnations,
-                 .copies_leave_domain = wanted_mix == fault_mix::channels,
+                 .copies_leave_domain = wanted_mix == fault_mix::channels ||
+                                        wanted_mix == fault_mix::strays,
                  .longest_answer_delay =
                      milliseconds(wanted_mix == fault_mix::incarnations
                                       ? longest_answer_delay(seed)
@@ -118,6 +127,7 @@
     void plan_incarnation_fault(milliseconds when, const std::string& id);
     void plan_channel_faults(milliseconds when);
     void plan_channel_fault(milliseconds when, const std::string& host);
+    void plan_stray(milliseconds when);
     void plan_takeover(milliseconds when);
     void plan_takeover_fault(milliseconds when, const std::string& domain);
     void plan_cut(milliseconds when, milliseconds span,
@@ -150,15 +160,27 @@
             shape.work *= long_work;
             shape.timeout *= long_work;
         }
+        const bool are_strays = this->mix == fault_mix::strays;
+        if (are_strays)
+        {
+            shape.work += milliseconds(300);
+            shape.timeout = caller_patience;
+            shape.required_label = std::array{"", "kind-a", "kind-b"}.at(
+                static_cast<std::size_t>(this->pick(3)));
+        }
         const bool disconnects = this->pick(10) == 0;
         const milliseconds connected_for(this->pick(500));
         this->fleet.at(
             when,
-            [this, host, shape, disconnects, connected_for, when]
+            [this, host, shape, are_strays, disconnects, connected_for, when]
             {
                 if (!this->fleet.accepts_callers(host))
                     return;
                 const std::string job = this->fleet.submit(host, shape);
+                if (are_strays)
+                    this->fleet.at(
+                        when + caller_patience, [this, job]
+                        { this->fleet.lose_caller(job, milliseconds(0)); });
                 if (disconnects)
                     this->fleet.at(when + connected_for, [this, job]
                                    { this->fleet.disconnect_caller(job); });
@@ -537,9 +559,14 @@
     {
         const milliseconds listed_after(this->pick(3000));
         const std::int64_t clock_start = this->pick(200000);
-        this->fleet.at(
-            when, [this, id, listed_after, clock_start]
-            { this->fleet.restart_endpoint(id, listed_after, clock_start); });
+        this->fleet.at(when,
+                       [this, id, listed_after, clock_start]
+                       {
+                           this->fleet.restart_endpoint(
+                               id, listed_after,
+                               new_incarnation{.clock_start_ms = clock_start,
+                                               .closes_connections = true});
+                       });
         return;
     }
     default:
@@ -548,6 +575,61 @@
     }
 }
 
+void soak_session::plan_stray(milliseconds when)
+{
+    const std::string host = this->pick_one(this->fleet.host_names());
+    const std::string other = this->pick_one(this->fleet.host_names());
+    const std::string id = this->pick_one(this->fleet.endpoint_names());
+    const std::string neighbour = this->pick_one(this->fleet.endpoint_names());
+    // Endpoints write their entries every 1,500 ms.
+    const milliseconds span(this->pick(1500));
+    const milliseconds later = when + milliseconds(100 + this->pick(9000));
+    const int number = this->pick(1000);
+    switch (this->pick(4))
+    {
+    case 0:
+    {
+        const milliseconds pause(1500 + this->pick(3000));
+        this->fleet.at(when,
+                       [this, host, pause] { this->fleet.pause(host, pause); });
+        return;
+    }
+    case 1:
+        this->fleet.at(
+            when,
+            [this, host, other, number, later]
+            {
+                // One of the youngest jobs.
+                const int newest = this->fleet.submitted();
+                const std::string job =
+                    "job" + std::to_string(std::max(1, newest - number % 10));
+                this->fleet.cancel(job, host);
+                // Requests are repeated only after their answer.
+                this->fleet.at(later,
+                               [this, job, other]
+                               {
+                                   if (this->fleet.caller(job).answer)
+                                       this->fleet.repeat(job, other);
+                               });
+            });
+        return;
+    case 2:
+        this->fleet.at(when, [this, id, neighbour, span]
+                       { this->fleet.forge_entry(id, neighbour, span); });
+        return;
+    default:
+    {
+        const new_incarnation next{
+            .millicores = number % 3 == 0 ? 8000 : 16000,
+            .labels = {{"rack-0", number % 2 == 0 ? "kind-a" : "kind-b"}},
+            .closes_connections = true};
+        this->fleet.at(when, [this, id, span, next]
+                       { this->fleet.restart_endpoint(id, span, next); });
+        return;
+    }
+    }
+}
+
 void soak_session::plan_takeover(milliseconds when)
 {
     const std::string domain = this->pick(2) == 0 ? "D1-" : "D2-";
@@ -583,6 +665,10 @@
         case fault_mix::takeover:
             this->plan_takeover(when);
             break;
+        case fault_mix::strays:
+            for (int left = 3; left > 0; --left)
+                this->plan_stray(when + milliseconds(this->pick(2000)));
+            break;
         }
     }
     this->fleet.at(end_of_faults,
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -48,6 +48,7 @@
     entry.born_ms = next.born_ms.value_or(entry.born_ms + 1);
     entry.capacity.millicores =
         next.millicores.value_or(entry.capacity.millicores);
+    entry.labels = next.labels.value_or(entry.labels);
     ++this->incarnation;
     for (const auto& [task, one] : this->running)
         this->on_ended(task, run_end::lapsed);
@@ -107,7 +108,7 @@
 void virtual_endpoint::start(const shard::start_order& order,
                              std::function<void(order_answered)> reply)
 {
-    if (this->is_replaced())
+    if (this->is_replaced() || order.to.id != this->entry().id)
     {
         reply(
             {.order = order.order, .status = order_status::other_incarnation});
@@ -252,7 +253,7 @@
 void virtual_endpoint::stop(const shard::stop_order& order,
                             std::function<void(order_answered)> reply)
 {
-    if (this->is_replaced())
+    if (this->is_replaced() || order.to.id != this->entry().id)
     {
         reply(
             {.order = order.order, .status = order_status::other_incarnation});
@@ -298,7 +299,7 @@
 void virtual_endpoint::list(const shard::list_request& request,
                             std::function<void(shard::runs_listed)> reply)
 {
-    if (this->is_replaced())
+    if (this->is_replaced() || request.to.id != this->entry().id)
     {
         shard::runs_listed refusal;
         refusal.order = request.order;
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -64,6 +64,11 @@
     /// The time of day may have been set back since the previous start.
     std::optional<std::int64_t> born_ms = std::nullopt;
     std::optional<std::int64_t> millicores = std::nullopt;
+    std::optional<std::vector<std::string>> labels = std::nullopt;
+    /// The connections to the previous one close: hosts that reach the endpoint
+    /// learn of it, and orders on such a connection are lost. Otherwise hosts
+    /// notice nothing, and their next orders reach the new one.
+    bool closes_connections = false;
 };
 
 /// The fault injected into an endpoint.
@@ -124,6 +129,12 @@
     /// Resets the connections of list requests that are held open.
     void reset_lists();
 
+    /// Counts the incarnations.
+    int incarnation_number() const
+    {
+        return this->incarnation;
+    }
+
     bool is_up() const
     {
         return this->fault != endpoint_fault::dead;
--- a/transport/include/chicorydrum/transport/http_client.hpp
+++ b/transport/include/chicorydrum/transport/http_client.hpp
@@ -39,6 +39,9 @@
     std::vector<http_header> headers;
     std::string body;
     support::milliseconds timeout{1000};
+    /// Sends nothing if a connection to the server is found closed: another
+    /// process may answer at its address by now.
+    bool needs_same_server = false;
 };
 
 using client_outcome = tl::expected<http_response, client_error>;
@@ -54,6 +57,10 @@
     support::seconds idle_timeout{60};
     /// Response headers that are copied into http_response::headers.
     std::vector<std::string> captured_headers = {};
+    /// Called when an idle pooled connection was closed by its server. Requests
+    /// that use a connection when it closes have an outcome that says so.
+    std::function<void(const std::string& address, int port)> on_idle_closed =
+        {};
 };
 
 class http_client
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -3,6 +3,7 @@
 #include "client_connect.hpp"
 #include "connection_state.hpp"
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 #include <unordered_map>
@@ -46,6 +47,14 @@
     channel_index channel = no_channel;
 };
 
+/// An idle pooled connection.
+struct idle_connection
+{
+    channel_state* channel = nullptr;
+    std::string address;
+    int port = 0;
+};
+
 /// The first request id; 0 means no request.
 constexpr std::uint64_t first_id = 1;
 
@@ -108,10 +117,22 @@
                         void* user, void* in, std::size_t length);
 
     lws_vhost* make_vhost();
+    std::vector<channel_state>& channels_of(const std::string& server);
+    /// Returns a channel that no request uses, with an idle connection if there
+    /// is one, or no_channel.
+    channel_index free_channel(const std::string& server);
     channel_index reserve_channel(const std::string& server);
     void release_channel(const channel_reservation& reservation);
-    void add_idle(const channel_reservation& reservation, lws* connection);
+    void add_idle(const open_request& ended, lws* connection);
     void remove_idle(lws* connection);
+    /// Closes an idle connection and reports that its server has closed it.
+    void drop_idle(lws* connection);
+    /// Reports an idle connection that its server has closed, after the present
+    /// event.
+    void report_closed(const idle_connection& closed);
+    /// Returns whether the server of \p open has closed one of its
+    /// connections, which the loop has not handled yet.
+    bool has_closed_connection(const open_request& open);
     void abort(open_request& open);
     void connect(open_request& open);
     int append_headers(open_request& open, void* in, std::size_t length);
@@ -134,8 +155,10 @@
     std::vector<lws_vhost*> channels;
     std::unordered_map<std::string, std::vector<channel_state>>
         channels_by_server;
-    /// The channel of each idle connection.
-    std::unordered_map<lws*, channel_state*> idle;
+    std::unordered_map<lws*, idle_connection> idle;
+    /// Reports closed idle connections after the event that showed it.
+    std::vector<idle_connection> closed;
+    std::unique_ptr<timer> closed_report;
     std::uint64_t next_id = first_id;
     std::unordered_map<std::uint64_t, std::unique_ptr<open_request>> requests;
     /// The channels of requests whose outcome is reported while their
@@ -157,25 +180,44 @@
     return created;
 }
 
-channel_index http_client::state::reserve_channel(const std::string& server)
+std::vector<channel_state>&
+http_client::state::channels_of(const std::string& server)
 {
     std::vector<channel_state>& all = this->channels_by_server[server];
     // Never resized again, since idle connections point into the vector.
     if (all.empty())
         all.resize(this->channels.size());
+    return all;
+}
+
+channel_index http_client::state::free_channel(const std::string& server)
+{
+    const std::vector<channel_state>& all = this->channels_of(server);
+    channel_index free = no_channel;
     for (channel_index channel = 0; channel < all.size(); ++channel)
     {
         if (all[channel].is_busy)
             continue;
-        all[channel].is_busy = true;
-        // The library crashes if a request reuses a connection that was reset
-        // since the last poll.
-        if (all[channel].idle != nullptr && is_stale(all[channel].idle))
-            lws_set_timeout(all[channel].idle, PENDING_TIMEOUT_USER_REASON_BASE,
-                            LWS_TO_KILL_SYNC);
-        return channel;
+        if (all[channel].idle != nullptr)
+            return channel;
+        if (free == no_channel)
+            free = channel;
     }
-    return no_channel;
+    return free;
+}
+
+channel_index http_client::state::reserve_channel(const std::string& server)
+{
+    const channel_index channel = this->free_channel(server);
+    if (channel == no_channel)
+        return no_channel;
+    channel_state& reserved = this->channels_of(server)[channel];
+    reserved.is_busy = true;
+    // The library crashes if a request reuses a connection that was reset since
+    // the last poll.
+    if (reserved.idle != nullptr && is_stale(reserved.idle))
+        this->drop_idle(reserved.idle);
+    return channel;
 }
 
 void http_client::state::release_channel(const channel_reservation& reservation)
@@ -185,13 +227,15 @@
             .is_busy = false;
 }
 
-void http_client::state::add_idle(const channel_reservation& reservation,
-                                  lws* connection)
+void http_client::state::add_idle(const open_request& ended, lws* connection)
 {
     channel_state& channel =
-        this->channels_by_server[reservation.server][reservation.channel];
+        this->channels_by_server[ended.reservation.server]
+                                [ended.reservation.channel];
     channel.idle = connection;
-    this->idle[connection] = &channel;
+    this->idle[connection] = {.channel = &channel,
+                              .address = ended.request.address,
+                              .port = ended.request.port};
 }
 
 void http_client::state::remove_idle(lws* connection)
@@ -199,18 +243,76 @@
     const auto found = this->idle.find(connection);
     if (found == this->idle.end())
         return;
-    // The channel may hold a newer connection by now.
-    if (found->second->idle == connection)
-        found->second->idle = nullptr;
+    channel_state& channel = *found->second.channel;
+    // The channel may hold a newer connection by now. A busy one has passed its
+    // connection on to the request.
+    if (channel.idle == connection)
+        channel.idle = nullptr;
+    if (!channel.is_busy)
+        this->report_closed(found->second);
     this->idle.erase(found);
 }
 
+void http_client::state::drop_idle(lws* connection)
+{
+    this->report_closed(this->idle.at(connection));
+    lws_set_timeout(connection, PENDING_TIMEOUT_USER_REASON_BASE,
+                    LWS_TO_KILL_SYNC);
+}
+
+void http_client::state::report_closed(const idle_connection& connection)
+{
+    if (!this->options.on_idle_closed)
+        return;
+    this->closed.push_back(connection);
+    if (!this->closed_report)
+        this->closed_report =
+            std::make_unique<timer>(this->options.loop.make_timer(
+                [this]
+                {
+                    const auto reported = std::exchange(this->closed, {});
+                    for (const idle_connection& one : reported)
+                        this->options.on_idle_closed(one.address, one.port);
+                }));
+    this->closed_report->start(support::microseconds(1));
+}
+
+bool http_client::state::has_closed_connection(const open_request& open)
+{
+    const std::string server =
+        open.request.address + ":" + std::to_string(open.request.port);
+    const channel_index free = this->free_channel(server);
+    // An idle connection that is going to be used again shows the server's
+    // state. A new one does not, but those of other requests may.
+    if (free != no_channel && this->channels_of(server)[free].idle != nullptr)
+        return is_stale(this->channels_of(server)[free].idle);
+    return std::any_of(this->requests.begin(), this->requests.end(),
+                       [&server, &open](const auto& entry)
+                       {
+                           const open_request& other = *entry.second;
+                           return &other != &open && other.sent &&
+                                  other.connection != nullptr &&
+                                  other.reservation.server == server &&
+                                  remote_state_of(other.connection) ==
+                                      remote_state::closed;
+                       });
+}
+
 void http_client::state::connect(open_request& open)
 {
+    const bool is_unusable =
+        open.request.needs_same_server && this->has_closed_connection(open);
     const std::string server =
         open.request.address + ":" + std::to_string(open.request.port);
     open.reservation = {.server = server,
                         .channel = this->reserve_channel(server)};
+    if (is_unusable)
+    {
+        this->report_closed(
+            {.address = open.request.address, .port = open.request.port});
+        this->defer_finish(open);
+        return;
+    }
     const bool is_pooled = open.reservation.channel != no_channel;
     // The library finds pooled connections by comparing the address with the
     // host, which therefore must not contain the port.
@@ -404,7 +506,7 @@
     this->requests.erase(found);
     const bool is_pooled = ended->reservation.channel != no_channel;
     if (is_pooled)
-        this->add_idle(ended->reservation, connection);
+        this->add_idle(*ended, connection);
     ended->on_outcome(std::move(ended->response));
     // The library can reuse the connection only after this event, so the
     // channel is still busy while the callback sends new requests.
@@ -483,6 +585,7 @@
     state& self = *this->owned_state;
     self.is_destroyed = true;
     self.requests.clear();
+    self.closed_report.reset();
     lws_vhost_destroy(self.vhost);
     for (lws_vhost* const channel : self.channels)
         lws_vhost_destroy(channel);
--- a/transport/unittests/http_test.cpp
+++ b/transport/unittests/http_test.cpp
@@ -416,6 +416,61 @@
     }
 }
 
+// Another process may answer at an address whose connections have closed. A
+// request that is meant for the earlier one only must not reach it, and the
+// client reports that the connection has closed.
+BOOST_AUTO_TEST_CASE(request_for_the_same_server_is_not_sent_to_another)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for (const bool loop_has_run : {false, true})
+    {
+        scripted_server server({ok, ok});
+        event_loop loop{{.max_connections = 50}};
+        int closed = 0;
+        http_client client({.loop = loop,
+                            .max_pooled_connections = 2,
+                            .on_idle_closed = [&](const std::string&, int at)
+                            {
+                                BOOST_TEST(at == server.port());
+                                ++closed;
+                            }});
+        BOOST_TEST(call_and_wait(loop, client, server).has_value());
+        BOOST_TEST(closed == 0);
+        const int pooled = find_socket_to(server.port());
+        BOOST_REQUIRE(pooled >= 0);
+        // Seen as if the server had closed the connection.
+        BOOST_REQUIRE(::shutdown(pooled, SHUT_RD) == 0);
+        std::optional<client_outcome> outcome;
+        const auto send = [&](bool needs_same_server)
+        {
+            outcome.reset();
+            client_request request;
+            request.address = "127.0.0.1";
+            request.port = server.port();
+            request.method = http_method::post;
+            request.path = "/order";
+            request.body = "body";
+            request.needs_same_server = needs_same_server;
+            client.send(std::move(request), [&outcome](client_outcome ended)
+                        { outcome = std::move(ended); });
+            loop.run_until([&outcome] { return outcome.has_value(); });
+        };
+        if (!loop_has_run)
+        {
+            send(true);
+            BOOST_REQUIRE(!*outcome);
+            BOOST_TEST((outcome->error() == client_error::not_sent));
+            BOOST_TEST(server.requests() == 1);
+        }
+        loop.run_until([&closed] { return closed > 0; });
+        // The owner looks who answers there now, and goes on.
+        send(false);
+        BOOST_TEST(outcome->has_value());
+        send(true);
+        BOOST_TEST(server.requests() >= 2);
+    }
+}
+
 // A server that receives a request on a reused connection and closes it without
 // answer may have executed it. The library must not send it a second time.
 BOOST_AUTO_TEST_CASE(request_without_answer_is_not_sent_again)
