Jobs: cancelled jobs outlive their owner and the host that was told

- An owner that records a cancellation has two more hosts of its domain keep it, which tell the owner's successors.
- A job that its home shard reports as cancelled is withdrawn from the shard that has it, also if both have one owner: the report no longer counts as the result of the newest submission.

--- a/shard/include/chicorydrum/shard/cancellations.hpp
+++ b/shard/include/chicorydrum/shard/cancellations.hpp
@@ -52,6 +52,9 @@
     /// owners have recorded it. \p was_open if the job waited at this host.
     void begin(call_id call, const std::string& id, bool was_open,
                support::instant now);
+    /// Keeps a cancellation that another host has begun, to tell later owners
+    /// if that host cannot.
+    void keep(const std::string& id, support::instant now);
     void recorded(const schema::cancellation_recorded& record);
     /// \p shard_count is the number of shards of this host's domain.
     void set_owners(const shard_owners& changed, int shard_count);
@@ -82,6 +85,7 @@
     bool has_recorded(const cancellation& one, const shard_name& home) const;
     /// Tells the reachable owners that have not recorded it.
     void tell(const std::string& id, support::instant now);
+    cancellation& find_or_add(const std::string& id, support::instant now);
     void answer_if_recorded(const std::string& id);
     void answer_calls(const std::string& id, answer_kind kind,
                       const std::string& reason);
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -57,6 +57,9 @@
     directory_options table;
     intake_options intake;
     cancellation_options cancellations;
+    /// Other hosts of the domain that keep each cancellation that is recorded
+    /// here.
+    std::size_t cancellation_keepers = 2;
     /// To hosts of the own domain.
     support::milliseconds local_heartbeat_interval{150};
     /// To hosts of other domains.
@@ -169,6 +172,8 @@
                            const schema::job_cancelled& job);
     /// Cancels a job in a shard of this host. Returns nothing if this host does
     /// not own the shard.
+    /// Has other hosts keep a cancellation for the successors of this owner.
+    void share_cancellation(const schema::job_cancelled& job);
     std::optional<schema::cancellation_recorded>
     record_cancellation(const schema::job_cancelled& job, support::instant now);
     void report_end(const std::string& host, const schema::job_ended& end);
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -108,6 +108,11 @@
     /// Ends job \p id, and every later submission of it, as cancelled. Returns
     /// whether it was open.
     bool cancel(const std::string& id, support::instant now);
+    /// Returns whether job \p id is remembered as cancelled or as ended.
+    bool has_result(const std::string& id) const
+    {
+        return this->results.find(id).has_value();
+    }
     /// Withdraws the jobs of an entry host except those with ids in \p open.
     void withdraw_all(const std::string& host,
                       const std::vector<std::string>& open,
--- a/shard/lib/cancellations.cpp
+++ b/shard/lib/cancellations.cpp
@@ -24,22 +24,32 @@
 void cancellations::begin(call_id call, const std::string& id, bool was_open,
                           instant now)
 {
-    const auto [entry, is_new] = this->jobs.try_emplace(id);
-    cancellation& one = entry->second;
-    if (is_new)
-    {
-        this->by_age.push_back(id);
-        one.began = now;
-    }
+    cancellation& one = this->find_or_add(id, now);
     one.was_open = one.was_open || was_open;
     one.calls.push_back({.call = call, .since = now});
     this->open.insert(id);
-    if (this->jobs.size() > this->options.max_jobs)
-        this->forget_oldest();
     this->tell(id, now);
     this->answer_if_recorded(id);
 }
 
+void cancellations::keep(const std::string& id, instant now)
+{
+    this->find_or_add(id, now);
+}
+
+cancellations::cancellation& cancellations::find_or_add(const std::string& id,
+                                                        instant now)
+{
+    const auto [entry, is_new] = this->jobs.try_emplace(id);
+    if (!is_new)
+        return entry->second;
+    this->by_age.push_back(id);
+    entry->second.began = now;
+    if (this->jobs.size() > this->options.max_jobs)
+        this->forget_oldest();
+    return entry->second;
+}
+
 void cancellations::forget_oldest()
 {
     const std::string id = std::move(this->by_age.front());
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -250,10 +250,28 @@
     record.domain = job.domain;
     record.shard = job.shard;
     record.token = shard->token();
+    if (!shard->has_result(job.id))
+        this->share_cancellation(job);
     record.was_open = shard->cancel(job.id, now);
     return record;
 }
 
+void entry_host::share_cancellation(const schema::job_cancelled& job)
+{
+    schema::shard_message message;
+    message.__set_cancelled(job);
+    std::size_t told = 0;
+    for (const std::string& peer : this->view.connected_peers())
+    {
+        if (told == this->options.cancellation_keepers)
+            return;
+        if (this->view.domain_of(peer) != this->options.self.domain)
+            continue;
+        this->hooks.send(peer, message);
+        ++told;
+    }
+}
+
 void entry_host::caller_left(call_id call, instant now)
 {
     this->begin_event(now);
@@ -374,6 +392,8 @@
             reply.__set_recorded(*record);
             this->hooks.send(peer, reply);
         }
+        else
+            this->cancellations.keep(message.cancelled.id, now);
     }
     else if (message.__isset.recorded)
         this->cancellations.recorded(message.recorded);
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -254,6 +254,13 @@
     if (found == this->jobs.end() || found->second.work.id != end.id)
         return;
     open_job& job = found->second;
+    if (end.outcome == schema::job_result::cancelled_by_caller)
+    {
+        // It may come from the home shard while another shard, maybe of the
+        // same host, has the job.
+        this->finish(call, answer_kind::cancelled, {}, end.reason);
+        return;
+    }
     const auto holder = job.holders.find(host);
     const bool is_newest_there =
         holder != job.holders.end() &&
@@ -271,7 +278,6 @@
         this->finish(call, answer_kind::failed, {}, end.reason);
         return;
     case schema::job_result::cancelled_by_caller:
-        this->finish(call, answer_kind::cancelled, {}, end.reason);
         return;
     case schema::job_result::not_run:
         if (!is_current || this->offer_elsewhere(call, job, now))
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -140,6 +140,26 @@
     BOOST_TEST(this->withdrawn_from.empty());
 }
 
+// The home shard has refused the job and reports later that it was cancelled.
+// Another shard of the same host has the job meanwhile, and must end it.
+BOOST_FIXTURE_TEST_CASE(job_is_cancelled_at_the_shard_that_has_it,
+                        intake_fixture)
+{
+    this->intake.set_owners(
+        {{home, {.host = "first", .token = 1}},
+         {{.domain = "D1", .shard = 1}, {.host = "first", .token = 2}}},
+        1, start);
+    this->end("first", schema::job_result::not_run, 1);
+    BOOST_REQUIRE((this->submitted_to == names{"first", "first"}));
+    schema::job_ended cancelled;
+    cancelled.call = 1;
+    cancelled.id = "job";
+    cancelled.outcome = schema::job_result::cancelled_by_caller;
+    this->intake.ended("first", cancelled, start);
+    BOOST_REQUIRE(!this->withdrawn_from.empty());
+    BOOST_TEST((this->answers.back() == answer_kind::cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
