Ownership: decide on news, not at every heartbeat

Decisions cost time that grows with the square of the hosts.

- A heartbeat that changes only loads is recorded; the next tick, at most 25 ms later, takes them over.
Claims, offers, tokens, stops, shard counts, first heartbeats, and those after a link was opened or closed, are acted on at once.
- The owners are computed once and kept until a peer, a claim or the liveness of a peer changes.

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -244,6 +244,8 @@
     /// whether all of these had accepted this host's before.
     std::map<int, bool> fenced;
     bool is_isolated = false;
+    /// A link was opened or closed since ownership was last updated.
+    bool links_have_changed = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
     order_id last_order = 0;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -105,8 +105,9 @@
 
     void connected(const host_identity& peer, support::instant now);
     void disconnected(const std::string& peer, support::instant now);
-    /// Records the peer's state, tokens and shard count.
-    void handle_heartbeat(const std::string& peer,
+    /// Records the peer's state, tokens and shard count. Returns whether it
+    /// shows more than other loads: most heartbeats do not.
+    bool handle_heartbeat(const std::string& peer,
                           const schema::shard_heartbeat& heartbeat,
                           support::instant now);
     /// The table lists a host of the own domain.
@@ -144,8 +145,9 @@
     void tick(support::instant now);
 
     /// Returns for each shard the host with the highest token among the live
-    /// hosts and, in the own domain, those that a live host hears.
-    shard_owners owners() const;
+    /// hosts and, in the own domain, those that a live host hears. Valid until
+    /// the next call that is not const.
+    const shard_owners& owners() const;
     /// Returns those of the owners that can be reached.
     shard_owners reachable_owners() const;
     /// Returns the owners in the own domain that this host hears itself.
@@ -198,9 +200,14 @@
         /// It was not live any more when its link was closed.
         bool was_silent = false;
         bool has_heartbeat = false;
+        /// As of the last tick.
+        bool was_live = false;
         schema::shard_heartbeat last_heartbeat;
     };
 
+    shard_owners find_owners() const;
+    /// Notes which peers are live now.
+    void update_liveness();
     bool is_live(const peer_state& peer) const;
     /// Returns whether the peer's link was closed in its planned stop.
     static bool has_left(const peer_state& peer);
@@ -233,6 +240,8 @@
     support::instant started;
     support::instant current_time;
     std::map<std::string, peer_state> peers;
+    /// The result of owners() since the peers or their liveness last changed.
+    mutable std::optional<shard_owners> known_owners;
     /// When a peer was last found lost that had not announced its stop.
     std::optional<support::instant> peer_lost_at;
     std::set<std::string> listed;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -333,6 +333,7 @@
     this->hooks.log(log_line("peer_connected")
                         .add("peer", peer.name)
                         .add("domain", peer.domain));
+    this->links_have_changed = true;
     this->view.connected(peer, now);
     this->answered_tokens.erase(peer.name);
     this->answered_by.erase(peer.name);
@@ -346,6 +347,7 @@
 {
     this->begin_event(now);
     this->hooks.log(log_line("peer_lost").add("peer", peer));
+    this->links_have_changed = true;
     this->view.disconnected(peer, now);
 }
 
@@ -420,7 +422,7 @@
                                   const schema::shard_heartbeat& heartbeat,
                                   instant now)
 {
-    this->view.handle_heartbeat(peer, heartbeat, now);
+    const bool is_news = this->view.handle_heartbeat(peer, heartbeat, now);
     if (heartbeat.config_version < this->active_config.version())
         this->share_config(peer);
     if (heartbeat.__isset.open_jobs)
@@ -428,7 +430,10 @@
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
     if (heartbeat.__isset.known_tokens)
         this->answered_by[peer] = heartbeat.known_tokens;
-    this->update_ownership(now);
+    // Loads are taken over by the next tick.
+    if (is_news || this->links_have_changed || heartbeat.__isset.known_tokens ||
+        heartbeat.__isset.open_jobs)
+        this->update_ownership(now);
 }
 
 void entry_host::handle_config(const schema::config_shared& shared, instant now)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -102,11 +102,13 @@
 
 void entry_host::update_ownership(instant now)
 {
+    this->links_have_changed = false;
     this->view.tick(now);
     for (const auto& [number, shard] : this->shards)
         for (const std::string& host : shard->caller_hosts())
             if (!this->view.keeps_jobs_of(host))
                 shard->end_jobs_of(host, now);
+    // A copy, as the claims and releases below change the view.
     const shard_owners best = this->view.owners();
     std::vector<std::pair<int, std::string>> lost;
     for (const auto& [number, shard] : this->shards)
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -21,6 +21,24 @@
     return token >> registration_bits;
 }
 
+/// Returns whether \p later says the same of ownership as \p before.
+bool has_same_owners(const schema::shard_heartbeat& before,
+                     const schema::shard_heartbeat& later)
+{
+    const auto is_same_claim =
+        [](const schema::ownership& one, const schema::ownership& other)
+    {
+        return one.domain == other.domain && one.shard == other.shard &&
+               one.token == other.token && one.is_offered == other.is_offered;
+    };
+    return before.is_ready == later.is_ready &&
+           before.is_stopping == later.is_stopping &&
+           before.shard_count == later.shard_count &&
+           before.heard == later.heard &&
+           std::equal(before.owned.begin(), before.owned.end(),
+                      later.owned.begin(), later.owned.end(), is_same_claim);
+}
+
 } // namespace
 
 host_view::host_view(host_view_options opts, instant now)
@@ -30,6 +48,7 @@
 
 void host_view::connected(const host_identity& peer, instant now)
 {
+    this->known_owners.reset();
     peer_state& state = this->peers[peer.name];
     // State from an earlier process of the host is obsolete.
     if (state.identity.nonce != peer.nonce)
@@ -48,29 +67,35 @@
     const auto found = this->peers.find(peer);
     if (found == this->peers.end() || !found->second.is_connected)
         return;
+    this->known_owners.reset();
     this->current_time = now;
     found->second.was_silent = !this->is_live(found->second);
     found->second.is_connected = false;
     found->second.disconnected_at = now;
 }
 
-void host_view::handle_heartbeat(const std::string& peer,
+bool host_view::handle_heartbeat(const std::string& peer,
                                  const schema::shard_heartbeat& heartbeat,
                                  instant now)
 {
     const auto found = this->peers.find(peer);
     if (found == this->peers.end())
-        return;
+        return false;
+    this->known_owners.reset();
+    const bool is_news =
+        !found->second.has_heartbeat ||
+        !has_same_owners(found->second.last_heartbeat, heartbeat);
     found->second.last_received = now;
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
-    if (found->second.identity.domain != this->options.self.domain)
-        return;
+    if (!is_news || found->second.identity.domain != this->options.self.domain)
+        return is_news;
     this->raise_shard_count(heartbeat.shard_count, now);
     for (const schema::ownership& owned_there : heartbeat.owned)
         this->record_token(owned_there.shard, owned_there.token);
     for (const schema::heard_owner& heard : heartbeat.heard)
         this->record_token(heard.shard, heard.token);
+    return true;
 }
 
 host_view::epoch_state& host_view::epochs_of(int shard)
@@ -124,6 +149,7 @@
 
 void host_view::set_owned(std::vector<schema::ownership> now_owned)
 {
+    this->known_owners.reset();
     this->owned = std::move(now_owned);
     for (const schema::ownership& claim : this->owned)
         this->record_token(claim.shard, claim.token);
@@ -149,6 +175,7 @@
 
 void host_view::reset_silence_timers(instant now)
 {
+    this->known_owners.reset();
     for (auto& [name, peer] : this->peers)
         peer.last_received = now;
     this->without_owner_since.clear();
@@ -156,6 +183,7 @@
 
 void host_view::stalled(instant now)
 {
+    this->known_owners.reset();
     this->silence_counts_from = now + this->options.stall_grace;
 }
 
@@ -188,7 +216,8 @@
     std::erase_if(
         this->peers, [this](const auto& entry)
         { return !entry.second.is_connected && !this->is_live(entry.second); });
-    const shard_owners current = this->owners();
+    this->update_liveness();
+    const shard_owners& current = this->owners();
     for (int shard = 0; shard < this->shards; ++shard)
     {
         const auto found =
@@ -206,6 +235,17 @@
     }
 }
 
+void host_view::update_liveness()
+{
+    for (auto& [name, peer] : this->peers)
+    {
+        const bool is_live_now = this->is_live(peer);
+        if (is_live_now != peer.was_live)
+            this->known_owners.reset();
+        peer.was_live = is_live_now;
+    }
+}
+
 support::milliseconds host_view::silence_limit_of(const peer_state& peer) const
 {
     const bool is_local = peer.identity.domain == this->options.self.domain;
@@ -276,7 +316,14 @@
     return (has_lost_peer && !hears_any) || (has_silent_link && !hears_domain);
 }
 
-shard_owners host_view::owners() const
+const shard_owners& host_view::owners() const
+{
+    if (!this->known_owners)
+        this->known_owners = this->find_owners();
+    return *this->known_owners;
+}
+
+shard_owners host_view::find_owners() const
 {
     shard_owners best;
     const auto consider =
@@ -514,6 +561,8 @@
 
 bool host_view::has_silent_link(const std::string& host, instant now)
 {
+    if (this->current_time != now)
+        this->known_owners.reset();
     this->current_time = now;
     const auto found = this->peers.find(host);
     return found != this->peers.end() && found->second.is_connected &&
