Owners: judge late answers by what their own link does

The orders of a wide job queue in the owner's link. Answers that took more than 25 ms counted as overdue: their endpoints left use and were asked again, which lengthened the queue.

An answer is overdue after the smoothed round trip of the shard's calls and four times its deviation (as TCP computes it), between 25 and 200 ms. Answers count also when they are late, long polls do not.

Pattern: many late at once tell of the sender.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -21,6 +21,7 @@
 {
 
 class owned_job;
+class round_trip;
 struct owned_task;
 struct endpoint_record;
 struct planned_job;
@@ -62,9 +63,6 @@
     /// thirds of it are left when an answer is lost. List requests wait for an
     /// end until then.
     support::milliseconds extension_interval{300};
-    /// An order without answer for this long is checked by a list request.
-    /// Round trips take one or two milliseconds.
-    support::milliseconds answer_timeout{25};
     /// Interval between list requests to an endpoint that does not respond.
     support::milliseconds retry_interval{200};
     /// How long a run of an earlier owner is kept for its job to be submitted
@@ -162,6 +160,9 @@
         endpoint_address to;
         task_key task;
         fencing_token token = 0;
+        support::instant sent_at = {};
+        /// The endpoint may hold its answer back.
+        bool is_long_poll = false;
         /// It would do harm if it were executed later, so that the token is
         /// raised when it gets no answer.
         bool is_raising = false;
@@ -304,6 +305,8 @@
     /// tokens if they are listed again.
     std::map<std::string, fencing_token> earlier_raises;
     decision::run_time_model run_times;
+    /// Of the calls to all endpoints of the shard.
+    std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
     bool needs_placing = false;
     bool adoption_has_ended = false;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -198,6 +198,7 @@
     this->orders[order] = {.to = where.lease.address(),
                            .task = task,
                            .token = where.lease.token(),
+                           .sent_at = now,
                            .is_raising = true};
     this->hooks.log(
         log_line("task_started")
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -5,6 +5,7 @@
 
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
+#include "round_trip.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -216,7 +217,7 @@
                     {
                         const endpoint_run& run = entry.second;
                         const instant due =
-                            run.started_at + this->options.answer_timeout;
+                            run.started_at + this->answers->timeout();
                         return run.state == run_state::ordered && now >= due &&
                                record.list_requested_at < due;
                     });
@@ -243,9 +244,9 @@
     const fencing_token token = record.lease.token();
     for (const auto& [task, run] : record.lease.runs())
     {
-        const bool is_overdue = run.state == run_state::ordered &&
-                                run.started_at + this->options.answer_timeout <=
-                                    record.listed_as_of;
+        const bool is_overdue =
+            run.state == run_state::ordered &&
+            run.started_at + this->answers->timeout() <= record.listed_as_of;
         const bool is_unconfirmed =
             run.state == run_state::unconfirmed &&
             record.last_unanswered <= record.listed_as_of;
@@ -302,10 +303,12 @@
     }
     record.list_order = request.order;
     record.list_requested_at = now;
-    record.list_due = now + request.wait + this->options.answer_timeout;
+    record.list_due = now + request.wait + this->answers->timeout();
     this->orders[request.order] = {.to = request.to,
                                    .task = {},
                                    .token = request.token,
+                                   .sent_at = now,
+                                   .is_long_poll = record.list_is_long_poll,
                                    .is_raising = request.lease_end_ms ||
                                                  request.acknowledged_end > 0};
     this->hooks.list(request);
--- a/shard/lib/shard_orders.cpp
+++ b/shard/lib/shard_orders.cpp
@@ -4,6 +4,7 @@
 
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
+#include "round_trip.hpp"
 
 namespace chicorydrum::shard
 {
@@ -66,7 +67,8 @@
     const order_id order = this->hooks.next_order();
     this->orders[order] = {.to = where.lease.address(),
                            .task = task,
-                           .token = where.lease.token()};
+                           .token = where.lease.token(),
+                           .sent_at = now};
     this->hooks.log(log_line("run_stopped")
                         .add("task", to_text(task))
                         .add("run", run)
@@ -118,6 +120,9 @@
     endpoint_record* const record = this->find_endpoint(sent.to.id);
     if (record == nullptr)
         return std::nullopt;
+    if (status != order_status::no_answer && status != order_status::not_sent &&
+        !sent.is_long_poll)
+        this->answers->observe(now - sent.sent_at);
     const bool is_current = sent.token == record->lease.token();
     if (status == order_status::no_answer && sent.is_raising && is_current)
         record->lease.raise_token();
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -6,6 +6,7 @@
 
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
+#include "round_trip.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -55,7 +56,8 @@
 } // namespace
 
 shard_owner::shard_owner(shard_options opts, shard_hooks callbacks, instant now)
-    : options(std::move(opts)), hooks(std::move(callbacks)), owned_since(now)
+    : options(std::move(opts)), hooks(std::move(callbacks)), owned_since(now),
+      answers(std::make_unique<round_trip>())
 {
     this->hooks.log(log_line("shard_owned")
                         .add("domain", this->options.domain)
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -44,6 +44,9 @@
     /// Answers of endpoints take up to this long, so that they overtake each
     /// other.
     support::milliseconds longest_answer_delay{0};
+    /// Bytes that each host's link carries in a millisecond, each way; 0 for
+    /// any number. Calls to endpoints queue in it.
+    double link_bytes_per_ms = 0;
 };
 
 /// A caller's job and the answer it got.
@@ -259,6 +262,8 @@
     /// reach it. For the others, their next order shows it.
     void close_connections(const std::string& id);
     support::microseconds answer_delay();
+    /// Returns how long \p bytes that enter a link now take to leave it.
+    support::microseconds queue_in_link(const std::string& link, double bytes);
     /// Returns the endpoint that listens at an address.
     virtual_endpoint& endpoint_at(const shard::endpoint_address& to);
     row_table& rows_of(shard::directory_table table)
@@ -274,6 +279,8 @@
     std::map<std::string, std::unique_ptr<virtual_endpoint>> endpoints;
     std::set<std::pair<std::string, std::string>> links;
     std::set<std::pair<std::string, std::string>> silent_links;
+    /// When each link has sent all that is queued in it.
+    std::map<std::string, support::instant> links_free_at;
     /// Hosts and endpoints whose connections have closed unseen.
     std::set<std::pair<std::string, std::string>> closed_connections;
     /// Endpoints that have closed their connections at a restart.
--- /dev/null
+++ b/test/shards/thin_link_test.cpp
@@ -0,0 +1,58 @@
+/// \file
+/// Hosts whose links carry hardly more than their orders: the orders of a wide
+/// job queue in the owner's own link, so that all answers are late.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+namespace
+{
+
+/// What links of 2 Mbit/s leave to calls beside heartbeats, jobs and answers.
+constexpr double link_rate = 120;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(thin_link)
+
+// Answers that wait in the owner's link must not count against its endpoints:
+// that would take them out of use, and send still more requests for lists.
+BOOST_AUTO_TEST_CASE(late_answers_tell_of_the_link)
+{
+    shard_fleet fleet({.hosts_per_domain = 4,
+                       .endpoints_per_domain = 17,
+                       .link_bytes_per_ms = link_rate});
+    fleet.run_for(warm_up);
+    // The kinds of strapworks-sched-large, in their proportions.
+    const job_shape quote{.tasks = 8, .work = milliseconds(60)};
+    const job_shape check{.tasks = 4, .work = milliseconds(900)};
+    const job_shape print{.tasks = 2, .work = milliseconds(200)};
+    constexpr int jobs = 520;
+    const std::vector<std::string> hosts = fleet.host_names();
+    for (int i = 0; i < jobs; ++i)
+    {
+        const job_shape& shape =
+            i % 23 == 0 ? check : (i % 4 == 1 ? quote : print);
+        fleet.submit(hosts[static_cast<std::size_t>(i) % hosts.size()], shape);
+        fleet.run_for(milliseconds(38));
+    }
+    fleet.run_for(milliseconds(3000));
+    const auto lost = std::count_if(
+        fleet.log().begin(), fleet.log().end(),
+        [](const std::string& line)
+        { return line.find("endpoint_lost") != std::string::npos; });
+    // All endpoints answer all the time.
+    BOOST_TEST(lost == 0);
+    BOOST_TEST(fleet.answered(answer_kind::completed) == jobs);
+    check_no_violations(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
