Shards: as large as the link of their owner carries

- The settings have the rate of the host's link.
A shard has four endpoints for each Mbit/s, 8 at least and 32, as before, at most: about 10 kB a second for each endpoint fill a third of the link.
Links of 8 Mbit/s and more, on all other deployments, see no change.
- Calls carry no Origin header any more (about 28 bytes each).

Pattern: the load of a domain is spread over the links of its hosts.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -88,6 +88,8 @@
     options.record.peer_port = settings.listeners.peer_port;
     options.record.power = settings.limits.processor_share;
     options.record.nonce = nonce;
+    options.endpoints_per_shard =
+        shard::endpoints_for_link(settings.limits.link_rate);
     const milliseconds longest(settings.bounds.longest_lease);
     options.shard.lease = {
         .longest = longest,
--- a/schema/idl/settings.thrift
+++ b/schema/idl/settings.thrift
@@ -82,6 +82,8 @@
 struct host_limits {
   1: double processor_share = 0.25 (min = "0.01", max = "1024")
   2: i32 descriptors = 2048 (min = "256", max = "1048576")
+  /// Rate of the host's link in Mbit/s.
+  3: double link_rate = 1000 (unit = "Mbit/s", min = "0.1", max = "1000000")
 }
 
 /// Settings of an entry host of the platform.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -48,6 +48,14 @@
     std::function<void(const support::log_line&)> log;
 };
 
+/// Larger shards allow better placement but cost their owner more; see
+/// docs/CAPACITY.md.
+constexpr int max_endpoints_per_shard = 32;
+
+/// Returns for how many endpoints of a shard a link of \p rate Mbit/s carries
+/// the orders and lists, about 10 kB a second each, in a third of its rate.
+int endpoints_for_link(double rate);
+
 struct entry_host_options
 {
     host_identity self;
@@ -64,9 +72,8 @@
     support::milliseconds local_heartbeat_interval{150};
     /// To hosts of other domains.
     support::milliseconds remote_heartbeat_interval{300};
-    /// Target number of endpoints per shard. Larger shards allow better
-    /// placement but cost their owner more; see docs/CAPACITY.md.
-    int endpoints_per_shard = 32;
+    /// Target number of endpoints per shard, which endpoints_for_link() chooses.
+    int endpoints_per_shard = max_endpoints_per_shard;
     int max_shards = support::max_shards;
     /// How long a shard is offered to stronger hosts before the offer ends.
     support::milliseconds offer_time{1000};
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -12,6 +12,15 @@
 using support::instant;
 using support::log_line;
 
+int endpoints_for_link(double rate)
+{
+    constexpr double endpoints_per_mbit = 4;
+    constexpr double least = 8;
+    return static_cast<int>(
+        std::clamp(rate * endpoints_per_mbit, least,
+                   static_cast<double>(max_endpoints_per_shard)));
+}
+
 void entry_host::stop_requested(instant last, instant now)
 {
     this->begin_event(now);
--- a/test/shards/thin_link_test.cpp
+++ b/test/shards/thin_link_test.cpp
@@ -53,6 +53,17 @@
     check_no_violations(fleet);
 }
 
+// The shards of hosts with thin links must be small, so that several links share
+// the orders of a domain. Beyond 8 Mbit/s the link does not bind.
+BOOST_AUTO_TEST_CASE(shards_are_sized_to_the_link)
+{
+    BOOST_TEST(shard::endpoints_for_link(0.5) == 8);
+    BOOST_TEST(shard::endpoints_for_link(2) == 8);
+    BOOST_TEST(shard::endpoints_for_link(4) == 16);
+    BOOST_TEST(shard::endpoints_for_link(20) == 32);
+    BOOST_TEST(shard::endpoints_for_link(1000) == 32);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/transport/lib/http_client.cpp
+++ b/transport/lib/http_client.cpp
@@ -333,7 +333,6 @@
     info.port = open.request.port;
     info.path = open.request.path.c_str();
     info.host = host.c_str();
-    info.origin = host.c_str();
     info.method = method.c_str();
     info.protocol = this->protocols[0].name;
     info.local_protocol_name = this->protocols[0].name;
