--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -244,6 +244,8 @@
     std::map<std::string, known_endpoint> known;
     /// The other hosts that were reported.
     std::set<std::string> known_hosts;
+    /// No known endpoint is missing if this is false.
+    bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
     std::optional<support::instant> endpoints_read_at;
     /// Since refresh_endpoints(), until a read that began later has ended.
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -335,14 +335,16 @@
 void directory::note_missing(const std::string& id, instant now)
 {
     const auto found = this->known.find(id);
-    if (found != this->known.end() && !found->second.missing_since)
-        found->second.missing_since = now;
+    if (found == this->known.end() || found->second.missing_since)
+        return;
+    found->second.missing_since = now;
+    this->may_miss_endpoints = true;
 }
 
 void directory::drop_missing_endpoints(instant now)
 {
     // A missing entry means nothing while the store is unavailable.
-    if (!this->available)
+    if (!this->available || !this->may_miss_endpoints)
         return;
     const auto dropped = std::erase_if(
         this->known,
@@ -354,6 +356,10 @@
         });
     if (dropped > 0)
         ++this->endpoint_changes;
+    this->may_miss_endpoints =
+        std::any_of(this->known.begin(), this->known.end(),
+                    [](const auto& entry)
+                    { return entry.second.missing_since.has_value(); });
 }
 
 std::vector<schema::endpoint_registration> directory::endpoints() const
--- a/support/include/chicorydrum/support/yaml_reader.hpp
+++ b/support/include/chicorydrum/support/yaml_reader.hpp
@@ -21,6 +21,10 @@
 result<schema::entry_settings> read_entry_settings(std::string_view text,
                                                    std::string_view source);
 
+/// Reads \p text as the rate of a host's link in Mbit/s, within the limits of
+/// the settings.
+result<double> parse_link_rate(const std::string& text);
+
 /// An IP address and a TCP port.
 struct socket_address
 {
--- a/support/lib/yaml_reader.cpp
+++ b/support/lib/yaml_reader.cpp
@@ -295,6 +295,15 @@
                                                  "entry_settings");
 }
 
+result<double> parse_link_rate(const std::string& text)
+{
+    const auto limits = read_document<schema::host_limits>(
+        "link_rate: " + text, "the rate of the link", "host_limits");
+    if (!limits)
+        return tl::unexpected(limits.error());
+    return limits->link_rate;
+}
+
 bool is_ip_address(const std::string& text)
 {
     in6_addr parsed{};
--- a/support/unittests/yaml_reader_test.cpp
+++ b/support/unittests/yaml_reader_test.cpp
@@ -118,4 +118,14 @@
         BOOST_TEST(!parse_socket_address(text).has_value(), text);
 }
 
+// The platform may leave the variable out, or write another number format.
+BOOST_AUTO_TEST_CASE(link_rates_are_checked)
+{
+    BOOST_TEST(parse_link_rate("750.0").value() == 750.0);
+    BOOST_TEST(parse_link_rate("2").value() == 2.0);
+    for (const char* const text :
+         {"fast", "-1", "0", "1e99", "nan", "2 Mbit/s", "2\ndescriptors: 1"})
+        BOOST_TEST(!parse_link_rate(text).has_value(), text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/chicorydrumd/main.cpp
+++ b/tools/chicorydrumd/main.cpp
@@ -19,7 +19,8 @@
 
 Usage:
   chicorydrumd --settings FILE [--check]
-  chicorydrumd entry (--settings FILE | --settings-from VARIABLE) [--check]
+  chicorydrumd entry (--settings FILE | --settings-from VARIABLE)
+                     [--link-rate-from VARIABLE] [--check]
   chicorydrumd --help
   chicorydrumd --version
 
@@ -27,6 +28,9 @@
   entry                     Serve as an entry host on the platform.
   --settings FILE           The YAML settings of this host.
   --settings-from VARIABLE  The environment variable that holds their path.
+  --link-rate-from VARIABLE  The environment variable that holds the rate of
+                            the host's link in Mbit/s, in place of that in the
+                            settings. Ignored if unset or empty.
   --check                   Check the settings and exit.
   --help                    Show this text.
   --version                 Show the version.
@@ -77,16 +81,39 @@
     return 0;
 }
 
-int serve_entry(const std::string& path, bool checks_only)
+/// Returns the rate that the environment gives; nothing if there is none.
+std::optional<std::string>
+link_rate_text(std::map<std::string, docopt::value>& arguments)
+{
+    if (!arguments["--link-rate-from"])
+        return std::nullopt;
+    const char* const text =
+        std::getenv(arguments["--link-rate-from"].asString().c_str());
+    return text == nullptr || *text == '\0' ? std::nullopt
+                                            : std::optional<std::string>(text);
+}
+
+int serve_entry(const std::string& path,
+                const std::optional<std::string>& link_rate, bool checks_only)
 {
     using chicorydrum::schema::entry_settings;
     const auto read = chicorydrum::support::read_entry_settings;
-    const auto settings = load_settings(path, read);
+    auto settings = load_settings(path, read);
     if (!settings)
     {
         std::cerr << settings.error().detail << "\n";
         return exit_usage;
     }
+    if (link_rate)
+    {
+        const auto rate = chicorydrum::support::parse_link_rate(*link_rate);
+        if (!rate)
+        {
+            std::cerr << rate.error().detail << "\n";
+            return exit_usage;
+        }
+        settings->limits.link_rate = *rate;
+    }
     if (checks_only)
         return 0;
     chicorydrum::support::start_logging(settings->log_level);
@@ -135,8 +162,9 @@
     const bool checks_only = arguments.at("--check").asBool();
     try
     {
-        return arguments.at("entry").asBool() ? serve_entry(path, checks_only)
-                                              : serve_host(path, checks_only);
+        return arguments.at("entry").asBool()
+                   ? serve_entry(path, link_rate_text(arguments), checks_only)
+                   : serve_host(path, checks_only);
     }
     catch (const std::exception& failure)
     {
