Callers: a host has no case, and its port says nothing of the route

The server hands it on in lower case and without the port. Test: late_requests/host_has_no_case_and_no_port.

--- a/transport/include/chicorydrum/transport/http.hpp
+++ b/transport/include/chicorydrum/transport/http.hpp
@@ -36,7 +36,7 @@
     std::string body = {};
     /// The query string, without the question mark.
     std::string query = {};
-    /// The Host header.
+    /// The Host header in lower case, without a port.
     std::string host = {};
     /// The headers of http_server_options::captured_headers that are present.
     std::vector<http_header> headers = {};
--- a/transport/unittests/late_request_test.cpp
+++ b/transport/unittests/server_requests_test.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Requests that lie in their connections while the server's process does not
-/// read, as when it is stopped or has no processor time.
+/// Requests that the server reads late, as when its process is stopped or has
+/// no processor time, and requests in other legal forms.
 #include "chicorydrum/transport/http_server.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -57,7 +57,9 @@
 };
 
 /// Opens a connection to the server and sends a request.
-int send_request()
+int send_request(const std::string& request =
+                     "POST /job HTTP/1.1\r\nhost: a\r\n"
+                     "content-length: 2\r\n\r\n{}")
 {
     const int client = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -66,8 +68,6 @@
     address.sin_port = htons(port);
     BOOST_REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&address),
                             sizeof address) == 0);
-    const std::string request = "POST /job HTTP/1.1\r\nhost: a\r\n"
-                                "content-length: 2\r\n\r\n{}";
     BOOST_REQUIRE(::send(client, request.data(), request.size(),
                          MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
     return client;
@@ -110,6 +110,23 @@
     ::close(late);
 }
 
+// Guards against a route that is not found because the caller wrote its host in
+// capitals, or with the port.
+BOOST_FIXTURE_TEST_CASE(host_has_no_case_and_no_port, recording_server)
+{
+    for (const char* const host :
+         {"Desk.Example", "desk.example:8161", "DESK.EXAMPLE:80"})
+    {
+        this->requests.clear();
+        const int client = send_request(
+            "GET /job HTTP/1.1\r\nHost: " + std::string(host) + "\r\n\r\n");
+        this->run_for(support::milliseconds(50));
+        BOOST_REQUIRE(this->requests.size() == 1U);
+        BOOST_TEST(this->requests.front().host == "desk.example");
+        ::close(client);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::transport
