Soak: hosts that learn late that their callers have left

Half of the sessions of the strays mix report a lost caller up to 1.5 s late, as a host that reads requests late does.

--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -72,7 +72,7 @@
 {
 public:
     soak_session(std::uint64_t seed, fault_mix wanted_mix, bool keeps_log)
-        : mix(wanted_mix),
+        : mix(wanted_mix), learns_late(seed % 2 == 0),
           random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
           fleet({.domains = 2,
                  .hosts_per_domain = 3,
@@ -114,6 +114,14 @@
         return names[static_cast<std::size_t>(
             this->pick(static_cast<int>(names.size())))];
     }
+    /// Returns how long a host takes to learn that a caller has left. In half
+    /// of the sessions it reads that late, as it reads requests late.
+    milliseconds notice_delay(milliseconds when) const
+    {
+        constexpr int longest = 1500;
+        return milliseconds(this->learns_late ? when.count() * 7919 % longest
+                                              : 0);
+    }
     void plan_load();
     void plan_fault(milliseconds when);
     void plan_host_fault(milliseconds when, const std::string& host);
@@ -134,6 +142,7 @@
                   const std::string& domain);
 
     fault_mix mix;
+    bool learns_late;
     std::minstd_rand random;
     shard_fleet fleet;
     std::int64_t config = 1;
@@ -178,9 +187,11 @@
                     return;
                 const std::string job = this->fleet.submit(host, shape);
                 if (are_strays)
-                    this->fleet.at(
-                        when + caller_patience, [this, job]
-                        { this->fleet.lose_caller(job, milliseconds(0)); });
+                    this->fleet.at(when + caller_patience,
+                                   [this, job, when] {
+                                       this->fleet.lose_caller(
+                                           job, this->notice_delay(when));
+                                   });
                 if (disconnects)
                     this->fleet.at(when + connected_for, [this, job]
                                    { this->fleet.disconnect_caller(job); });
