--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -72,7 +72,8 @@
     support::milliseconds local_heartbeat_interval{150};
     /// To hosts of other domains.
     support::milliseconds remote_heartbeat_interval{300};
-    /// Target number of endpoints per shard, which endpoints_for_link() chooses.
+    /// Target number of endpoints per shard, which endpoints_for_link()
+    /// chooses.
     int endpoints_per_shard = max_endpoints_per_shard;
     int max_shards = support::max_shards;
     /// How long a shard is offered to stronger hosts before the offer ends.
--- a/test/shards/thin_link_test.cpp
+++ b/test/shards/thin_link_test.cpp
@@ -53,8 +53,8 @@
     check_no_violations(fleet);
 }
 
-// The shards of hosts with thin links must be small, so that several links share
-// the orders of a domain. Beyond 8 Mbit/s the link does not bind.
+// The shards of hosts with thin links must be small, so that several links
+// share the orders of a domain. Beyond 8 Mbit/s the link does not bind.
 BOOST_AUTO_TEST_CASE(shards_are_sized_to_the_link)
 {
     BOOST_TEST(shard::endpoints_for_link(0.5) == 8);
