Virtual endpoint: a call that names no endpoint is for it

The fault soak decodes orders without an endpoint's id, and since the virtual endpoint refused these as meant for another; the owner was fenced until it had used up its epochs.

--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -108,7 +108,7 @@
 void virtual_endpoint::start(const shard::start_order& order,
                              std::function<void(order_answered)> reply)
 {
-    if (this->is_replaced() || order.to.id != this->entry().id)
+    if (this->is_replaced() || is_for_another(order.to))
     {
         reply(
             {.order = order.order, .status = order_status::other_incarnation});
@@ -253,7 +253,7 @@
 void virtual_endpoint::stop(const shard::stop_order& order,
                             std::function<void(order_answered)> reply)
 {
-    if (this->is_replaced() || order.to.id != this->entry().id)
+    if (this->is_replaced() || is_for_another(order.to))
     {
         reply(
             {.order = order.order, .status = order_status::other_incarnation});
@@ -299,7 +299,7 @@
 void virtual_endpoint::list(const shard::list_request& request,
                             std::function<void(shard::runs_listed)> reply)
 {
-    if (this->is_replaced() || request.to.id != this->entry().id)
+    if (this->is_replaced() || is_for_another(request.to))
     {
         shard::runs_listed refusal;
         refusal.order = request.order;
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -193,6 +193,11 @@
     void begin_run(const shard::start_order& order);
     /// Returns whether \p need fits beside all runs.
     bool has_capacity_for(const schema::resources& need) const;
+    /// Returns whether a call names another endpoint; it may name none.
+    bool is_for_another(const shard::endpoint_address& to) const
+    {
+        return !to.id.empty() && to.id != this->options.entry.id;
+    }
     /// Returns whether another process answers at the address.
     bool is_replaced() const
     {
