Directory: earlier rows undo nothing

Cause: after a lost history a host reads the whole table, and used its rows whatever it had read before. The same for hosts: a peer that was registered since counted as removed.

Fix: endpoints and hosts keep the version of their last row, also after they were dropped (up to 4,096); a row of a whole read that is older is skipped, and a whole read that is older than a row says nothing of its absence. Reads of changes are newer by their nature. A version that is too high for the whole answer still has no lasting effect (a_version_that_decreases_is_followed).

Tests: directory_reads/outdated_rows_undo_nothing and outdated_rows_remove_no_host; with the comparisons taken out both fail.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -68,6 +68,8 @@
 {
     std::string id;
     std::optional<schema::endpoint_registration> entry;
+    /// The version of the row or of its removal.
+    std::int64_t version = 0;
 };
 
 /// A row that names nothing, or an answer that cannot be read (without a key).
@@ -156,6 +158,8 @@
     support::milliseconds stable_registration{5000};
     /// Malformed rows of each table that are logged, each of them once.
     std::size_t max_logged_rows = 100;
+    /// Dropped endpoints that are remembered.
+    std::size_t max_dropped = 4096;
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
@@ -211,6 +215,8 @@
     struct known_endpoint
     {
         schema::endpoint_registration entry;
+        /// The version of the last row that was used, or of its removal.
+        std::int64_t version = 0;
         std::optional<support::instant> missing_since;
         /// The last row that contradicted the entry; logged once.
         std::optional<schema::endpoint_registration> contradiction = {};
@@ -230,7 +236,13 @@
     void apply_endpoints(const table_rows& rows, support::instant now);
     /// Notes that a row names no usable endpoint: the last good entry stands
     /// until it counts as missing.
-    void note_missing(const std::string& id, support::instant now);
+    void note_missing(const std::string& id, std::int64_t version,
+                      support::instant now);
+    /// Returns whether a later row or removal of the same endpoint than \p row
+    /// was read before.
+    bool is_outdated(const endpoint_row& row) const;
+    /// Uses an entry unless it contradicts the one that is known.
+    void apply_entry(const endpoint_row& row, support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
     /// Writes the registration again: at once after a stable registration, then
@@ -242,8 +254,11 @@
     std::minstd_rand random;
     std::array<table_state, directory_tables> tables;
     std::map<std::string, known_endpoint> known;
-    /// The other hosts that were reported.
-    std::set<std::string> known_hosts;
+    /// The versions in which dropped endpoints were last seen, so that a read
+    /// of earlier rows does not bring them back.
+    std::map<std::string, std::int64_t> dropped;
+    /// The other hosts that were reported, and the versions of their rows.
+    std::map<std::string, std::int64_t> known_hosts;
     /// No known endpoint is missing if this is false.
     bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -241,7 +241,7 @@
         }
         if (!row.record)
             continue;
-        this->known_hosts.insert(row.name);
+        this->known_hosts[row.name] = row.version;
         this->hooks.host_read(row.name, *row.record);
     }
     this->report_removed_hosts(rows);
@@ -274,10 +274,13 @@
         (is_present ? present : removed).insert(row.name);
     }
     std::erase_if(this->known_hosts,
-                  [&](const std::string& host)
+                  [&](const auto& known_host)
                   {
+                      const auto& [host, version] = known_host;
+                      const bool is_outdated =
+                          rows.is_whole && rows.version < version;
                       const bool is_gone =
-                          !present.contains(host) &&
+                          !is_outdated && !present.contains(host) &&
                           (rows.is_whole || removed.contains(host));
                       if (is_gone)
                           this->hooks.host_removed(host);
@@ -293,49 +296,70 @@
     for (const endpoint_row& row : rows.endpoints)
     {
         present.insert(row.id);
-        if (!row.entry)
-        {
-            this->note_missing(row.id, now);
-            continue;
-        }
-        const auto earlier = this->known.find(row.id);
-        if (earlier != this->known.end())
-        {
-            const std::string_view member =
-                contradicted_member(earlier->second.entry, *row.entry);
-            if (!member.empty())
-            {
-                if (earlier->second.contradiction != *row.entry)
-                    this->hooks.log(log_line("endpoint_contradicted",
-                                             support::log_level::warning)
-                                        .add("endpoint", row.id)
-                                        .add("member", member)
-                                        .add("born_ms", row.entry->born_ms)
-                                        .add("address", row.entry->address));
-                earlier->second.contradiction = *row.entry;
-                this->note_missing(row.id, now);
-                continue;
-            }
-        }
-        known_endpoint& endpoint = this->known[row.id];
-        endpoint.missing_since.reset();
-        endpoint.contradiction.reset();
-        if (endpoint.entry == *row.entry)
+        // A read of all rows may show them as they were before other answers.
+        if (rows.is_whole && this->is_outdated(row))
             continue;
-        endpoint.entry = *row.entry;
-        ++this->endpoint_changes;
+        if (row.entry)
+            this->apply_entry(row, now);
+        else
+            this->note_missing(row.id, row.version, now);
     }
     if (!rows.is_whole)
         return;
     for (const auto& [id, endpoint] : this->known)
-        if (!present.contains(id))
-            this->note_missing(id, now);
+        if (!present.contains(id) && rows.version >= endpoint.version)
+            this->note_missing(id, rows.version, now);
+}
+
+bool directory::is_outdated(const endpoint_row& row) const
+{
+    const auto found = this->known.find(row.id);
+    if (found != this->known.end())
+        return row.version < found->second.version;
+    const auto gone = this->dropped.find(row.id);
+    return gone != this->dropped.end() && row.version <= gone->second;
+}
+
+void directory::apply_entry(const endpoint_row& row, instant now)
+{
+    const auto earlier = this->known.find(row.id);
+    if (earlier != this->known.end())
+    {
+        const std::string_view member =
+            contradicted_member(earlier->second.entry, *row.entry);
+        if (!member.empty())
+        {
+            if (earlier->second.contradiction != *row.entry)
+                this->hooks.log(log_line("endpoint_contradicted",
+                                         support::log_level::warning)
+                                    .add("endpoint", row.id)
+                                    .add("member", member)
+                                    .add("born_ms", row.entry->born_ms)
+                                    .add("address", row.entry->address));
+            earlier->second.contradiction = *row.entry;
+            this->note_missing(row.id, row.version, now);
+            return;
+        }
+    }
+    this->dropped.erase(row.id);
+    known_endpoint& endpoint = this->known[row.id];
+    endpoint.version = row.version;
+    endpoint.missing_since.reset();
+    endpoint.contradiction.reset();
+    if (endpoint.entry == *row.entry)
+        return;
+    endpoint.entry = *row.entry;
+    ++this->endpoint_changes;
 }
 
-void directory::note_missing(const std::string& id, instant now)
+void directory::note_missing(const std::string& id, std::int64_t version,
+                             instant now)
 {
     const auto found = this->known.find(id);
-    if (found == this->known.end() || found->second.missing_since)
+    if (found == this->known.end())
+        return;
+    found->second.version = version;
+    if (found->second.missing_since)
         return;
     found->second.missing_since = now;
     this->may_miss_endpoints = true;
@@ -346,15 +370,22 @@
     // A missing entry means nothing while the store is unavailable.
     if (!this->available || !this->may_miss_endpoints)
         return;
-    const auto dropped = std::erase_if(
-        this->known,
-        [this, now](const auto& entry)
-        {
-            const known_endpoint& endpoint = entry.second;
-            return endpoint.missing_since &&
-                   now - *endpoint.missing_since > this->options.missing_grace;
-        });
-    if (dropped > 0)
+    const auto gone =
+        std::erase_if(this->known,
+                      [this, now](const auto& entry)
+                      {
+                          const known_endpoint& endpoint = entry.second;
+                          const bool is_gone = endpoint.missing_since &&
+                                               now - *endpoint.missing_since >
+                                                   this->options.missing_grace;
+                          if (!is_gone)
+                              return false;
+                          if (this->dropped.size() >= this->options.max_dropped)
+                              this->dropped.clear();
+                          this->dropped[entry.first] = endpoint.version;
+                          return true;
+                      });
+    if (gone > 0)
         ++this->endpoint_changes;
     this->may_miss_endpoints =
         std::any_of(this->known.begin(), this->known.end(),
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -332,6 +332,78 @@
     BOOST_TEST(this->table.endpoints().empty());
 }
 
+// Guards against a read of all rows, as they were before other answers, after
+// which an endpoint that leaves gets new work again, or one that has left is
+// back.
+BOOST_FIXTURE_TEST_CASE(outdated_rows_undo_nothing, directory_fixture)
+{
+    const auto make_row =
+        [](const std::string& id, bool is_draining, std::int64_t row_version)
+    {
+        endpoint_row row{.id = id, .entry = {}, .version = row_version};
+        row.entry.emplace();
+        row.entry->id = id;
+        row.entry->born_ms = 7;
+        row.entry->is_draining = is_draining;
+        return row;
+    };
+    const std::vector<endpoint_row> old_rows = {make_row("i-1", false, 11),
+                                                make_row("i-2", false, 12)};
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 12;
+    rows.endpoints = old_rows;
+    this->table.rows_read(rows, this->now);
+    rows.version = 15;
+    rows.endpoints = {make_row("i-1", true, 13),
+                      {.id = "i-2", .entry = {}, .version = 14},
+                      make_row("i-3", false, 15)};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(3000));
+    const auto known = this->table.endpoints();
+    BOOST_TEST(known.size() == 2U);
+    rows.status = read_status::history_lost;
+    this->table.rows_read(rows, this->now);
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 12;
+    rows.endpoints = old_rows;
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(3000));
+    BOOST_TEST((this->table.endpoints() == known));
+    // An endpoint that registers again is used again.
+    rows.version = 18;
+    rows.endpoints = {make_row("i-1", true, 13), make_row("i-2", false, 17)};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(3000));
+    BOOST_TEST(this->table.endpoints().size() == 2U);
+    BOOST_TEST(this->table.endpoints().back().id == "i-2");
+}
+
+// Guards against the same for hosts: the link to a host that was added since
+// was closed.
+BOOST_FIXTURE_TEST_CASE(outdated_rows_remove_no_host, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.status = read_status::read;
+    rows.version = 9;
+    rows.hosts = {{.name = "h2", .record = make_record(2), .version = 9}};
+    this->table.rows_read(rows, this->now);
+    rows.status = read_status::history_lost;
+    this->table.rows_read(rows, this->now);
+    rows.status = read_status::read;
+    rows.version = 8;
+    rows.is_whole = true;
+    rows.hosts.clear();
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts.empty());
+    rows.version = 10;
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->removed_hosts == "h2 ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
