Directory: lost histories are read again with a delay

Callers saw: hosts that learned late of anything in the store: leaving endpoints, configurations, other hosts.

Cause: a store that shows rows whose changes it has already forgotten answers a whole read, and then refuses the read of changes that continues from it. The host read the whole table again at once, so that each host read two tables as fast as the store answered, about 125 reads a second each, until the store had caught up. 29 hosts use up the 6,000 reads a second of the grown sites, after which the store refuses reads of all hosts (`store_lost`).

Fix: only the first loss is followed by a read at once; further ones before a read of changes has succeeded are delayed like failed reads, by up to 1 s.

Test: directory_reads/lost_histories_are_read_again_with_a_delay, 400 reads in 10 s (one for each turn of the test) before, at most 40 now.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -209,6 +209,8 @@
         bool is_reading = false;
         support::instant next_read;
         support::milliseconds backoff{0};
+        /// A read of changes has succeeded since the last lost history.
+        bool has_followed = true;
         /// The keys of logged malformed rows.
         std::set<std::string> logged = {};
     };
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -139,7 +139,6 @@
         return;
     }
     this->set_available(true, name_of(rows.table));
-    table.backoff = milliseconds(0);
     // A version that decreases means that the store has lost changes or that
     // an earlier answer was wrong.
     const bool has_decreased = !table.wants_all && rows.version < table.after;
@@ -151,9 +150,20 @@
                             .add("version", rows.version));
         table.wants_all = true;
         table.earlier.reset();
-        table.next_read = now;
+        // The first loss is not delayed, as changes are unknown meanwhile. A
+        // store that shows rows whose changes it has forgotten loses each read
+        // again, and the reads of all hosts would use up its rate.
+        const bool is_repeated = !std::exchange(table.has_followed, false);
+        table.backoff =
+            is_repeated ? this->next_backoff(table.backoff) : milliseconds(0);
+        table.next_read = now + table.backoff;
         return;
     }
+    if (!table.wants_all)
+    {
+        table.has_followed = true;
+        table.backoff = milliseconds(0);
+    }
     if (const auto whole = this->join(rows, now))
         this->apply(*whole, now);
 }
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -404,6 +404,47 @@
     BOOST_TEST(this->removed_hosts == "h2 ");
 }
 
+// Guards against a store that forgets the changes after the rows that it shows:
+// each host read the tables as fast as it answered, which used up the rate of
+// all hosts, so that none learned of a change any more.
+BOOST_FIXTURE_TEST_CASE(lost_histories_are_read_again_with_a_delay,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::hosts;
+    rows.version = 9;
+    rows.status = read_status::history_lost;
+    this->table.rows_read(rows, this->now);
+    int answered = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        this->reads.clear();
+        this->run_for(milliseconds(25));
+        for (const table_read& read : this->reads)
+        {
+            if (read.table != rows.table)
+                continue;
+            ++answered;
+            rows.is_whole = read.wants_all;
+            rows.status =
+                read.wants_all ? read_status::read : read_status::history_lost;
+            this->table.rows_read(rows, this->now);
+        }
+    }
+    // Ten seconds, with two reads for each delay of half a second or more.
+    BOOST_TEST(answered <= 40);
+    BOOST_TEST(answered >= 10);
+    // The delay ends with the trouble.
+    rows.status = read_status::read;
+    rows.is_whole = false;
+    this->answer(rows);
+    rows.status = read_status::history_lost;
+    this->table.rows_read(rows, this->now);
+    this->reads.clear();
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->reads.size() >= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
