Hosts tell each other of leaving endpoints that they cannot read

Cause: an owner learns of a leaving endpoint from its own reads of the store alone. The store may refuse some hosts while it serves the others and the endpoints; such an owner went on without the news for as long as that lasted, although other hosts of its domain had read it.

Fix: heartbeats say whether their sender follows the endpoints in the store. If another host of its domain does not, or no host of another domain does, a host reads the endpoints as often as owners do and adds those that leave there, with incarnation and row version, to its heartbeats; without such trouble nothing is sent. An entry is replaced only for the same incarnation and by a later row. Bound: a failed read 0.7 s, a heartbeat 0.15 s (0.3 s from another domain), a read 0.5 s, a heartbeat: below 2 s, if the trouble lasts when the endpoint says that it leaves.

What it does not close: a domain that reaches neither the store nor any host that does goes on with what it knows.

The fleet's check of draining endpoints no longer passes over hosts that the store refuses, and knows how long the store was undisturbed.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -98,6 +98,15 @@
   4: bool is_offered
 }
 
+/// An endpoint that has told the store that it will leave.
+struct leaving_endpoint {
+  1: string id
+  2: string domain
+  3: i64 born_ms
+  /// The version of its row in the store.
+  4: i64 version
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -116,6 +125,10 @@
   // 9 was a token across all shards, which do not compare.
   /// With open_jobs: the receiver's tokens that the sender knew of, by shard.
   10: optional map<i32, i64> known_tokens
+  /// The sender does not follow the endpoints in the store at the moment.
+  11: bool lacks_endpoints
+  /// Of the domains whose hosts lack them.
+  12: list<leaving_endpoint> leaving
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/shard/config_view.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/support/log.hpp"
+#include "chicorydrum/support/validation.hpp"
 
 #include <array>
 #include <functional>
@@ -176,6 +177,17 @@
     void tick(support::instant now);
 
     void set_owner(bool owns);
+    /// Reads the endpoints as often as an owner does, to tell others of those
+    /// that leave.
+    void set_relaying(bool relays);
+    /// Returns whether the endpoints in the store are not followed at the
+    /// moment.
+    bool lacks_endpoints() const;
+    /// Returns the leaving endpoints of \p domains.
+    std::vector<schema::leaving_endpoint>
+    leaving(const std::set<std::string>& domains) const;
+    /// A peer has read that an endpoint leaves.
+    void note_leaving(const schema::leaving_endpoint& endpoint);
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
     void refresh_endpoints();
@@ -225,6 +237,7 @@
     };
 
     table_state& state_of(directory_table table);
+    const table_state& state_of(directory_table table) const;
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
     /// Joins the answers of a read of all rows. Returns nothing if there are
@@ -270,6 +283,7 @@
     /// The read under way began before the last refresh_endpoints().
     bool endpoint_read_is_stale = false;
     bool owns = false;
+    bool relays = false;
     bool available = false;
     bool is_registered = false;
     bool is_writing = false;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -169,6 +169,10 @@
     /// Records that this host has given \p shard up.
     void shard_released(int shard, support::instant now);
 
+    /// Returns the domains whose hosts do not follow the endpoints in the
+    /// store: the own one if this holds for any other host, since it may own a
+    /// shard, and others if it holds for all their hosts.
+    std::set<std::string> domains_without_endpoints() const;
     bool is_live(const std::string& host) const;
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -69,6 +69,11 @@
     return this->tables[static_cast<std::size_t>(table)];
 }
 
+const directory::table_state& directory::state_of(directory_table table) const
+{
+    return this->tables[static_cast<std::size_t>(table)];
+}
+
 void directory::set_owner(bool owns_now)
 {
     if (owns_now && !this->owns)
@@ -76,6 +81,59 @@
     this->owns = owns_now;
 }
 
+void directory::set_relaying(bool relays_now)
+{
+    table_state& table = this->state_of(directory_table::endpoints);
+    if (relays_now && !this->relays && table.backoff.count() == 0)
+        table.next_read = instant();
+    this->relays = relays_now;
+}
+
+bool directory::lacks_endpoints() const
+{
+    const table_state& table = this->state_of(directory_table::endpoints);
+    return !this->endpoints_read_at || table.backoff.count() > 0 ||
+           !table.has_followed;
+}
+
+std::vector<schema::leaving_endpoint>
+directory::leaving(const std::set<std::string>& domains) const
+{
+    std::vector<schema::leaving_endpoint> found;
+    for (const auto& [id, known_one] : this->known)
+    {
+        const schema::endpoint_registration& entry = known_one.entry;
+        if (!entry.is_draining || !domains.contains(entry.domain) ||
+            found.size() >= support::max_leaving)
+            continue;
+        schema::leaving_endpoint& one = found.emplace_back();
+        one.id = id;
+        one.domain = entry.domain;
+        one.born_ms = entry.born_ms;
+        one.version = known_one.version;
+    }
+    return found;
+}
+
+void directory::note_leaving(const schema::leaving_endpoint& endpoint)
+{
+    const auto found = this->known.find(endpoint.id);
+    if (found == this->known.end())
+        return;
+    known_endpoint& known_one = found->second;
+    if (known_one.entry.born_ms != endpoint.born_ms ||
+        known_one.version >= endpoint.version || known_one.entry.is_draining)
+        return;
+    known_one.entry.is_draining = true;
+    known_one.version = endpoint.version;
+    ++this->endpoint_changes;
+    this->hooks.log(log_line("endpoint_leaves")
+                        .add("endpoint", endpoint.id)
+                        .add("born_ms", endpoint.born_ms)
+                        .add("version", endpoint.version)
+                        .add("source", "peer"));
+}
+
 void directory::refresh_endpoints()
 {
     table_state& table = this->state_of(directory_table::endpoints);
@@ -211,8 +269,9 @@
     if (std::exchange(this->endpoint_read_is_stale, false))
         return;
     this->endpoints_are_stale = false;
-    table.next_read = now + (this->owns ? this->options.owner_interval
-                                        : this->options.standby_interval);
+    table.next_read =
+        now + (this->owns || this->relays ? this->options.owner_interval
+                                          : this->options.standby_interval);
 }
 
 void directory::log_malformed(const table_rows& rows)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -61,6 +61,7 @@
 {
     this->begin_event(now);
     this->last_tick = now;
+    this->table.set_relaying(!this->view.domains_without_endpoints().empty());
     this->table.tick(now);
     this->update_shard_endpoints(now);
     this->begin_handover_if_due(now);
@@ -336,6 +337,11 @@
             heartbeat.waiting[route] += count;
     if (to_own_domain)
         heartbeat.heard = this->view.heard_owners();
+    heartbeat.lacks_endpoints = this->table.lacks_endpoints();
+    const std::set<std::string> lacking =
+        this->view.domains_without_endpoints();
+    if (!lacking.empty())
+        heartbeat.leaving = this->table.leaving(lacking);
     schema::shard_message message;
     message.__set_beat(std::move(heartbeat));
     return message;
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -550,6 +550,26 @@
     this->released_at[shard] = now;
 }
 
+std::set<std::string> host_view::domains_without_endpoints() const
+{
+    std::set<std::string> lacking;
+    std::set<std::string> following;
+    for (const auto& [name, peer] : this->peers)
+    {
+        if (!peer.has_heartbeat || !this->is_live(peer))
+            continue;
+        const std::string& domain = peer.identity.domain;
+        const bool is_local = domain == this->options.self.domain;
+        if (peer.last_heartbeat.lacks_endpoints)
+            lacking.insert(domain);
+        else if (!is_local)
+            following.insert(domain);
+    }
+    for (const std::string& domain : following)
+        lacking.erase(domain);
+    return lacking;
+}
+
 std::vector<std::string> host_view::live_peers() const
 {
     std::vector<std::string> live_names;
--- a/support/include/chicorydrum/support/validation.hpp
+++ b/support/include/chicorydrum/support/validation.hpp
@@ -33,6 +33,8 @@
 constexpr std::int64_t max_owner_token = (1LL << owner_token_bits) - 1;
 /// Maximum number of shards of one domain.
 constexpr int max_shards = 16;
+/// Maximum number of leaving endpoints in one heartbeat.
+constexpr std::size_t max_leaving = 1024;
 /// Maximum processor share of an entry host, as in its settings.
 constexpr double max_power = 1024;
 
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -97,6 +97,16 @@
                             .integer("shard", shard, 0, max_shards - 1)
                             .integer("token", token, 1, max_owner_token)
                             .outcome());
+    checked.require(heartbeat.leaving.size() <= max_leaving, "leaving",
+                    "a short list");
+    for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
+        checked.include(
+            range_check()
+                .require(is_plain_name(endpoint.id), "leaving", plain)
+                .require(is_plain_name(endpoint.domain), "leaving", plain)
+                .integer("born_ms", endpoint.born_ms, 0, max_exact_integer)
+                .integer("version", endpoint.version, 0, max_exact_integer)
+                .outcome());
     for (const auto& [route, count] : heartbeat.waiting)
         checked.require(count >= 0, "waiting", "a count");
     return checked.outcome();
--- a/test/shards/scenarios_test.cpp
+++ b/test/shards/scenarios_test.cpp
@@ -332,6 +332,38 @@
     check_no_violations(fleet);
 }
 
+// An owner that the store refuses must learn from the other hosts of its domain
+// that an endpoint leaves. It went on without the news for as long as that
+// lasted.
+BOOST_AUTO_TEST_CASE(owner_without_store_learns_of_a_leaving_endpoint)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    fleet.partition({fleet.owner_of("D1")}, {"store"});
+    fleet.run_for(milliseconds(1500));
+    fleet.set_draining("D1-e1");
+    fleet.run_for(milliseconds(2000));
+    const int starts = fleet.endpoint("D1-e1").starts();
+    submit_load(fleet, 30, milliseconds(100));
+    BOOST_TEST(fleet.endpoint("D1-e1").starts() == starts);
+    check_no_violations(fleet);
+}
+
+// The same if the store refuses all hosts of the domain, for hosts of another.
+BOOST_AUTO_TEST_CASE(domain_without_store_learns_of_a_leaving_endpoint)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    fleet.partition({"D1-h1", "D1-h2", "D1-h3"}, {"store"});
+    fleet.set_draining("D1-e1");
+    // The hosts learn at their next read, of up to 2 s, that the store is away.
+    fleet.run_for(milliseconds(4000));
+    const int starts = fleet.endpoint("D1-e1").starts();
+    submit_load(fleet, 30, milliseconds(100));
+    BOOST_TEST(fleet.endpoint("D1-e1").starts() == starts);
+    check_no_violations(fleet);
+}
+
 // After a restart of all hosts, each host connects to every registered peer.
 // It must not wait for missing peers before it claims a shard.
 BOOST_AUTO_TEST_CASE(all_hosts_restarted)
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -119,6 +119,7 @@
     started.stop_was_forced = false;
     started.paused_until = this->queue.now();
     started.deferred_events.clear();
+    started.known_hosts.clear();
     shard::entry_host_options wanted;
     wanted.self = {.name = name,
                    .domain = started.domain,
@@ -325,7 +326,10 @@
     const auto link = link_of(one, other);
     const process& first = this->processes.at(one);
     const process& second = this->processes.at(other);
-    const bool can_connect = first.host && second.host &&
+    const bool are_known = !this->options.links_need_rows ||
+                           first.known_hosts.contains(other) ||
+                           second.known_hosts.contains(one);
+    const bool can_connect = first.host && second.host && are_known &&
                              !this->are_partitioned(one, other) &&
                              this->queue.now() >= first.paused_until &&
                              this->queue.now() >= second.paused_until;
@@ -556,7 +560,10 @@
     {
         this->drop_link(name, peer);
     };
-    hooks.host_known = [](const std::string&, const schema::host_record&) {
+    hooks.host_known =
+        [this, name](const std::string& other, const schema::host_record&)
+    {
+        this->processes.at(name).known_hosts.insert(other);
     };
     hooks.host_removed = [](const std::string&) {
     };
@@ -596,12 +603,68 @@
                             stored_row row)
 {
     row.version = ++this->store_version;
+    this->changes[static_cast<std::size_t>(table)].push_back(
+        {.when = this->queue.now(), .key = key, .row = row});
     this->rows_of(table)[key] = std::move(row);
 }
 
+shard_fleet::row_table shard_fleet::rows_before(directory_table table,
+                                                milliseconds lag) const
+{
+    row_table rows;
+    for (const row_change& change :
+         this->changes[static_cast<std::size_t>(table)])
+        if (change.when + lag <= this->queue.now())
+            rows[change.key] = change.row;
+    return rows;
+}
+
+std::int64_t shard_fleet::version_before(milliseconds lag) const
+{
+    std::int64_t version = 0;
+    for (const auto& table : this->changes)
+        for (const row_change& change : table)
+            if (change.when + lag <= this->queue.now())
+                version = std::max(version, change.row.version);
+    return version;
+}
+
+void shard_fleet::set_read_lag(milliseconds lag)
+{
+    this->read_lag = lag;
+    this->set_store_disturbed(lag.count() > 0 || !this->store_is_up);
+}
+
+void shard_fleet::set_store_disturbed(bool is_disturbed)
+{
+    const bool was_disturbed = !this->store_disturbances.empty() &&
+                               !this->store_disturbances.back().to;
+    if (is_disturbed && !was_disturbed)
+        this->store_disturbances.push_back({.from = this->queue.now()});
+    if (!is_disturbed && was_disturbed)
+        this->store_disturbances.back().to = this->queue.now();
+}
+
+bool shard_fleet::must_know_of_draining(support::instant since) const
+{
+    support::instant calm_from = since;
+    for (const time_span& span : this->store_disturbances)
+    {
+        if (span.to && *span.to <= calm_from)
+            continue;
+        if (calm_from + drain_limit < span.from)
+            break;
+        if (!span.to)
+            return false;
+        calm_from = *span.to;
+    }
+    return this->queue.now() - calm_from > drain_limit;
+}
+
 void shard_fleet::set_store_up(bool is_up)
 {
     this->store_is_up = is_up;
+    this->set_store_disturbed(!is_up || this->read_lag.count() > 0);
 }
 
 void shard_fleet::discard_history()
@@ -659,11 +722,15 @@
             return;
         }
         rows.status = shard::read_status::read;
-        rows.version = this->store_version;
+        rows.version = wanted.wants_all ? this->version_before(this->read_lag)
+                                        : this->store_version;
         rows.is_whole = wanted.wants_all || wanted.after == 0;
         if (!rows.is_whole && wanted.after < this->history_from)
             rows.status = shard::read_status::history_lost;
-        for (const auto& [key, row] : this->rows_of(wanted.table))
+        const row_table shown =
+            wanted.wants_all ? this->rows_before(wanted.table, this->read_lag)
+                             : this->rows_of(wanted.table);
+        for (const auto& [key, row] : shown)
         {
             if (!wanted.wants_all && row.version <= wanted.after)
                 continue;
@@ -677,7 +744,8 @@
                      .record = row.host,
                      .version = row.is_removed ? 0 : row.version});
             else
-                rows.endpoints.push_back({.id = key, .entry = row.endpoint});
+                rows.endpoints.push_back(
+                    {.id = key, .entry = row.endpoint, .version = row.version});
         }
     }
     this->queue.after(
@@ -910,8 +978,8 @@
                                id + " and " + *places.begin());
     places.insert(id);
     const auto draining = this->draining_since.find(id);
-    if (this->store_is_up && draining != this->draining_since.end() &&
-        this->queue.now() - draining->second > drain_limit)
+    if (draining != this->draining_since.end() &&
+        this->must_know_of_draining(draining->second))
         this->report_violation("a start on a draining endpoint: " + id);
     const caller_record& caller = this->callers.at(task.job);
     const std::string& label = this->shapes.at(task.job).required_label;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -44,6 +44,8 @@
     /// Answers of endpoints take up to this long, so that they overtake each
     /// other.
     support::milliseconds longest_answer_delay{0};
+    /// Hosts connect only if one of them has read the other's row in the table.
+    bool links_need_rows = false;
     /// Bytes that each host's link carries in a millisecond, each way; 0 for
     /// any number. Calls to endpoints queue in it.
     double link_bytes_per_ms = 0;
@@ -157,6 +159,8 @@
     void silence_links(const std::string& host);
     void set_store_up(bool is_up);
     void discard_history();
+    /// Makes reads of whole tables show the rows as they were \p lag ago.
+    void set_read_lag(support::milliseconds lag);
     /// Stores a configuration whose first route is the most urgent.
     void set_config(std::int64_t version,
                     const std::vector<std::string>& routes);
@@ -218,6 +222,8 @@
         std::vector<std::function<void()>> deferred_events;
         std::map<shard::call_id, std::string> calls;
         std::map<shard::call_id, std::string> cancelling_calls;
+        /// The hosts whose rows this process has read.
+        std::set<std::string> known_hosts;
     };
     struct stored_row
     {
@@ -229,6 +235,12 @@
     };
 
     using row_table = std::map<std::string, stored_row>;
+    struct row_change
+    {
+        support::instant when;
+        std::string key;
+        stored_row row;
+    };
 
     shard::entry_host_hooks hooks_for(const std::string& name, int incarnation);
     using host_event =
@@ -257,6 +269,16 @@
               const shard::table_read& read);
     void write(const std::string& name, int incarnation,
                const shard::registration_write& write);
+    /// Returns the rows of \p table as they were \p lag ago.
+    row_table rows_before(shard::directory_table table,
+                          support::milliseconds lag) const;
+    /// Returns the store's version \p lag ago.
+    std::int64_t version_before(support::milliseconds lag) const;
+    /// Returns whether an endpoint that drains since \p since must get no new
+    /// work: the store was undisturbed for long enough since then.
+    bool must_know_of_draining(support::instant since) const;
+    /// Records a time span in which the store is silent or lags.
+    void set_store_disturbed(bool is_disturbed);
     void list_endpoint(const std::string& id);
     /// Closes the connections of all hosts to an endpoint, and tells those that
     /// reach it. For the others, their next order shows it.
@@ -302,6 +324,16 @@
     };
     std::vector<partition_rule> partitions;
     std::array<row_table, shard::directory_tables> tables;
+    /// All changes of each table, for reads of earlier rows.
+    std::array<std::vector<row_change>, shard::directory_tables> changes;
+    support::milliseconds read_lag{0};
+    struct time_span
+    {
+        support::instant from;
+        std::optional<support::instant> to = {};
+    };
+    /// When the store was silent or lagged, in the order of time.
+    std::vector<time_span> store_disturbances;
     std::int64_t store_version = 0;
     std::int64_t history_from = 0;
     bool store_is_up = true;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -31,7 +31,10 @@
                  restart, leave the list or are replaced, list ends in pieces,
                  and answer out of order; or "strays", requests that are
                  cancelled or repeated at any host or read late, entries of
-                 other writers, and endpoints that restart as another kind
+                 other writers, and endpoints that restart as another kind;
+                 or "installations", all hosts that start anew, more than
+                 once, while the store is silent, refuses some of them, lags
+                 or forgets, and endpoints leave
                  [default: single].
   --verbose      Print the log of each failing seed.
 )";
@@ -57,6 +60,7 @@
     takeover,
     incarnations,
     strays,
+    installations,
 };
 
 /// Answers of half of the sessions overtake each other, by up to this time.
@@ -65,8 +69,9 @@
     return seed % 4 < 2 ? 15 : 0;
 }
 
-constexpr std::array<std::string_view, 6> mix_names = {
-    "single", "chained", "channels", "takeover", "incarnations", "strays"};
+constexpr std::array<std::string_view, 7> mix_names = {
+    "single",       "chained", "channels",     "takeover",
+    "incarnations", "strays",  "installations"};
 
 class soak_session
 {
@@ -74,21 +79,25 @@
     soak_session(std::uint64_t seed, fault_mix wanted_mix, bool keeps_log)
         : mix(wanted_mix), learns_late(seed % 2 == 0),
           random(static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)),
-          fleet({.domains = 2,
+          fleet({.domains = wanted_mix == fault_mix::installations ? 4 : 2,
                  .hosts_per_domain = 3,
-                 .endpoints_per_domain = 4,
+                 .endpoints_per_domain =
+                     wanted_mix == fault_mix::installations ? 8 : 4,
                  .endpoints_per_shard = seed % 2 == 0 ? 32 : 2,
                  .seed = seed,
                  .keeps_log = keeps_log,
                  .resumes_with_events = wanted_mix == fault_mix::chained ||
                                         wanted_mix == fault_mix::takeover ||
                                         wanted_mix == fault_mix::incarnations,
-                 .copies_leave_domain = wanted_mix == fault_mix::channels ||
-                                        wanted_mix == fault_mix::strays,
+                 .copies_leave_domain =
+                     wanted_mix == fault_mix::channels ||
+                     wanted_mix == fault_mix::strays ||
+                     (wanted_mix == fault_mix::installations && seed % 3 == 0),
                  .longest_answer_delay =
                      milliseconds(wanted_mix == fault_mix::incarnations
                                       ? longest_answer_delay(seed)
-                                      : 0)})
+                                      : 0),
+                 .links_need_rows = wanted_mix == fault_mix::installations})
     {
     }
 
@@ -140,6 +149,9 @@
     void plan_takeover_fault(milliseconds when, const std::string& domain);
     void plan_cut(milliseconds when, milliseconds span,
                   const std::string& domain);
+    void plan_installation(milliseconds when);
+    void plan_store_trouble(milliseconds when);
+    void plan_leaving(milliseconds when);
 
     fault_mix mix;
     bool learns_late;
@@ -152,8 +164,9 @@
 {
     // Jobs must outlast a takeover to be run by two owners.
     const bool are_long = this->mix == fault_mix::takeover;
-    const int longest_gap = are_long ? 300 : 120;
-    const int longest_work = are_long ? 1500 : 600;
+    const bool is_large = this->mix == fault_mix::installations;
+    const int longest_gap = are_long ? 300 : is_large ? 40 : 120;
+    const int longest_work = are_long || is_large ? 1500 : 600;
     const int longest_timeout = are_long ? 6000 : 1500;
     for (milliseconds when = start_of_load; when < end_of_load;
          when += milliseconds(10 + this->pick(longest_gap)))
@@ -641,6 +654,94 @@
     }
 }
 
+void soak_session::plan_store_trouble(milliseconds when)
+{
+    const milliseconds span =
+        this->pick_time(milliseconds(500), milliseconds(9000));
+    switch (this->pick(4))
+    {
+    case 0:
+        this->fleet.at(when, [this] { this->fleet.set_store_up(false); });
+        this->fleet.at(when + span, [this] { this->fleet.set_store_up(true); });
+        return;
+    case 1:
+    {
+        // One host of each domain reaches the store, or no host of one domain.
+        const std::string domain =
+            this->pick(3) == 0 ? "D" + std::to_string(1 + this->pick(4)) : "";
+        std::set<std::string> refused;
+        for (const std::string& name : this->fleet.host_names())
+            if (domain.empty() ? !name.ends_with("h3") && this->pick(2) == 0
+                               : name.starts_with(domain))
+                refused.insert(name);
+        this->fleet.at(when, [this, refused]
+                       { this->fleet.partition(refused, {"store"}); });
+        this->fleet.at(when + span, [this] { this->fleet.heal(); });
+        return;
+    }
+    case 2:
+    {
+        const milliseconds lag(500 + this->pick(5500));
+        this->fleet.at(when,
+                       [this, lag]
+                       {
+                           this->fleet.discard_history();
+                           this->fleet.set_read_lag(lag);
+                       });
+        this->fleet.at(when + span,
+                       [this] { this->fleet.set_read_lag(milliseconds(0)); });
+        return;
+    }
+    default:
+        this->fleet.at(when, [this] { this->fleet.discard_history(); });
+        return;
+    }
+}
+
+void soak_session::plan_leaving(milliseconds when)
+{
+    const std::string id = this->pick_one(this->fleet.endpoint_names());
+    this->fleet.at(when, [this, id] { this->fleet.set_draining(id); });
+}
+
+void soak_session::plan_installation(milliseconds when)
+{
+    for (int left = 1 + this->pick(2); left > 0; --left)
+        this->plan_store_trouble(when + milliseconds(this->pick(3000)));
+    for (int left = 2 + this->pick(5); left > 0; --left)
+        this->plan_leaving(when + milliseconds(this->pick(6000)));
+    for (int start = 1 + this->pick(3); start > 0; --start)
+    {
+        const milliseconds killed_at = when + milliseconds(this->pick(6000));
+        const int longest_gap = 100 + this->pick(3000);
+        const bool is_rolling = this->pick(2) == 0;
+        for (const std::string& host : this->fleet.host_names())
+        {
+            const milliseconds at =
+                killed_at + milliseconds(is_rolling ? this->pick(2000) : 0);
+            this->fleet.at(at, [this, host] { this->fleet.kill(host); });
+            this->fleet.at(at + milliseconds(this->pick(longest_gap)),
+                           [this, host] { this->fleet.start(host); });
+        }
+    }
+    for (const std::string& host : this->fleet.host_names())
+        if (this->pick(3) == 0)
+            this->fleet.at(when + milliseconds(this->pick(9000)),
+                           [this, host] { this->fleet.reset_channels(host); });
+    // Links between hosts of a domain that come late.
+    if (this->pick(3) != 0)
+        return;
+    const std::string domain = "D" + std::to_string(1 + this->pick(4)) + "-h";
+    const int number = 1 + this->pick(3);
+    const std::string host = domain + std::to_string(number);
+    const std::string other = domain + std::to_string(1 + number % 3);
+    const milliseconds at = when + milliseconds(this->pick(8000));
+    this->fleet.at(at, [this, host, other]
+                   { this->fleet.partition({host}, {other}); });
+    this->fleet.at(at + milliseconds(200 + this->pick(4000)),
+                   [this] { this->fleet.heal(); });
+}
+
 void soak_session::plan_takeover(milliseconds when)
 {
     const std::string domain = this->pick(2) == 0 ? "D1-" : "D2-";
@@ -656,7 +757,8 @@
         this->plan_answers();
     const bool has_few = this->mix == fault_mix::chained ||
                          this->mix == fault_mix::takeover ||
-                         this->mix == fault_mix::incarnations;
+                         this->mix == fault_mix::incarnations ||
+                         this->mix == fault_mix::installations;
     const int faults = 1 + this->pick(has_few ? 4 : 8);
     for (int i = 0; i < faults; ++i)
     {
@@ -676,6 +778,9 @@
         case fault_mix::takeover:
             this->plan_takeover(when);
             break;
+        case fault_mix::installations:
+            this->plan_installation(when);
+            break;
         case fault_mix::strays:
             for (int left = 3; left > 0; --left)
                 this->plan_stray(when + milliseconds(this->pick(2000)));
@@ -687,6 +792,7 @@
                    {
                        this->fleet.heal();
                        this->fleet.set_store_up(true);
+                       this->fleet.set_read_lag(milliseconds(0));
                        for (const std::string& host : this->fleet.host_names())
                            this->fleet.start(host);
                    });
@@ -694,7 +800,7 @@
                         (this->mix == fault_mix::channels ? long_work : 1) *
                             settling);
     std::vector<std::string> found = this->fleet.violations();
-    for (const char* const domain : {"D1", "D2"})
+    for (const char* const domain : {"D1", "D2", "D3", "D4"})
         if (this->fleet.owners_of(domain) != this->fleet.shards_of(domain))
             found.push_back(std::string("owners of ") + domain + ": " +
                             std::to_string(this->fleet.owners_of(domain)));
