Soaks: installations that start anew, with real processes and in virtual time

Checked besides: no start on a leaving endpoint 3 s (the longest drain_ms of the sites) after the store has taken the news and was undisturbed.

Sessions that start together no longer probe the same ports.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -21,9 +21,8 @@
 using support::milliseconds;
 using transport::http_response;
 
-constexpr int host_count = 3;
-constexpr int endpoint_count = 4;
-constexpr int ports_per_host = 4;
+/// Callers, readiness, peers, metrics and the proxy before the store.
+constexpr int ports_per_host = 5;
 constexpr milliseconds pump_interval{2};
 constexpr milliseconds load_span{9000};
 constexpr milliseconds fault_span{7000};
@@ -31,7 +30,9 @@
 /// Recovery time after all faults have ended: a third of twelve seconds,
 /// doubled for a busy machine.
 constexpr milliseconds recovery_limit{8000};
-constexpr int caller_timeout_ms = 2500;
+/// The longest drain time of the sites: an endpoint that leaves must get no new
+/// work after it.
+constexpr milliseconds drain_limit{3000};
 
 /// Parses JOB.0.GROUP.INDEX; job ids here have no dots.
 shard::task_key task_of(const std::string& name)
@@ -67,6 +68,21 @@
     return response;
 }
 
+/// Returns the rows of a table that changed after a version.
+template <typename Rows>
+json rows_after(const Rows& rows, const std::string& table, std::int64_t after)
+{
+    json found = json::array();
+    for (const auto& [key, row] : rows)
+        if (row.version > after)
+            found.push_back({{"table", table},
+                             {"part", row.part},
+                             {"key", row.part.empty() ? key : row.key},
+                             {"value", row.value},
+                             {"ver", row.version}});
+    return found;
+}
+
 http_response response_of(const shard::order_answered& answer)
 {
     switch (answer.status)
@@ -105,10 +121,12 @@
 
 } // namespace
 
-fault_session::fault_session(std::uint64_t session_seed)
-    : seed(session_seed), random(static_cast<std::minstd_rand::result_type>(
-                              session_seed * 7919 + 3)),
-      loop({.max_connections = 2000}), began(transport::event_loop::now()),
+fault_session::fault_session(std::uint64_t session_seed,
+                             session_shape wanted_shape)
+    : seed(session_seed), shape(wanted_shape),
+      random(
+          static_cast<std::minstd_rand::result_type>(session_seed * 7919 + 3)),
+      loop({.max_connections = 4000}), began(transport::event_loop::now()),
       pump(this->loop.make_timer([] {})), calls({.loop = this->loop})
 {
     std::string path = "/tmp/chicorydrum-faults-XXXXXX";
@@ -116,8 +134,11 @@
         throw std::runtime_error("cannot make a work directory");
     this->work_directory = path;
     this->queue.run_until(support::instant(support::seconds(1)));
-    const int base = process_test::find_free_ports(
-        2 + host_count * ports_per_host + 2 * endpoint_count);
+    this->store_calm_since = this->queue.now();
+    const int ports_per_domain = this->shape.hosts_per_domain * ports_per_host +
+                                 2 * this->shape.endpoints_per_domain;
+    const int base = process_test::find_free_ports(1 + this->shape.domains *
+                                                           ports_per_domain);
     this->store =
         std::make_unique<transport::http_server>(transport::http_server_options{
             .loop = this->loop,
@@ -131,88 +152,24 @@
             {
                 return http_response{.status = 400};
             }});
-    this->store_proxy = std::make_unique<tcp_proxy>(base + 1, base);
+    this->store_port = base;
     this->put_config();
-    int port = base + 2;
-    for (int i = 0; i < endpoint_count; ++i)
+    int port = base + 1;
+    for (int domain = 1; domain <= this->shape.domains; ++domain)
     {
-        auto created = std::make_unique<endpoint_server>();
-        endpoint_server& server = *created;
-        shards::virtual_endpoint_options wanted;
-        wanted.entry.id = "i-" + std::to_string(i);
-        wanted.entry.pool = "workers";
-        wanted.entry.address = "127.0.0.1";
-        wanted.entry.port = port + 1;
-        wanted.entry.domain = "d1";
-        wanted.entry.capacity.millicores = 16000;
-        wanted.entry.capacity.memory_mb = 65536;
-        wanted.entry.born_ms = 1;
-        server.endpoint = std::make_unique<shards::virtual_endpoint>(
-            wanted, this->queue,
-            [this](const std::string& what) { this->report_violation(what); },
-            session_seed + static_cast<std::uint64_t>(i));
-        const std::string id = wanted.entry.id;
-        server.endpoint->work_of = [this](const shard::task_key& task)
-        {
-            return milliseconds(this->callers[task.job].work_ms);
-        };
-        server.endpoint->need_of = [](const shard::task_key&)
+        const std::string domain_name = "d" + std::to_string(domain);
+        for (int i = 0; i < this->shape.endpoints_per_domain; ++i)
         {
-            schema::resources need;
-            need.millicores = 6800;
-            return need;
-        };
-        server.endpoint->on_started = [this, id](const shard::task_key& task)
-        {
-            this->started_jobs.insert(task.job);
-            std::set<std::string>& places = this->running_at[task];
-            if (!places.empty())
-                this->report_violation("two runs of " + shard::to_text(task));
-            places.insert(id);
-        };
-        server.endpoint->on_ended =
-            [this, id](const shard::task_key& task, shard::run_end how)
+            this->add_endpoint("i-" + std::to_string(this->endpoints.size()),
+                               domain_name, port);
+            port += 2;
+        }
+        for (int i = 0; i < this->shape.hosts_per_domain; ++i)
         {
-            this->running_at[task].erase(id);
-            if (how == shard::run_end::done)
-                this->done.insert(task);
-        };
-        server.server = std::make_unique<transport::http_server>(
-            transport::http_server_options{
-                .loop = this->loop,
-                .address = "127.0.0.1",
-                .port = port,
-                .on_request =
-                    [this, &server](transport::exchange_id exchange,
-                                    const transport::http_request& request)
-                { this->serve_endpoint(server, exchange, request); },
-                .on_rejected =
-                    [](transport::rejection)
-                {
-                    return http_response{.status = 400};
-                }});
-        server.proxy = std::make_unique<tcp_proxy>(port + 1, port);
-        this->put_row("servers", id,
-                      endpoint_document(server.endpoint->entry()));
-        this->endpoints.push_back(std::move(created));
-        port += 2;
-    }
-    for (int i = 0; i < host_count; ++i)
-    {
-        auto created = std::make_unique<entry_process>();
-        created->name = "h" + std::to_string(i);
-        created->callers_port = port;
-        created->first_port = port;
-        port += ports_per_host;
-        std::ofstream(this->work_directory + "/" + created->name + ".yaml")
-            << "name: " << created->name << "\ndomain: d1\naddress: 127.0.0.1\n"
-            << "listeners:\n  callers: 127.0.0.1:" << created->first_port
-            << "\n  readiness: 127.0.0.1:" << created->first_port + 1
-            << "\n  peer_port: " << created->first_port + 2
-            << "\n  metrics_port: " << created->first_port + 3
-            << "\nstore: 127.0.0.1:" << base + 1 << "\n";
-        this->start_host(*created);
-        this->hosts.push_back(std::move(created));
+            this->add_host("h" + std::to_string(this->hosts.size()),
+                           domain_name, port);
+            port += ports_per_host;
+        }
     }
     this->pump = this->loop.make_timer(
         [this]
@@ -220,7 +177,8 @@
             const support::instant now = transport::event_loop::now();
             this->queue.run_until(support::instant(support::seconds(1)) +
                                   (now - this->began));
-            this->store_proxy->poll(now);
+            for (const auto& one : this->hosts)
+                one->store_proxy->poll(now);
             for (const auto& one : this->endpoints)
                 one->proxy->poll(now);
             this->pump.start(pump_interval);
@@ -228,6 +186,109 @@
     this->pump.start(pump_interval);
 }
 
+void fault_session::add_endpoint(const std::string& id,
+                                 const std::string& domain, int port)
+{
+    auto created = std::make_unique<endpoint_server>();
+    endpoint_server& server = *created;
+    shards::virtual_endpoint_options wanted;
+    wanted.entry.id = id;
+    wanted.entry.pool = "workers";
+    wanted.entry.address = "127.0.0.1";
+    wanted.entry.port = port + 1;
+    wanted.entry.domain = domain;
+    wanted.entry.capacity.millicores = 16000;
+    wanted.entry.capacity.memory_mb = 65536;
+    wanted.entry.born_ms = 1;
+    server.endpoint = std::make_unique<shards::virtual_endpoint>(
+        wanted, this->queue,
+        [this](const std::string& what) { this->report_violation(what); },
+        this->seed + this->endpoints.size());
+    server.endpoint->work_of = [this](const shard::task_key& task)
+    {
+        return milliseconds(this->callers[task.job].work_ms);
+    };
+    server.endpoint->need_of = [](const shard::task_key&)
+    {
+        schema::resources need;
+        need.millicores = 6800;
+        return need;
+    };
+    server.endpoint->on_started = [this, id](const shard::task_key& task)
+    {
+        this->note_start(id, task);
+    };
+    server.endpoint->on_ended =
+        [this, id](const shard::task_key& task, shard::run_end how)
+    {
+        this->running_at[task].erase(id);
+        if (how == shard::run_end::done)
+            this->done.insert(task);
+    };
+    server.server =
+        std::make_unique<transport::http_server>(transport::http_server_options{
+            .loop = this->loop,
+            .address = "127.0.0.1",
+            .port = port,
+            .on_request =
+                [this, &server](transport::exchange_id exchange,
+                                const transport::http_request& request)
+            { this->serve_endpoint(server, exchange, request); },
+            .on_rejected =
+                [](transport::rejection)
+            {
+                return http_response{.status = 400};
+            }});
+    server.proxy = std::make_unique<tcp_proxy>(port + 1, port);
+    this->put_row("servers", id, endpoint_document(server.endpoint->entry()));
+    this->endpoints.push_back(std::move(created));
+}
+
+void fault_session::add_host(const std::string& name, const std::string& domain,
+                             int port)
+{
+    auto created = std::make_unique<entry_process>();
+    created->name = name;
+    created->domain = domain;
+    created->callers_port = port;
+    created->first_port = port;
+    const int proxy_port = port + ports_per_host - 1;
+    created->store_proxy =
+        std::make_unique<tcp_proxy>(proxy_port, this->store_port);
+    std::ofstream(this->work_directory + "/" + name + ".yaml")
+        << "name: " << name << "\ndomain: " << domain
+        << "\naddress: 127.0.0.1\nlisteners:\n  callers: 127.0.0.1:" << port
+        << "\n  readiness: 127.0.0.1:" << port + 1
+        << "\n  peer_port: " << port + 2 << "\n  metrics_port: " << port + 3
+        << "\nstore: 127.0.0.1:" << proxy_port
+        << "\nlimits:\n  link_rate: " << this->shape.link_rate << "\n";
+    this->start_host(*created);
+    this->hosts.push_back(std::move(created));
+}
+
+void fault_session::note_start(const std::string& id,
+                               const shard::task_key& task)
+{
+    this->started_jobs.insert(task.job);
+    this->last_started = id;
+    std::set<std::string>& places = this->running_at[task];
+    if (!places.empty())
+        this->report_violation("two runs of " + shard::to_text(task) + " at " +
+                               id + " and " + *places.begin());
+    places.insert(id);
+    for (const auto& one : this->endpoints)
+    {
+        if (one->endpoint->entry().id != id || !one->draining_since)
+            continue;
+        const support::instant known =
+            std::max(*one->draining_since, this->store_calm_since);
+        if (this->store_is_up && !this->lagging &&
+            this->queue.now() - known > drain_limit)
+            this->report_violation("a start on the leaving " + id + " of " +
+                                   shard::to_text(task));
+    }
+}
+
 fault_session::~fault_session()
 {
     this->hosts.clear();
@@ -339,24 +400,41 @@
     const bool is_feed = request.path == "/v1/rows-feed";
     const std::int64_t after =
         is_feed ? std::stoll(query_value(request.query, "after")) : 0;
+    if (is_feed && after < this->history_from)
+    {
+        this->store->respond(id, json_response(410, json::object()));
+        return;
+    }
+    if (!is_feed && this->lagging)
+    {
+        const auto rows = rows_after(this->lagging->tables[table], table, 0);
+        this->store->respond(
+            id, json_response(
+                    200, {{"rows", rows}, {"ver", this->lagging->version}}));
+        return;
+    }
     const std::int64_t wait =
         is_feed ? std::stoll(query_value(request.query, "wait_ms")) : 0;
     this->answer_changes(id, table, after,
                          this->queue.now() + milliseconds(wait));
 }
 
+void fault_session::set_store(bool is_up, bool lags)
+{
+    this->store_is_up = is_up;
+    if (!lags)
+        this->lagging.reset();
+    else if (!this->lagging)
+        this->lagging = {.tables = this->tables,
+                         .version = this->store_version};
+    this->store_calm_since = this->queue.now();
+}
+
 void fault_session::answer_changes(transport::exchange_id id,
                                    const std::string& table, std::int64_t after,
                                    support::instant until)
 {
-    json rows = json::array();
-    for (const auto& [key, row] : this->tables[table])
-        if (row.version > after)
-            rows.push_back({{"table", table},
-                            {"part", row.part},
-                            {"key", row.part.empty() ? key : row.key},
-                            {"value", row.value},
-                            {"ver", row.version}});
+    const json rows = rows_after(this->tables[table], table, after);
     if (rows.empty() && this->queue.now() < until)
     {
         this->queue.after(milliseconds(20), [this, id, table, after, until]
@@ -415,10 +493,10 @@
 {
     const std::string job = "j" + std::to_string(this->seed) + "x" +
                             std::to_string(this->callers.size());
-    this->callers[job] = {.tasks = 1 + this->pick(3),
-                          .work_ms = 30 + this->pick(300)};
-    const auto host = static_cast<std::size_t>(this->pick(host_count));
-    this->send(job, host);
+    this->callers[job] = {
+        .tasks = 1 + this->pick(3),
+        .work_ms = 30 + this->pick(this->shape.longest_work_ms - 30)};
+    this->send(job, this->pick_host());
 }
 
 void fault_session::send(const std::string& job, std::size_t host)
@@ -432,8 +510,9 @@
     request.path = "/q/" + job;
     request.host = "shop";
     request.headers = {
-        {.name = "deadline-ms", .value = std::to_string(caller_timeout_ms)}};
-    request.timeout = milliseconds(caller_timeout_ms + 1000);
+        {.name = "deadline-ms",
+         .value = std::to_string(this->shape.caller_timeout_ms)}};
+    request.timeout = milliseconds(this->shape.caller_patience_ms);
     request.body = json{{"spec", "s"},
                         {"preemptible", true},
                         {"steps",
@@ -464,10 +543,7 @@
         if (caller.attempts >= 3)
             return;
         this->queue.after(resend_delay,
-                          [this, job] {
-                              this->send(job, static_cast<std::size_t>(
-                                                  this->pick(host_count)));
-                          });
+                          [this, job] { this->send(job, this->pick_host()); });
         return;
     }
     caller.final_status = status;
@@ -497,10 +573,9 @@
 
 void fault_session::plan_fault(milliseconds when)
 {
-    entry_process& host =
-        *this->hosts[static_cast<std::size_t>(this->pick(host_count))];
-    endpoint_server& server =
-        *this->endpoints[static_cast<std::size_t>(this->pick(endpoint_count))];
+    entry_process& host = *this->hosts[this->pick_host()];
+    endpoint_server& server = *this->endpoints[static_cast<std::size_t>(
+        this->pick(static_cast<int>(this->endpoints.size())))];
     const milliseconds span(200 + this->pick(3000));
     const auto at = [this](milliseconds delay, std::function<void()> hook)
     {
@@ -525,15 +600,15 @@
         at(when + span, [&host] { host.child->signal(SIGCONT); });
         return;
     case 3:
-        at(when, [this] { this->store_is_up = false; });
-        at(when + span, [this] { this->store_is_up = true; });
+        at(when, [this] { this->set_store(false, false); });
+        at(when + span, [this] { this->set_store(true, false); });
         return;
     case 4:
         at(when, [this] { this->put_config(); });
         return;
     case 5:
         at(when, [&server] { server.proxy->reset_all(); });
-        at(when + milliseconds(50), [this] { this->store_proxy->reset_all(); });
+        at(when + milliseconds(50), [&host] { host.store_proxy->reset_all(); });
         return;
     case 6:
     {
@@ -542,7 +617,7 @@
         const link_fault fault =
             faults[static_cast<std::size_t>(this->pick(3))];
         tcp_proxy& proxy =
-            this->pick(3) == 0 ? *this->store_proxy : *server.proxy;
+            this->pick(3) == 0 ? *host.store_proxy : *server.proxy;
         at(when, [&proxy, fault] { proxy.set_fault(fault); });
         at(when + span, [&proxy] { proxy.set_fault(link_fault::none); });
         return;
@@ -563,8 +638,7 @@
 
 void fault_session::clear_faults()
 {
-    this->store_is_up = true;
-    this->store_proxy->set_fault(link_fault::none);
+    this->set_store(true, false);
     for (const auto& one : this->endpoints)
     {
         one->proxy->set_fault(link_fault::none);
@@ -572,6 +646,7 @@
     }
     for (const auto& host : this->hosts)
     {
+        host->store_proxy->set_fault(link_fault::none);
         host->child->signal(SIGCONT);
         const auto exit_code = host->child->exit_code();
         const bool is_unexpected =
@@ -604,7 +679,7 @@
                          });
     }
     this->loop.run_until([&open] { return open == 0; });
-    return ready == host_count;
+    return ready == static_cast<int>(this->hosts.size());
 }
 
 void fault_session::run_for(milliseconds span)
@@ -613,31 +688,33 @@
     this->loop.run_until([end] { return transport::event_loop::now() >= end; });
 }
 
-std::vector<std::string> fault_session::run_session()
+bool fault_session::wait_ready()
 {
-    const auto wait_ready = [this]
+    const support::instant limit =
+        transport::event_loop::now() + recovery_limit;
+    while (!this->all_ready())
     {
-        const support::instant limit =
-            transport::event_loop::now() + recovery_limit;
-        while (!this->all_ready())
-        {
-            if (transport::event_loop::now() > limit)
-                return false;
-            this->run_for(milliseconds(100));
-        }
-        return true;
-    };
-    if (!wait_ready())
-        this->report_violation("not ready after the start");
-    this->plan_faults();
-    const support::instant end = transport::event_loop::now() + load_span;
+        if (transport::event_loop::now() > limit)
+            return false;
+        this->run_for(milliseconds(100));
+    }
+    return true;
+}
+
+void fault_session::submit_for(milliseconds span, int longest_gap_ms)
+{
+    const support::instant end = transport::event_loop::now() + span;
     while (transport::event_loop::now() < end)
     {
         this->submit_one();
-        this->run_for(milliseconds(10 + this->pick(80)));
+        this->run_for(milliseconds(10 + this->pick(longest_gap_ms)));
     }
+}
+
+void fault_session::check_recovery()
+{
     this->clear_faults();
-    if (!wait_ready())
+    if (!this->wait_ready())
         this->report_violation("not ready after all faults have ended");
     this->run_for(milliseconds(1500));
     const int before = this->completed;
@@ -646,11 +723,20 @@
         this->submit_one();
         this->run_for(milliseconds(250));
     }
-    this->run_for(milliseconds(caller_timeout_ms));
+    this->run_for(milliseconds(this->shape.caller_timeout_ms));
     if (this->completed - before < 6)
         this->report_violation("served " +
                                std::to_string(this->completed - before) +
                                " of 6 after recovery");
+}
+
+std::vector<std::string> fault_session::run_session()
+{
+    if (!this->wait_ready())
+        this->report_violation("not ready after the start");
+    this->plan_faults();
+    this->submit_for(load_span, 80);
+    this->check_recovery();
     return this->recorded_violations;
 }
 
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -20,14 +21,35 @@
 namespace chicorydrum::faults
 {
 
+/// Size of the hosts' installation. Domains are named "d1", ...
+struct session_shape
+{
+    int domains = 1;
+    int hosts_per_domain = 3;
+    int endpoints_per_domain = 4;
+    /// Mbit/s; decides how many endpoints a shard has.
+    double link_rate = 1000;
+    int longest_work_ms = 330;
+    int caller_timeout_ms = 2500;
+    /// How long callers wait before they close the connection.
+    int caller_patience_ms = 3500;
+};
+
+/// Four domains of two shards each.
+session_shape installation_shape();
+
 class fault_session
 {
 public:
-    explicit fault_session(std::uint64_t seed);
+    explicit fault_session(std::uint64_t seed, session_shape shape = {});
     ~fault_session();
 
     /// Runs one session; returns the violated guarantees.
     std::vector<std::string> run_session();
+    /// Runs a session in which all hosts start anew or stand still, more than
+    /// once, while the store is silent, refuses some of them, lags or forgets,
+    /// and endpoints leave; returns the violated guarantees.
+    std::vector<std::string> run_installation();
     /// Runs a session without faults in which another writer leaves odd rows in
     /// all tables; returns the violated guarantees.
     std::vector<std::string> run_odd_entries();
@@ -40,9 +62,12 @@
     struct entry_process
     {
         std::string name;
+        std::string domain;
         int callers_port = 0;
         int first_port = 0;
         std::unique_ptr<process_test::child_process> child;
+        /// Between the host and the store.
+        std::unique_ptr<tcp_proxy> store_proxy;
         bool is_stopping = false;
     };
     struct endpoint_server
@@ -50,6 +75,7 @@
         std::unique_ptr<shards::virtual_endpoint> endpoint;
         std::unique_ptr<transport::http_server> server;
         std::unique_ptr<tcp_proxy> proxy;
+        std::optional<support::instant> draining_since;
     };
     struct caller_state
     {
@@ -61,6 +87,28 @@
     };
 
     void start_host(entry_process& host);
+    void add_endpoint(const std::string& id, const std::string& domain,
+                      int port);
+    void add_host(const std::string& name, const std::string& domain, int port);
+    void note_start(const std::string& endpoint, const shard::task_key& task);
+    std::size_t pick_host()
+    {
+        return static_cast<std::size_t>(
+            this->pick(static_cast<int>(this->hosts.size())));
+    }
+    /// Waits until all hosts are ready; false after a time limit.
+    bool wait_ready();
+    void submit_for(support::milliseconds span, int longest_gap_ms);
+    /// Checks that all hosts are ready again and serve.
+    void check_recovery();
+    void plan_restarts(support::milliseconds when);
+    void plan_standstill(support::milliseconds when);
+    void plan_store_trouble(support::milliseconds when);
+    void plan_leaving(support::milliseconds when);
+    /// Sets whether the store is disturbed for all hosts.
+    void set_store(bool is_up, bool lags);
+    /// Kills \p host if it runs, and starts it after \p span.
+    void restart_host(entry_process& host, support::milliseconds span);
     void serve_store(transport::exchange_id id,
                      const transport::http_request& request);
     void answer_changes(transport::exchange_id id, const std::string& table,
@@ -96,6 +144,7 @@
     }
 
     std::uint64_t seed;
+    session_shape shape;
     std::minstd_rand random;
     std::string work_directory;
     transport::event_loop loop;
@@ -104,7 +153,7 @@
     transport::timer pump;
     transport::http_client calls;
     std::unique_ptr<transport::http_server> store;
-    std::unique_ptr<tcp_proxy> store_proxy;
+    int store_port = 0;
     bool store_is_up = true;
     struct stored_row
     {
@@ -115,6 +164,17 @@
         std::string key = {};
     };
     std::map<std::string, std::map<std::string, stored_row>> tables;
+    /// What whole reads show while the store lags.
+    struct stored_tables
+    {
+        std::map<std::string, std::map<std::string, stored_row>> tables;
+        std::int64_t version = 0;
+    };
+    std::optional<stored_tables> lagging;
+    /// Changes up to this version are forgotten.
+    std::int64_t history_from = 0;
+    /// Since when the store is up and does not lag.
+    support::instant store_calm_since;
     std::int64_t store_version = 0;
     std::int64_t config_version = 0;
     std::vector<std::unique_ptr<entry_process>> hosts;
@@ -125,6 +185,8 @@
     std::map<shard::task_key, std::set<std::string>> running_at;
     std::set<shard::task_key> done;
     std::set<std::string> started_jobs;
+    /// The endpoint of the last start.
+    std::string last_started;
     std::vector<std::string> recorded_violations;
 };
 
--- a/test/faults/main.cpp
+++ b/test/faults/main.cpp
@@ -11,11 +11,14 @@
 
 constexpr const char* usage = R"(Real entry hosts under faults, on loopback.
 
-Usage: fault_soak [--seeds RANGE] [--odd-entries]
+Usage: fault_soak [--seeds RANGE] [--odd-entries] [--installation]
 
 Options:
-  --seeds RANGE  Seeds as FIRST..LAST [default: 1..3].
-  --odd-entries  Instead of faults, another writer leaves odd rows in the store.
+  --seeds RANGE   Seeds as FIRST..LAST [default: 1..3].
+  --odd-entries   Instead of faults, another writer leaves odd rows in the
+                  store.
+  --installation  Four domains whose hosts all start anew or stand still, while
+                  the store is in trouble and endpoints leave.
 )";
 
 } // namespace
@@ -35,10 +38,14 @@
     std::uint64_t failing = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        chicorydrum::faults::fault_session session(seed);
+        using namespace chicorydrum::faults;
+        const bool is_installation = arguments.at("--installation").asBool();
+        fault_session session(seed, is_installation ? installation_shape()
+                                                    : session_shape());
         const std::vector<std::string> violations =
-            arguments.at("--odd-entries").asBool() ? session.run_odd_entries()
-                                                   : session.run_session();
+            is_installation ? session.run_installation()
+            : arguments.at("--odd-entries").asBool() ? session.run_odd_entries()
+                                                     : session.run_session();
         if (violations.empty())
             continue;
         ++failing;
--- a/test/process/process_fleet.cpp
+++ b/test/process/process_fleet.cpp
@@ -78,7 +78,10 @@
 {
     constexpr int first = 12000;
     constexpr int range = 18000;
-    static int next = getpid() * 37 % range;
+    // More than one session uses, since those with successive process ids run
+    // at the same time.
+    constexpr int ports_per_process = 251;
+    static int next = getpid() * ports_per_process % range;
     for (int tries = 0; tries < range; ++tries)
     {
         const int base = first + next;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -86,9 +86,11 @@
                  .endpoints_per_shard = seed % 2 == 0 ? 32 : 2,
                  .seed = seed,
                  .keeps_log = keeps_log,
-                 .resumes_with_events = wanted_mix == fault_mix::chained ||
-                                        wanted_mix == fault_mix::takeover ||
-                                        wanted_mix == fault_mix::incarnations,
+                 .resumes_with_events =
+                     wanted_mix == fault_mix::chained ||
+                     wanted_mix == fault_mix::takeover ||
+                     wanted_mix == fault_mix::incarnations ||
+                     (wanted_mix == fault_mix::installations && seed % 4 < 2),
                  .copies_leave_domain =
                      wanted_mix == fault_mix::channels ||
                      wanted_mix == fault_mix::strays ||
@@ -194,14 +196,21 @@
         const milliseconds connected_for(this->pick(500));
         this->fleet.at(
             when,
-            [this, host, shape, are_strays, disconnects, connected_for, when]
+            [this, host, shape, are_strays, is_large, disconnects,
+             connected_for, when]
             {
                 if (!this->fleet.accepts_callers(host))
                     return;
                 const std::string job = this->fleet.submit(host, shape);
-                if (are_strays)
-                    this->fleet.at(when + caller_patience,
-                                   [this, job, when] {
+                if (are_strays || is_large)
+                    this->fleet.at(when + shape.timeout,
+                                   [this, job, when, is_large]
+                                   {
+                                       // A host ends each call at its own
+                                       // deadline, a later one not yet.
+                                       if (is_large &&
+                                           this->fleet.caller(job).attempts > 1)
+                                           return;
                                        this->fleet.lose_caller(
                                            job, this->notice_delay(when));
                                    });
@@ -728,6 +737,22 @@
         if (this->pick(3) == 0)
             this->fleet.at(when + milliseconds(this->pick(9000)),
                            [this, host] { this->fleet.reset_channels(host); });
+    // Hosts of one domain, or all, stand still, all at once or one by one.
+    if (this->pick(2) == 0)
+    {
+        const std::string stopped =
+            this->pick(2) == 0 ? "D" : "D" + std::to_string(1 + this->pick(4));
+        const milliseconds at = when + milliseconds(this->pick(8000));
+        const milliseconds span(300 + this->pick(5000));
+        const bool are_together = this->pick(2) == 0;
+        for (const std::string& host : this->fleet.host_names())
+        {
+            const milliseconds later(are_together ? 0 : this->pick(2000));
+            if (host.starts_with(stopped))
+                this->fleet.at(at + later, [this, host, span]
+                               { this->fleet.pause(host, span); });
+        }
+    }
     // Links between hosts of a domain that come late.
     if (this->pick(3) != 0)
         return;
