--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -127,7 +127,7 @@
   10: optional map<i32, i64> known_tokens
   /// The sender does not follow the endpoints in the store at the moment.
   11: bool lacks_endpoints
-  /// Of the domains whose hosts lack them.
+  /// The leaving endpoints of the receiver's domain, if it lacks them.
   12: list<leaving_endpoint> leaving
 }
 
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -183,9 +183,9 @@
     /// Returns whether the endpoints in the store are not followed at the
     /// moment.
     bool lacks_endpoints() const;
-    /// Returns the leaving endpoints of \p domains.
+    /// Returns the leaving endpoints of \p domain.
     std::vector<schema::leaving_endpoint>
-    leaving(const std::set<std::string>& domains) const;
+    leaving(const std::string& domain) const;
     /// A peer has read that an endpoint leaves.
     void note_leaving(const schema::leaving_endpoint& endpoint);
     /// Reads the endpoints anew at once: a new owner of a shard must know all
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -173,6 +173,8 @@
     /// store: the own one if this holds for any other host, since it may own a
     /// shard, and others if it holds for all their hosts.
     std::set<std::string> domains_without_endpoints() const;
+    /// Returns whether \p peer does not follow the endpoints in the store.
+    bool lacks_endpoints(const std::string& peer) const;
     bool is_live(const std::string& host) const;
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -97,13 +97,13 @@
 }
 
 std::vector<schema::leaving_endpoint>
-directory::leaving(const std::set<std::string>& domains) const
+directory::leaving(const std::string& domain) const
 {
     std::vector<schema::leaving_endpoint> found;
     for (const auto& [id, known_one] : this->known)
     {
         const schema::endpoint_registration& entry = known_one.entry;
-        if (!entry.is_draining || !domains.contains(entry.domain) ||
+        if (!entry.is_draining || entry.domain != domain ||
             found.size() >= support::max_leaving)
             continue;
         schema::leaving_endpoint& one = found.emplace_back();
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -338,10 +338,6 @@
     if (to_own_domain)
         heartbeat.heard = this->view.heard_owners();
     heartbeat.lacks_endpoints = this->table.lacks_endpoints();
-    const std::set<std::string> lacking =
-        this->view.domains_without_endpoints();
-    if (!lacking.empty())
-        heartbeat.leaving = this->table.leaving(lacking);
     schema::shard_message message;
     message.__set_beat(std::move(heartbeat));
     return message;
@@ -355,6 +351,8 @@
         return;
     const schema::shard_message local = this->make_heartbeat(true);
     const schema::shard_message remote = this->make_heartbeat(false);
+    const std::set<std::string> lacking =
+        this->view.domains_without_endpoints();
     // A holder of jobs ends them after a shorter silence.
     const std::set<std::string> holders = this->intake.holders();
     for (const std::string& peer : this->view.connected_peers())
@@ -363,8 +361,18 @@
             this->view.domain_of(peer) == this->options.self.domain;
         const bool is_due =
             is_local || holders.contains(peer) ? local_is_due : remote_is_due;
-        if (is_due)
-            this->hooks.send(peer, is_local ? local : remote);
+        if (!is_due)
+            continue;
+        const schema::shard_message& usual = is_local ? local : remote;
+        const std::string domain = this->view.domain_of(peer);
+        if (!lacking.contains(domain) || !this->view.lacks_endpoints(peer))
+        {
+            this->hooks.send(peer, usual);
+            continue;
+        }
+        schema::shard_message with_leaving = usual;
+        with_leaving.beat.leaving = this->table.leaving(domain);
+        this->hooks.send(peer, with_leaving);
     }
     if (local_is_due)
         this->next_local_heartbeat =
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -576,6 +576,13 @@
     return lacking;
 }
 
+bool host_view::lacks_endpoints(const std::string& peer) const
+{
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() &&
+           found->second.last_heartbeat.lacks_endpoints;
+}
+
 std::vector<std::string> host_view::live_peers() const
 {
     std::vector<std::string> live_names;
