Fault soak: the endpoints' clock is up to date at each request

Cause: the session's process plays all endpoints, the store and the proxies. Its virtual clock was brought up to date once in a turn, before the proxies. Kept off the processors between the two, it relayed the start and handled it before the lapse that had become due meanwhile.

The check is the same.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -175,8 +175,7 @@
         [this]
         {
             const support::instant now = transport::event_loop::now();
-            this->queue.run_until(support::instant(support::seconds(1)) +
-                                  (now - this->began));
+            this->advance_time();
             for (const auto& one : this->hosts)
                 one->store_proxy->poll(now);
             for (const auto& one : this->endpoints)
@@ -297,6 +296,12 @@
             std::system(("rm -rf " + this->work_directory).c_str()));
 }
 
+void fault_session::advance_time()
+{
+    this->queue.run_until(support::instant(support::seconds(1)) +
+                          (transport::event_loop::now() - this->began));
+}
+
 void fault_session::report_violation(const std::string& what)
 {
     const auto at = transport::event_loop::now() - this->began;
@@ -451,6 +456,7 @@
                                    transport::exchange_id id,
                                    const transport::http_request& request)
 {
+    this->advance_time();
     const json body = json::parse(request.body);
     if (request.path == "/v1/hold")
     {
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -86,6 +86,9 @@
         int final_status = 0;
     };
 
+    /// Brings the clock of the endpoints up to date, so that a session that was
+    /// delayed does not handle a request before a lapse that was due earlier.
+    void advance_time();
     void start_host(entry_process& host);
     void add_endpoint(const std::string& id, const std::string& domain,
                       int port);
