--- /dev/null
+++ b/test/shards/new_owner_test.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// A new owner of a shard that has not listed all of its endpoints yet, or
+/// lists them while its predecessor is stopping runs there.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+const job_shape one_long_task{
+    .tasks = 1, .work = milliseconds(1500), .timeout = milliseconds(6000)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(new_owner)
+
+// An entry host loses power, and the owner before it has noticed. The owner's
+// successor gets the callers' copy before it reaches an endpoint that still
+// runs the job under the owner's lease. It must not start the job elsewhere.
+BOOST_AUTO_TEST_CASE(copy_before_a_new_owner_has_listed_all_endpoints)
+{
+    for (int offset = 425; offset <= 525; offset += 25)
+        for (int extended_before = 0; extended_before < 300;
+             extended_before += 50)
+        {
+            BOOST_TEST_CONTEXT("offset " << offset << " extended before "
+                                         << extended_before)
+            {
+                shard_fleet fleet(
+                    {.endpoints_per_domain = 2, .powers = {1, 0.9, 0.5}});
+                fleet.run_for(warm_up);
+                BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+                fleet.send_copies_to("D1-h2");
+                const std::string job =
+                    fleet.submit("D1-h3", {.tasks = 4,
+                                           .work = milliseconds(3000),
+                                           .timeout = milliseconds(8000)});
+                fleet.run_for(milliseconds(100 + extended_before));
+                fleet.lose_caller(job);
+                fleet.pause("D1-h3", milliseconds(20000));
+                fleet.run_for(milliseconds(offset));
+                fleet.pause("D1-h1", milliseconds(20000));
+                fleet.partition({"D1-h2"}, {"D1-e1"});
+                fleet.run_for(milliseconds(1600 - offset));
+                fleet.heal();
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.caller(job).attempts == 2);
+                check_no_violations(fleet);
+            }
+        }
+}
+
+// An owner that is cut off, and a little late, stops the jobs of the hosts that
+// it does not hear while its successor lists the endpoints. A list may omit a
+// run that is being stopped; its task must not start elsewhere before it ends.
+BOOST_AUTO_TEST_CASE(job_whose_run_the_earlier_owner_is_stopping)
+{
+    for (int stall = 100; stall < 200; stall += 10)
+    {
+        BOOST_TEST_CONTEXT("stall " << stall)
+        {
+            shard_fleet fleet(
+                {.endpoints_per_domain = 2, .powers = {1, 0.9, 0.5}});
+            for (const std::string& id : fleet.endpoint_names())
+                fleet.endpoint(id).set_answers({.omits_stopping_runs = true});
+            fleet.run_for(warm_up);
+            BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+            const std::string job = fleet.submit("D1-h3", one_long_task);
+            fleet.run_for(milliseconds(100));
+            const std::set<std::string> others{"D1-h2", "D1-h3"};
+            fleet.partition({"D1-h1"}, others);
+            fleet.run_for(milliseconds(400));
+            // The successor's first list of the endpoint is late.
+            fleet.partition({"D1-h2"}, {"D1-e1"});
+            fleet.run_for(milliseconds(25));
+            fleet.pause("D1-h1", milliseconds(stall));
+            fleet.run_for(milliseconds(125));
+            fleet.heal();
+            fleet.partition({"D1-h1"}, others);
+            fleet.run_for(milliseconds(6000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
