Placement: a job waits while an earlier owner's stops may be under way

Cause: an owner that no longer hears a host stops that host's jobs at about the time when its successor lists the endpoints. For up to 50 ms a list may omit such a run. Only the endpoint that was listed last was kept free for 51 ms; the resubmitted job was placed on any other one as soon as all were listed.

Evidence: new_owner/job_whose_run_the_earlier_owner_is_stopping fails without this (two runs at stalls of 130, 140 and 150 ms) and passes with it.

Why it works: a task of an earlier owner starts only after each endpoint has been listed under the new token, which admits no further orders of the earlier owner, and 51 ms have passed since its first such list, in which the stops that it had admitted end. It costs nothing where the endpoints are listed at the same time, as each gets no task for these 51 ms anyway.

--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -42,7 +42,8 @@
     support::instant last_unanswered = {};
     /// The endpoint gets no new tasks until then.
     support::instant quarantined_until = {};
-    /// When the runs that an earlier owner was stopping have ended.
+    /// When the runs that an earlier owner was stopping at the first list, which
+    /// may not show them, have ended.
     support::instant settled_at = {};
     int consecutive_failures = 0;
     int quarantines = 0;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -82,16 +82,21 @@
 {
     // Another owner may have started tasks of the job on any endpoint,
     // including one that this owner could not reach. A list requested since the
-    // job arrived shows them; without one the other owner's lease must expire
-    // first, or its stop be executed.
+    // job arrived shows them, but those that the other owner is stopping;
+    // without one the other owner's lease must expire first, or its stop be
+    // executed.
     if (!job.may_run || now >= job.received + lapse_bound(this->options.lease))
         return true;
     // Nor can this owner list endpoints that it does not know yet.
     if (this->options.was_divided || !this->hooks.endpoints_are_complete())
         return false;
     return std::all_of(this->endpoints.begin(), this->endpoints.end(),
-                       [&job](const auto& entry)
-                       { return entry.second->listed_as_of >= job.received; });
+                       [&job, now](const auto& entry)
+                       {
+                           const endpoint_record& record = *entry.second;
+                           return record.listed_as_of >= job.received &&
+                                  now >= record.settled_at;
+                       });
 }
 
 bool shard_owner::place_job(owned_job& job, instant now)
