Placement: a new owner lists all endpoints before it starts anything

Cause: a job that no other owner had been sent was placed at once, also by an owner that had just claimed the shard. It may be the copy of a call that was lost 1,300 ms before. Class: a safety argument that counts on a process being scheduled, or a call being answered, in time.

Evidence: new_owner/copy_before_a_new_owner_has_listed_all_endpoints fails without this (offsets 425, 450 and 475 ms) and passes with it.

Why it works: no job is placed before each endpoint of the shard was listed under the owner's token, which admits no further orders of earlier owners and shows their runs, or the last lease that an earlier owner can have given has lapsed. An owner that has heard of no earlier one counts this from the start of its process.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -154,6 +154,10 @@
     std::vector<schema::heard_owner> heard_owners() const;
     /// Returns the shards of its own domain that this host should claim now.
     std::vector<int> shards_to_claim(support::instant now);
+    /// Returns when another owner of \p shard may last have given orders, if
+    /// this host owns it from now on: before the start of this process if it
+    /// has never heard of one.
+    support::instant earlier_owner_until(int shard, support::instant now) const;
     /// Returns a shard of this host that a much stronger host of the domain
     /// should claim, if any.
     std::optional<int> shard_to_offer(support::instant now) const;
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -55,6 +55,8 @@
     /// Tasks of a job from an earlier owner may run on endpoints of other
     /// shards, whose runs this owner cannot list.
     bool was_divided = false;
+    /// When an earlier owner may last have given orders.
+    support::instant earlier_owner_until = {};
     fencing_token token = 0;
     lease_rules lease = {};
     /// Factor by which a task takes longer away from its data.
@@ -221,6 +223,9 @@
     void place(support::instant now);
     bool place_job(owned_job& job, support::instant now);
     bool may_place(const owned_job& job, support::instant now) const;
+    /// Returns whether this owner knows all runs that other owners of its
+    /// endpoints may have started until \p since.
+    bool knows_other_runs(support::instant since, support::instant now) const;
     /// Returns the endpoint where a task is expected to end first, or null. May
     /// return null although one is free if a faster one is worth the wait.
     endpoint_record* choose(const owned_job& job, const task_key& task,
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -207,6 +207,11 @@
     return was_silent ? now - this->options.claim_delay : now;
 }
 
+instant host_view::earlier_owner_until(int shard, instant now) const
+{
+    return this->last_owners.contains(shard) ? now : this->started;
+}
+
 void host_view::tick(instant now)
 {
     this->current_time = now;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -80,21 +80,28 @@
 
 bool shard_owner::may_place(const owned_job& job, instant now) const
 {
-    // Another owner may have started tasks of the job on any endpoint,
-    // including one that this owner could not reach. A list requested since the
-    // job arrived shows them, but those that the other owner is stopping;
-    // without one the other owner's lease must expire first, or its stop be
-    // executed.
-    if (!job.may_run || now >= job.received + lapse_bound(this->options.lease))
+    // Another owner may have started tasks of the job: it was sent the job, or
+    // an earlier call of a caller that has sent a copy since.
+    return this->knows_other_runs(
+        job.may_run ? job.received : this->options.earlier_owner_until, now);
+}
+
+bool shard_owner::knows_other_runs(instant since, instant now) const
+{
+    // An endpoint that was listed under this owner's token takes no more orders
+    // of others, and its list shows their runs, but those that they are
+    // stopping. Without a list the other owner's lease must expire first, or
+    // its stop be executed.
+    if (now >= since + lapse_bound(this->options.lease))
         return true;
     // Nor can this owner list endpoints that it does not know yet.
     if (this->options.was_divided || !this->hooks.endpoints_are_complete())
         return false;
     return std::all_of(this->endpoints.begin(), this->endpoints.end(),
-                       [&job, now](const auto& entry)
+                       [since, now](const auto& entry)
                        {
                            const endpoint_record& record = *entry.second;
-                           return record.listed_as_of >= job.received &&
+                           return record.listed_as_of >= since &&
                                   now >= record.settled_at;
                        });
 }
