Refusals: a new owner says "not run" only of what it can know

Cause: an owner that had just claimed its shard took a job that it had never seen, and that no other owner was said to have, for one that has not run. With no endpoints known, as the store refused it, it refused the copy at once (no_endpoint_fits), and the copy's host offered it to another domain while the earlier owner's lease still ran. A refusal for lateness did the same.

Why it works: until such an owner knows what earlier ones have started, its refusals say that the job may have run; only jobs that no version of an owner starts (gangs, too many tasks) are refused as not run. Whether new jobs may be placed is found once for all of them.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -180,7 +180,7 @@
     void refuse(const std::string& host, const schema::job_submitted& job,
                 const std::string& reason, support::milliseconds retry_after,
                 support::instant now);
-    /// Returns why no endpoint could ever run \p work, or an empty string.
+    /// Returns why no endpoint here could run \p work, or an empty string.
     std::string unplaceable_reason(const schema::job& work,
                                    const schema::job_policy& terms) const;
     bool reattach_caller(const std::string& host,
@@ -194,7 +194,11 @@
     /// Returns whether runs of \p job may be active, also of an earlier copy.
     bool has_runs_of(const std::string& job) const;
     /// Returns whether \p job cannot be answered as not run.
-    bool may_have_run(const owned_job& job) const;
+    bool may_have_run(const owned_job& job, support::instant now) const;
+    /// The same of a job that is not open; \p was_sent_to_others if another
+    /// owner has received it.
+    bool may_have_run(const schema::job& work, bool was_sent_to_others,
+                      support::instant now) const;
     void end_expired_jobs(support::instant now);
     /// Remembers that \p call was told that job \p id has not run.
     void record_refusal(const std::string& id, caller_call call,
@@ -222,7 +226,6 @@
     std::vector<owned_job*> waiting_queue(support::instant now) const;
     void place(support::instant now);
     bool place_job(owned_job& job, support::instant now);
-    bool may_place(const owned_job& job, support::instant now) const;
     /// Returns whether this owner knows all runs that other owners of its
     /// endpoints may have started until \p since.
     bool knows_other_runs(support::instant since, support::instant now) const;
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -139,7 +139,7 @@
                 static_cast<double>(job.waiting_millicores()) / 1000.0 / tasks,
             .due = job.is_late(now) ? job.useful_until : job.due(),
             .arrived = job.arrived,
-            .may_be_shed = !this->may_have_run(job)};
+            .may_be_shed = !this->may_have_run(job, now)};
 }
 
 } // namespace chicorydrum::shard
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -55,9 +55,18 @@
 std::vector<owned_job*> shard_owner::waiting_queue(instant now) const
 {
     std::vector<owned_job*> queue;
+    const bool may_place_new =
+        this->knows_other_runs(this->options.earlier_owner_until, now);
     for (const auto& [id, job] : this->jobs)
-        if (job->waiting_tasks() > 0 && this->may_place(*job, now))
+    {
+        // Another owner may have started tasks of a job that it was sent, or of
+        // an earlier call whose caller has sent a copy since.
+        const bool may_place = job->may_run
+                                   ? this->knows_other_runs(job->received, now)
+                                   : may_place_new;
+        if (job->waiting_tasks() > 0 && may_place)
             queue.push_back(job.get());
+    }
     // Earliest target first among jobs that can still meet it, then the rest.
     std::sort(queue.begin(), queue.end(),
               [now](const owned_job* left, const owned_job* right)
@@ -78,14 +87,6 @@
         this->place_job(*job, now);
 }
 
-bool shard_owner::may_place(const owned_job& job, instant now) const
-{
-    // Another owner may have started tasks of the job: it was sent the job, or
-    // an earlier call of a caller that has sent a copy since.
-    return this->knows_other_runs(
-        job.may_run ? job.received : this->options.earlier_owner_until, now);
-}
-
 bool shard_owner::knows_other_runs(instant since, instant now) const
 {
     // An endpoint that was listed under this owner's token takes no more orders
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -53,6 +53,19 @@
            need.accelerators <= available.accelerators;
 }
 
+/// Returns why no owner ever starts \p work, or an empty string.
+std::string unsupported_reason(const schema::job& work)
+{
+    std::int64_t total = 0;
+    for (const schema::task_group& group : work.groups)
+    {
+        if (group.is_gang)
+            return "gangs_not_supported";
+        total += group.count;
+    }
+    return total > max_job_tasks ? "too_many_tasks" : "";
+}
+
 } // namespace
 
 shard_owner::shard_owner(shard_options opts, shard_hooks callbacks, instant now)
@@ -73,7 +86,9 @@
 {
     if (this->reattach_caller(host, job, now))
         return;
-    const std::string reason = this->unplaceable_reason(job.work, job.terms);
+    std::string reason = unsupported_reason(job.work);
+    if (reason.empty())
+        reason = this->unplaceable_reason(job.work, job.terms);
     if (!reason.empty())
     {
         this->refuse(host, job, reason, support::seconds(1), now);
@@ -140,12 +155,8 @@
 shard_owner::unplaceable_reason(const schema::job& work,
                                 const schema::job_policy& terms) const
 {
-    std::int64_t total = 0;
     for (const schema::task_group& group : work.groups)
     {
-        total += group.count;
-        if (group.is_gang)
-            return "gangs_not_supported";
         const auto could_run = [&group, &terms](const auto& entry)
         {
             const schema::endpoint_registration& endpoint =
@@ -159,7 +170,7 @@
                          could_run))
             return "no_endpoint_fits";
     }
-    return total > max_job_tasks ? "too_many_tasks" : "";
+    return "";
 }
 
 void shard_owner::refuse(const std::string& host,
@@ -167,9 +178,7 @@
                          const std::string& reason,
                          support::milliseconds retry_after, instant now)
 {
-    // This owner does not know what an earlier one started, so only a job that
-    // no other owner has received has certainly not run.
-    const bool may_run = job.may_run || this->has_runs_of(job.work.id);
+    const bool may_run = this->may_have_run(job.work, job.may_run, now);
     const schema::job_result outcome =
         may_run ? schema::job_result::interrupted : schema::job_result::not_run;
     schema::job_ended ended =
@@ -441,9 +450,19 @@
                        });
 }
 
-bool shard_owner::may_have_run(const owned_job& job) const
+bool shard_owner::may_have_run(const schema::job& work, bool was_sent_to_others,
+                               instant now) const
+{
+    // An earlier owner may have started what other owners have received, and
+    // the first call of a job whose copy this is.
+    return was_sent_to_others || this->has_runs_of(work.id) ||
+           (unsupported_reason(work).empty() &&
+            !this->knows_other_runs(this->options.earlier_owner_until, now));
+}
+
+bool shard_owner::may_have_run(const owned_job& job, instant now) const
 {
-    return job.has_started() || job.may_run || this->has_runs_of(job.id());
+    return job.has_started() || this->may_have_run(job.work, job.may_run, now);
 }
 
 void shard_owner::end_expired_jobs(instant now)
@@ -461,7 +480,7 @@
     {
         if (now >= job->deadline)
         {
-            const bool not_run = !this->may_have_run(*job);
+            const bool not_run = !this->may_have_run(*job, now);
             ended.push_back({id,
                              not_run ? schema::job_result::not_run
                                      : schema::job_result::interrupted,
@@ -471,7 +490,7 @@
         if (job->waiting_tasks() == 0 ||
             now + this->min_remaining_time(*job) <= job->useful_until)
             continue;
-        const bool not_run = !this->may_have_run(*job);
+        const bool not_run = !this->may_have_run(*job, now);
         ended.push_back({id,
                          not_run ? schema::job_result::not_run
                                  : schema::job_result::interrupted,
--- a/test/shards/new_owner_test.cpp
+++ b/test/shards/new_owner_test.cpp
@@ -93,6 +93,40 @@
     }
 }
 
+// The same while the successor knows no endpoints, as the store refuses it. It
+// cannot tell that the copy has not run: its refusal must not let the copy be
+// offered to another domain.
+BOOST_AUTO_TEST_CASE(copy_at_a_new_owner_that_knows_no_endpoints)
+{
+    for (int extended_before = 0; extended_before < 300; extended_before += 50)
+    {
+        BOOST_TEST_CONTEXT("extended before " << extended_before)
+        {
+            shard_fleet fleet({.domains = 2,
+                               .endpoints_per_domain = 2,
+                               .powers = {1, 0.9, 0.5}});
+            fleet.run_for(warm_up);
+            BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+            fleet.kill("D1-h2");
+            fleet.partition({"D1-h2"}, {"store"});
+            fleet.start("D1-h2");
+            fleet.run_for(milliseconds(3000));
+            fleet.send_copies_to("D1-h2");
+            const std::string job =
+                fleet.submit("D1-h3", {.tasks = 4,
+                                       .work = milliseconds(3000),
+                                       .timeout = milliseconds(8000)});
+            fleet.run_for(milliseconds(100 + extended_before));
+            fleet.lose_caller(job);
+            fleet.pause("D1-h3", milliseconds(20000));
+            fleet.run_for(milliseconds(475));
+            fleet.pause("D1-h1", milliseconds(20000));
+            fleet.run_for(milliseconds(9000));
+            check_no_violations(fleet);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
