Placement: new jobs do not wait for entries that may be back later

Callers of a domain whose hosts all restart waited up to 1 s for the first tasks: the rule that a new owner lists all endpoints first also waited until entries that lapse while the store is away are surely back, 2.5 s after the first read, or until a predecessor's leases had lapsed.

Jobs that another owner was sent wait for that as before. A job that is new to the owner waits for the endpoints that are known to be listed, if this process has read them at all. What remains open: a copy at a process younger than 2.5 s whose store had lost the entry of an endpoint that still runs the first call.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -198,6 +198,10 @@
     {
         return this->endpoint_changes;
     }
+    bool has_read_endpoints() const
+    {
+        return this->endpoints_read_at.has_value();
+    }
     /// Returns whether every live endpoint is known: entries that expired
     /// during a store outage are back missing_grace after this process's first
     /// read.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -40,6 +40,8 @@
         report;
     /// Returns whether all live endpoints are listed.
     std::function<bool()> endpoints_are_complete;
+    /// Returns whether this process has read the platform's endpoints.
+    std::function<bool()> has_read_endpoints;
     /// An endpoint refuses this owner's fencing token; \p had_accepted if it
     /// had accepted that token before.
     std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
@@ -226,9 +228,16 @@
     std::vector<owned_job*> waiting_queue(support::instant now) const;
     void place(support::instant now);
     bool place_job(owned_job& job, support::instant now);
-    /// Returns whether this owner knows all runs that other owners of its
-    /// endpoints may have started until \p since.
-    bool knows_other_runs(support::instant since, support::instant now) const;
+    /// Returns whether every known endpoint was listed in a request since
+    /// \p since, and no longer stops runs that it did not list.
+    bool has_listed_all_since(support::instant since,
+                              support::instant now) const;
+    /// Returns whether this owner knows what earlier owners of the shard have
+    /// started.
+    bool knows_runs_of_predecessors(support::instant now) const;
+    /// Returns whether this owner knows what another one that was sent \p job
+    /// has started of it.
+    bool knows_runs_of_others(const owned_job& job, support::instant now) const;
     /// Returns the endpoint where a task is expected to end first, or null. May
     /// return null although one is free if a faster one is worth the wait.
     endpoint_record* choose(const owned_job& job, const task_key& task,
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -232,6 +232,8 @@
         { this->report_end(host, end); },
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
+        .has_read_endpoints = [this]
+        { return this->table.has_read_endpoints(); },
         .fenced =
             [this, number](const std::string& endpoint, bool had_accepted)
         {
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -55,14 +55,11 @@
 std::vector<owned_job*> shard_owner::waiting_queue(instant now) const
 {
     std::vector<owned_job*> queue;
-    const bool may_place_new =
-        this->knows_other_runs(this->options.earlier_owner_until, now);
+    const bool may_place_new = this->knows_runs_of_predecessors(now);
     for (const auto& [id, job] : this->jobs)
     {
-        // Another owner may have started tasks of a job that it was sent, or of
-        // an earlier call whose caller has sent a copy since.
         const bool may_place = job->may_run
-                                   ? this->knows_other_runs(job->received, now)
+                                   ? this->knows_runs_of_others(*job, now)
                                    : may_place_new;
         if (job->waiting_tasks() > 0 && may_place)
             queue.push_back(job.get());
@@ -87,17 +84,11 @@
         this->place_job(*job, now);
 }
 
-bool shard_owner::knows_other_runs(instant since, instant now) const
+bool shard_owner::has_listed_all_since(instant since, instant now) const
 {
     // An endpoint that was listed under this owner's token takes no more orders
     // of others, and its list shows their runs, but those that they are
-    // stopping. Without a list the other owner's lease must expire first, or
-    // its stop be executed.
-    if (now >= since + lapse_bound(this->options.lease))
-        return true;
-    // Nor can this owner list endpoints that it does not know yet.
-    if (this->options.was_divided || !this->hooks.endpoints_are_complete())
-        return false;
+    // stopping.
     return std::all_of(this->endpoints.begin(), this->endpoints.end(),
                        [since, now](const auto& entry)
                        {
@@ -107,6 +98,30 @@
                        });
 }
 
+bool shard_owner::knows_runs_of_predecessors(instant now) const
+{
+    // A job that is new to this owner may be a copy whose earlier call a
+    // predecessor has served. What is not listed ends with the last lease that
+    // the predecessor can have given.
+    const instant lapsed_by =
+        this->options.earlier_owner_until + lapse_bound(this->options.lease);
+    return now >= lapsed_by ||
+           (this->hooks.has_read_endpoints() &&
+            this->has_listed_all_since(this->owned_since, now));
+}
+
+bool shard_owner::knows_runs_of_others(const owned_job& job, instant now) const
+{
+    // Another owner may have started tasks of the job on any endpoint,
+    // including one that this owner could not reach: without a list the other
+    // owner's lease must expire first, or its stop be executed.
+    if (now >= job.received + lapse_bound(this->options.lease))
+        return true;
+    // Nor can this owner list endpoints that it does not know yet.
+    return !this->options.was_divided && this->hooks.endpoints_are_complete() &&
+           this->has_listed_all_since(job.received, now);
+}
+
 bool shard_owner::place_job(owned_job& job, instant now)
 {
     bool placed_any = false;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -457,7 +457,7 @@
     // the first call of a job whose copy this is.
     return was_sent_to_others || this->has_runs_of(work.id) ||
            (unsupported_reason(work).empty() &&
-            !this->knows_other_runs(this->options.earlier_owner_until, now));
+            !this->knows_runs_of_predecessors(now));
 }
 
 bool shard_owner::may_have_run(const owned_job& job, instant now) const
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -53,6 +53,7 @@
                      [this](const std::string&, const schema::job_ended& end)
                  { this->reports.push_back(end); },
                  .endpoints_are_complete = [] { return true; },
+                 .has_read_endpoints = [] { return true; },
                  .fenced = [this](const std::string&, bool) { ++this->fenced; },
                  .log =
                      [](const support::log_line&) {
