Owners list endpoints that the platform dropped lately

Cause: an owner goes on with the runs of an endpoint whose entry is gone, which it must, as the endpoint may only have lost the store. Its successor, or the same host after a pause, got the endpoints that are listed now, listed all of them and took that for all that may run.

Why it works: the directory keeps dropped endpoints for 30 s. An owner that claims a shard lists those of them that are in it before it places anything; one that does not answer is given up. A shard is not offered while it has such runs, since the other host may have started later. A host that has started after the entry was dropped does not know it: this remains open if it claims a shard unasked.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -159,6 +159,8 @@
     support::milliseconds stable_registration{5000};
     /// Malformed rows of each table that are logged, each of them once.
     std::size_t max_logged_rows = 100;
+    /// How long a task that was started before may run at a dropped endpoint.
+    support::milliseconds dropped_lately{30000};
     /// Dropped endpoints that are remembered.
     std::size_t max_dropped = 4096;
     support::milliseconds first_backoff{100};
@@ -193,6 +195,10 @@
     void refresh_endpoints();
     /// Returns the endpoints that may be used now.
     std::vector<schema::endpoint_registration> endpoints() const;
+    /// Returns the endpoints that were dropped lately, since their entries were
+    /// missing. Some of them may be alive, and run tasks.
+    std::vector<schema::endpoint_registration>
+    lately_dropped(support::instant now) const;
     /// Increases whenever endpoints() changes.
     std::int64_t endpoints_version() const
     {
@@ -240,6 +246,14 @@
         std::optional<schema::endpoint_registration> contradiction = {};
     };
 
+    struct dropped_endpoint
+    {
+        schema::endpoint_registration entry;
+        /// In which the endpoint was last seen.
+        std::int64_t version = 0;
+        support::instant dropped_at;
+    };
+
     table_state& state_of(directory_table table);
     const table_state& state_of(directory_table table) const;
     void set_available(bool is_available, std::string_view why);
@@ -273,9 +287,9 @@
     std::minstd_rand random;
     std::array<table_state, directory_tables> tables;
     std::map<std::string, known_endpoint> known;
-    /// The versions in which dropped endpoints were last seen, so that a read
-    /// of earlier rows does not bring them back.
-    std::map<std::string, std::int64_t> dropped;
+    /// Dropped endpoints by id. Their versions keep reads of earlier rows from
+    /// bringing them back.
+    std::map<std::string, dropped_endpoint> dropped;
     /// The other hosts that were reported, and the versions of their rows.
     std::map<std::string, std::int64_t> known_hosts;
     /// No known endpoint is missing if this is false.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -100,6 +100,11 @@
     update_endpoints(const std::vector<schema::endpoint_registration>& listed,
                      support::instant now);
 
+    /// Lists endpoints that the platform does not list any more: tasks that an
+    /// earlier owner has started may run there.
+    void
+    list_leftovers(const std::vector<schema::endpoint_registration>& dropped,
+                   support::instant now);
     /// Accepts a job from an entry host, for the first time or again.
     void submit(const std::string& host, const schema::job_submitted& job,
                 support::instant now);
@@ -157,6 +162,9 @@
         return this->endpoints.size();
     }
     int running_tasks() const;
+    /// Returns whether runs are active at endpoints that the platform does not
+    /// list any more.
+    bool has_unlisted_runs() const;
 
 private:
     struct sent_order
@@ -283,8 +291,10 @@
                               const sent_order& order, order_status status);
     endpoint_record* find_endpoint(const std::string& id);
     void remove_unlisted_endpoints();
-    void add_endpoint(const schema::endpoint_registration& entry,
-                      support::instant now);
+    /// Returns whether an endpoint belongs to this shard.
+    bool is_of_shard(const schema::endpoint_registration& entry) const;
+    endpoint_record& add_endpoint(const schema::endpoint_registration& entry,
+                                  support::instant now);
     void drop_endpoint_runs(endpoint_record& record, end_evidence evidence,
                             support::instant now);
     /// Returns after how long a call to an endpoint that does not respond is
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -386,7 +386,7 @@
     if (found != this->known.end())
         return row.version < found->second.version;
     const auto gone = this->dropped.find(row.id);
-    return gone != this->dropped.end() && row.version <= gone->second;
+    return gone != this->dropped.end() && row.version <= gone->second.version;
 }
 
 void directory::apply_entry(const endpoint_row& row, instant now)
@@ -439,21 +439,23 @@
     // A missing entry means nothing while the store is unavailable.
     if (!this->available || !this->may_miss_endpoints)
         return;
-    const auto gone =
-        std::erase_if(this->known,
-                      [this, now](const auto& entry)
-                      {
-                          const known_endpoint& endpoint = entry.second;
-                          const bool is_gone = endpoint.missing_since &&
-                                               now - *endpoint.missing_since >
-                                                   this->options.missing_grace;
-                          if (!is_gone)
-                              return false;
-                          if (this->dropped.size() >= this->options.max_dropped)
-                              this->dropped.clear();
-                          this->dropped[entry.first] = endpoint.version;
-                          return true;
-                      });
+    const auto gone = std::erase_if(
+        this->known,
+        [this, now](const auto& entry)
+        {
+            const known_endpoint& endpoint = entry.second;
+            const bool is_gone =
+                endpoint.missing_since &&
+                now - *endpoint.missing_since > this->options.missing_grace;
+            if (!is_gone)
+                return false;
+            if (this->dropped.size() >= this->options.max_dropped)
+                this->dropped.clear();
+            this->dropped[entry.first] = {.entry = endpoint.entry,
+                                          .version = endpoint.version,
+                                          .dropped_at = now};
+            return true;
+        });
     if (gone > 0)
         ++this->endpoint_changes;
     this->may_miss_endpoints =
@@ -471,6 +473,16 @@
     return usable;
 }
 
+std::vector<schema::endpoint_registration>
+directory::lately_dropped(instant now) const
+{
+    std::vector<schema::endpoint_registration> found;
+    for (const auto& [id, endpoint] : this->dropped)
+        if (now - endpoint.dropped_at < this->options.dropped_lately)
+            found.push_back(endpoint.entry);
+    return found;
+}
+
 void directory::repeat_write(instant now)
 {
     this->next_write = now + this->write_backoff;
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -16,6 +16,9 @@
     /// Whether the platform lists the endpoint. Otherwise it gets no new work.
     bool is_listed = true;
     support::instant unlisted_since = {};
+    /// It was not listed any more when its shard was claimed. It is kept until
+    /// its first list, or the first list request without answer.
+    bool is_leftover = false;
     /// Whether its last call was answered.
     bool is_responding = true;
     /// A list must be requested at once, even if no run is known there.
@@ -42,12 +45,16 @@
     support::instant last_unanswered = {};
     /// The endpoint gets no new tasks until then.
     support::instant quarantined_until = {};
-    /// When the runs that an earlier owner was stopping at the first list, which
-    /// may not show them, have ended.
+    /// When the runs that an earlier owner was stopping at the first list,
+    /// which may not show them, have ended.
     support::instant settled_at = {};
     int consecutive_failures = 0;
     int quarantines = 0;
 
+    bool awaits_first_list() const
+    {
+        return this->is_leftover && this->is_responding && !this->listed_at;
+    }
     void run_succeeded();
     /// Records a failed run; several in a row quarantine the endpoint, longer
     /// each time.
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -274,6 +274,7 @@
     this->table.set_owner(true);
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
+    claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
 }
 
@@ -319,6 +320,9 @@
         return;
     const bool had_offer = this->offered.has_value();
     this->offered = had_offer ? std::nullopt : this->view.shard_to_offer(now);
+    // Another host may not know of an endpoint that is not listed any more.
+    if (this->offered && this->shards.at(*this->offered)->has_unlisted_runs())
+        this->offered.reset();
     if (!this->offered)
         return;
     this->offer_ends = now + this->options.offer_time;
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -56,8 +56,7 @@
     }
     for (const schema::endpoint_registration& entry : listed)
     {
-        if (entry.domain != this->options.domain ||
-            shard_of(entry.id, this->options.shards) != this->options.shard)
+        if (!this->is_of_shard(entry))
             continue;
         endpoint_record* const known = this->find_endpoint(entry.id);
         if (known == nullptr)
@@ -93,8 +92,29 @@
     this->tick(now);
 }
 
-void shard_owner::add_endpoint(const schema::endpoint_registration& entry,
-                               instant now)
+bool shard_owner::is_of_shard(const schema::endpoint_registration& entry) const
+{
+    return entry.domain == this->options.domain &&
+           shard_of(entry.id, this->options.shards) == this->options.shard;
+}
+
+void shard_owner::list_leftovers(
+    const std::vector<schema::endpoint_registration>& dropped, instant now)
+{
+    for (const schema::endpoint_registration& entry : dropped)
+    {
+        if (!this->is_of_shard(entry) || this->find_endpoint(entry.id))
+            continue;
+        endpoint_record& record = this->add_endpoint(entry, now);
+        record.is_listed = false;
+        record.unlisted_since = now;
+        record.is_leftover = true;
+    }
+}
+
+endpoint_record&
+shard_owner::add_endpoint(const schema::endpoint_registration& entry,
+                          instant now)
 {
     const auto earlier = this->earlier_raises.find(entry.id);
     const fencing_token raises =
@@ -109,12 +129,14 @@
         this->earlier_raises.erase(earlier);
     }
     new_record->next_list = now;
+    endpoint_record& added = *new_record;
     this->endpoints[entry.id] = std::move(new_record);
     this->hooks.log(log_line("endpoint_added")
                         .add("endpoint", entry.id)
                         .add("address", entry.address)
                         .add("millicores", entry.capacity.millicores)
                         .add("draining", entry.is_draining));
+    return added;
 }
 
 void shard_owner::drop_endpoint_runs(endpoint_record& record,
@@ -169,7 +191,8 @@
     for (auto entry = this->endpoints.begin(); entry != this->endpoints.end();)
     {
         const endpoint_record& record = *entry->second;
-        if (record.is_listed || !record.lease.runs().empty())
+        if (record.is_listed || !record.lease.runs().empty() ||
+            record.awaits_first_list())
         {
             ++entry;
             continue;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -545,6 +545,16 @@
     return {hosts.begin(), hosts.end()};
 }
 
+bool shard_owner::has_unlisted_runs() const
+{
+    return std::any_of(this->endpoints.begin(), this->endpoints.end(),
+                       [](const auto& entry)
+                       {
+                           return !entry.second->is_listed &&
+                                  !entry.second->lease.runs().empty();
+                       });
+}
+
 int shard_owner::running_tasks() const
 {
     int running = 0;
