--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -107,6 +107,15 @@
     this->log_lines.push_back("VIOLATION " + line);
 }
 
+void shard_fleet::trace(const std::string& what)
+{
+    if (this->options.is_traced)
+        this->log_lines.push_back("t=" +
+                                  std::to_string(support::whole_ms(
+                                      this->queue.now().time_since_epoch())) +
+                                  " fleet " + what);
+}
+
 // Hosts.
 
 void shard_fleet::start(const std::string& name)
@@ -114,6 +123,9 @@
     process& started = this->processes.at(name);
     if (started.host)
         return;
+    this->trace("start " + name);
+    // The new process answers on the connections of the lost one: they close.
+    this->reset_links(name);
     ++started.incarnation;
     started.stopping = false;
     started.stop_was_forced = false;
@@ -207,6 +219,7 @@
     process& killed = this->processes.at(name);
     if (!killed.host)
         return;
+    this->trace("kill " + name);
     killed.host.reset();
     ++killed.incarnation;
     for (const std::string& other : this->host_names())
@@ -215,6 +228,21 @@
     this->drop_calls(name);
 }
 
+void shard_fleet::lose_power(const std::string& name)
+{
+    process& lost = this->processes.at(name);
+    if (!lost.host)
+        return;
+    this->trace("lose_power " + name);
+    lost.host.reset();
+    ++lost.incarnation;
+    this->silence_links(name);
+    std::erase_if(this->held_messages, [&name](const held_message& held)
+                  { return held.from == name; });
+    lost.cancelling_calls.clear();
+    this->drop_calls(name);
+}
+
 void shard_fleet::drop_calls(const std::string& name)
 {
     const auto calls = std::move(this->processes.at(name).calls);
@@ -229,6 +257,7 @@
     process& stopping = this->processes.at(name);
     if (!stopping.host || stopping.stopping)
         return;
+    this->trace("stop_gracefully " + name);
     stopping.stopping = true;
     stopping.stop_began = this->queue.now();
     this->deliver(
@@ -247,6 +276,7 @@
 void shard_fleet::pause(const std::string& name, milliseconds span)
 {
     process& paused = this->processes.at(name);
+    this->trace("pause " + name + " ms=" + std::to_string(span.count()));
     paused.paused_until = this->queue.now() + span;
     this->queue.after(span,
                       [this, name]
@@ -284,26 +314,57 @@
     return this->drops(one, other) || this->drops(other, one);
 }
 
-void shard_fleet::partition(const std::set<std::string>& one,
-                            const std::set<std::string>& other)
+int shard_fleet::partition(const std::set<std::string>& one,
+                           const std::set<std::string>& other)
+{
+    const int number = this->next_partition++;
+    std::string names = "partition " + std::to_string(number) + ":";
+    for (const std::string& name : one)
+        names += " " + name;
+    names += " |";
+    for (const std::string& name : other)
+        names += " " + name;
+    this->trace(names);
+    this->partitions.push_back({.number = number, .one = one, .other = other});
+    return number;
+}
+
+int shard_fleet::partition_one_way(const std::set<std::string>& from,
+                                   const std::set<std::string>& to)
 {
-    this->partitions.push_back({.one = one, .other = other});
+    const int number = this->partition(from, to);
+    this->trace("only one way: " + std::to_string(number));
+    this->partitions.back().is_one_way = true;
+    return number;
 }
 
-void shard_fleet::partition_one_way(const std::set<std::string>& from,
-                                    const std::set<std::string>& to)
+void shard_fleet::heal(int partition_number)
 {
-    this->partitions.push_back({.one = from, .other = to, .is_one_way = true});
+    this->trace("heal " + std::to_string(partition_number));
+    std::erase_if(this->partitions,
+                  [partition_number](const partition_rule& rule)
+                  { return rule.number == partition_number; });
+    this->deliver_held_messages();
 }
 
 void shard_fleet::heal()
 {
     this->partitions.clear();
+    this->deliver_held_messages();
+}
+
+void shard_fleet::deliver_held_messages()
+{
     for (const held_message& held : std::exchange(this->held_messages, {}))
     {
         // A host may close the link at its first message.
         if (!this->links.contains(link_of(held.from, held.to)))
             continue;
+        if (this->drops(held.from, held.to))
+        {
+            this->held_messages.push_back(held);
+            continue;
+        }
         this->deliver(held.to, held.incarnation,
                       [from = held.from, message = held.message](
                           shard::entry_host& host, support::instant now)
@@ -383,6 +444,11 @@
         this->drop_link(name, other);
 }
 
+void shard_fleet::close_link(const std::string& one, const std::string& other)
+{
+    this->drop_link(one, other);
+}
+
 void shard_fleet::reset_channels(const std::string& name)
 {
     this->reset_links(name);
@@ -465,24 +531,33 @@
                 }
                 send_request(
                     target, order,
-                    [this, name, incarnation, id, settled,
+                    [this, name, incarnation, id, settled, no_answer,
                      handle_answer](auto answer)
                     {
+                        // What a slow endpoint has not sent is lost with it.
+                        const bool is_slow = this->answer_delays.contains(id);
+                        const int sent_by =
+                            this->endpoint(id).incarnation_number();
                         this->queue.after(
-                            this->answer_delay() +
+                            this->answer_delay(id) +
                                 this->queue_in_link(name + " in", answer_bytes),
-                            [this, name, incarnation, id, settled,
-                             handle_answer, answer]
+                            [this, name, incarnation, id, settled, no_answer,
+                             handle_answer, answer, is_slow, sent_by]
                             {
                                 if (this->drops(id, name) ||
                                     std::exchange(*settled, true))
                                     return;
+                                const bool is_lost =
+                                    is_slow &&
+                                    this->endpoint(id).incarnation_number() !=
+                                        sent_by;
                                 this->deliver(
                                     name, incarnation,
                                     [handle_answer,
-                                     answer](shard::entry_host& host,
-                                             support::instant now)
-                                    { handle_answer(host, answer, now); });
+                                     received = is_lost ? no_answer : answer](
+                                        shard::entry_host& host,
+                                        support::instant now)
+                                    { handle_answer(host, received, now); });
                             });
                     });
             });
@@ -507,14 +582,20 @@
                support::instant now) { host.stop_answered(answer, now); },
             order_timeout);
     };
-    hooks.list = [call](const shard::list_request& request)
+    hooks.list = [this, name, call](const shard::list_request& request)
     {
         shard::runs_listed no_answer;
         no_answer.order = request.order;
         call(
             request.to.id, request, no_answer,
-            [](virtual_endpoint& to, const auto& sent, auto reply)
-            { to.list(sent, reply); },
+            [this, name](virtual_endpoint& to, const auto& sent, auto reply)
+            {
+                this->trace("list " + name + " at " + to.entry().id +
+                            " token=" + std::to_string(sent.token) + " wait=" +
+                            std::to_string(sent.wait.count()) + " lease=" +
+                            std::to_string(sent.lease_end_ms.value_or(0)));
+                to.list(sent, reply);
+            },
             [](shard::entry_host& host, const auto& answer,
                support::instant now) { host.runs_listed(answer, now); },
             request.wait + list_slack);
@@ -631,6 +712,7 @@
 
 void shard_fleet::set_read_lag(milliseconds lag)
 {
+    this->trace("read_lag ms=" + std::to_string(lag.count()));
     this->read_lag = lag;
     this->set_store_disturbed(lag.count() > 0 || !this->store_is_up);
 }
@@ -840,6 +922,8 @@
     added.on_ended =
         [this, id = entry.id](const shard::task_key& task, shard::run_end how)
     {
+        this->trace("run_end " + shard::to_text(task) + " at " + id +
+                    " how=" + std::to_string(static_cast<int>(how)));
         this->running_at[task].erase(id);
         this->task_ended(task, how);
     };
@@ -900,6 +984,7 @@
                                    milliseconds listed_after,
                                    const new_incarnation& next)
 {
+    this->trace("restart_endpoint " + id);
     this->endpoint(id).restart(next);
     if (next.closes_connections)
         this->close_connections(id);
@@ -941,6 +1026,8 @@
 
 void shard_fleet::unlist_endpoint(const std::string& id, milliseconds span)
 {
+    this->trace("unlist_endpoint " + id +
+                " ms=" + std::to_string(span.count()));
     this->remove_endpoint(id);
     this->queue.after(span, [this, id] { this->list_endpoint(id); });
 }
@@ -958,19 +1045,41 @@
                                                          this->queue.now());
 }
 
-support::microseconds shard_fleet::answer_delay()
+support::microseconds shard_fleet::answer_delay(const std::string& id)
 {
-    const auto longest = support::duration_cast<support::microseconds>(
+    auto least = link_delay;
+    auto longest = support::duration_cast<support::microseconds>(
         this->options.longest_answer_delay);
-    if (longest <= link_delay)
-        return link_delay;
+    const auto wanted = this->answer_delays.find(id);
+    if (wanted != this->answer_delays.end())
+    {
+        least = std::max<support::microseconds>(least, wanted->second.least);
+        longest = wanted->second.most;
+    }
+    if (longest <= least)
+        return least;
     return support::microseconds(std::uniform_int_distribution<std::int64_t>(
-        link_delay.count(), longest.count())(this->random));
+        least.count(), longest.count())(this->random));
+}
+
+void shard_fleet::set_answer_delay(const std::string& id, milliseconds least,
+                                   milliseconds most)
+{
+    this->trace("answer_delay " + id + " ms=" + std::to_string(least.count()) +
+                ".." + std::to_string(most.count()));
+    this->answer_delays[id] = {.least = least, .most = most};
+}
+
+void shard_fleet::set_usual_answer_delay(const std::string& id)
+{
+    this->trace("usual_answer_delay " + id);
+    this->answer_delays.erase(id);
 }
 
 void shard_fleet::task_started(const std::string& id,
                                const shard::task_key& task)
 {
+    this->trace("run_begin " + shard::to_text(task) + " at " + id);
     ++this->job_starts[task.job];
     std::set<std::string>& places = this->running_at[task];
     if (!places.empty())
@@ -1020,6 +1129,8 @@
     caller_record& record = this->callers.at(job);
     record.host = host;
     ++record.attempts;
+    this->trace("send_job " + job + " to " + host +
+                " attempt=" + std::to_string(record.attempts));
     process& target = this->processes.at(host);
     if (!target.host)
     {
@@ -1232,6 +1343,17 @@
     return "";
 }
 
+std::vector<std::string>
+shard_fleet::owner_names(const std::string& domain) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, one] : this->processes)
+        if (one.domain == domain && one.host &&
+            !one.host->owned_shards().empty())
+            names.push_back(name);
+    return names;
+}
+
 int shard_fleet::owners_of(const std::string& domain) const
 {
     std::size_t owned = 0;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -49,6 +49,9 @@
     /// Bytes that each host's link carries in a millisecond, each way; 0 for
     /// any number. Calls to endpoints queue in it.
     double link_bytes_per_ms = 0;
+    /// Whether the log also has the faults, the runs that begin and end, and
+    /// the lists that endpoints execute.
+    bool is_traced = false;
 };
 
 /// A caller's job and the answer it got.
@@ -137,6 +140,10 @@
 
     // Faults.
     void kill(const std::string& host);
+    /// Ends \p host like kill(), but its links stay open and silent until its
+    /// peers close them or it starts again. Its callers send copies after the
+    /// usual delay.
+    void lose_power(const std::string& host);
     void start(const std::string& host);
     void stop_gracefully(const std::string& host);
     void pause(const std::string& host, support::milliseconds span);
@@ -144,14 +151,18 @@
     void suspend(const std::string& host, support::milliseconds span);
     /// Drops all messages between two sets of hosts, endpoints or "store".
     /// Those between hosts are held up until heal(), unless their link is
-    /// closed before.
-    void partition(const std::set<std::string>& one,
-                   const std::set<std::string>& other);
+    /// closed before. Returns the number of the partition.
+    int partition(const std::set<std::string>& one,
+                  const std::set<std::string>& other);
     /// Drops messages from \p from to \p to only.
-    void partition_one_way(const std::set<std::string>& from,
-                           const std::set<std::string>& to);
+    int partition_one_way(const std::set<std::string>& from,
+                          const std::set<std::string>& to);
+    /// Ends one partition; others stay.
+    void heal(int partition_number);
     void heal();
     void reset_links(const std::string& host);
+    /// Closes the link between two hosts, which dial again.
+    void close_link(const std::string& one, const std::string& other);
     /// Resets the links of \p host and its callers' connections.
     void reset_channels(const std::string& host);
     /// Makes the links of \p host swallow all messages until they are closed
@@ -161,6 +172,12 @@
     void discard_history();
     /// Makes reads of whole tables show the rows as they were \p lag ago.
     void set_read_lag(support::milliseconds lag);
+    /// Makes each answer of \p endpoint take between \p least and \p most.
+    /// Its orders are executed in time.
+    void set_answer_delay(const std::string& endpoint,
+                          support::milliseconds least,
+                          support::milliseconds most);
+    void set_usual_answer_delay(const std::string& endpoint);
     /// Stores a configuration whose first route is the most urgent.
     void set_config(std::int64_t version,
                     const std::vector<std::string>& routes);
@@ -192,6 +209,8 @@
     /// Returns the shard count of a domain as its hosts see it; 0 if they
     /// disagree.
     int shards_of(const std::string& domain) const;
+    /// Returns the hosts of a domain that own a shard.
+    std::vector<std::string> owner_names(const std::string& domain) const;
     /// Returns the number of owned shards of a domain; a shard with two owners
     /// counts twice.
     int owners_of(const std::string& domain) const;
@@ -283,7 +302,7 @@
     /// Closes the connections of all hosts to an endpoint, and tells those that
     /// reach it. For the others, their next order shows it.
     void close_connections(const std::string& id);
-    support::microseconds answer_delay();
+    support::microseconds answer_delay(const std::string& endpoint);
     /// Returns how long \p bytes that enter a link now take to leave it.
     support::microseconds queue_in_link(const std::string& link, double bytes);
     /// Returns the endpoint that listens at an address.
@@ -293,6 +312,9 @@
         return this->tables[static_cast<std::size_t>(table)];
     }
     void report_violation(const std::string& what);
+    /// Adds a line to the log of a traced fleet.
+    void trace(const std::string& what);
+    void deliver_held_messages();
 
     fleet_options options;
     fleet::event_queue queue;
@@ -318,11 +340,19 @@
     std::string host_of_copies;
     struct partition_rule
     {
+        int number = 0;
         std::set<std::string> one;
         std::set<std::string> other;
         bool is_one_way = false;
     };
     std::vector<partition_rule> partitions;
+    int next_partition = 1;
+    struct delay_span
+    {
+        support::milliseconds least{0};
+        support::milliseconds most{0};
+    };
+    std::map<std::string, delay_span> answer_delays;
     std::array<row_table, shard::directory_tables> tables;
     /// All changes of each table, for reads of earlier rows.
     std::array<std::vector<row_change>, shard::directory_tables> changes;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Seeded random sessions of entry hosts in virtual time, with mixed faults.
+#include "losses_session.hpp"
 #include "shard_fleet.hpp"
 
 #include <algorithm>
@@ -29,12 +30,14 @@
                  domain; "takeover", several that change owners, without late
                  orders; "incarnations", as "chained" with endpoints that
                  restart, leave the list or are replaced, list ends in pieces,
-                 and answer out of order; or "strays", requests that are
+                 and answer out of order; "strays", requests that are
                  cancelled or repeated at any host or read late, entries of
                  other writers, and endpoints that restart as another kind;
-                 or "installations", all hosts that start anew, more than
+                 "installations", all hosts that start anew, more than
                  once, while the store is silent, refuses some of them, lags
-                 or forgets, and endpoints leave
+                 or forgets, and endpoints leave; or "losses", entry hosts and
+                 owners lost in turn, slow and unreachable endpoints, cut links
+                 and new starts in one domain within seconds
                  [default: single].
   --verbose      Print the log of each failing seed.
 )";
@@ -839,6 +842,22 @@
     return found;
 }
 
+/// Plays a session and prints what it violated.
+template <typename Session>
+bool fails(Session session, std::uint64_t seed, bool prints_log)
+{
+    const std::vector<std::string> found = session.run();
+    if (found.empty())
+        return false;
+    std::cout << "seed " << seed << "\n";
+    for (const std::string& line : found)
+        std::cout << "  " << line << "\n";
+    if (prints_log)
+        for (const std::string& line : session.simulated_fleet().log())
+            std::cout << "    " << line << "\n";
+    return true;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -853,28 +872,29 @@
     }
     const std::uint64_t first = std::stoull(range.substr(0, dots));
     const std::uint64_t last = std::stoull(range.substr(dots + 2));
-    const auto named = std::find(mix_names.begin(), mix_names.end(),
-                                 arguments.at("--mix").asString());
-    if (named == mix_names.end())
+    const std::string wanted = arguments.at("--mix").asString();
+    const auto named = std::find(mix_names.begin(), mix_names.end(), wanted);
+    const bool are_losses = wanted == "losses";
+    if (named == mix_names.end() && !are_losses)
     {
         std::cerr << usage;
         return 2;
     }
-    const auto mix = static_cast<fault_mix>(named - mix_names.begin());
+    const bool is_verbose = arguments.at("--verbose").asBool();
     std::uint64_t failing = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        soak_session session(seed, mix, arguments.at("--verbose").asBool());
-        const std::vector<std::string> found = session.run();
-        if (found.empty())
-            continue;
-        ++failing;
-        std::cout << "seed " << seed << "\n";
-        for (const std::string& line : found)
-            std::cout << "  " << line << "\n";
-        if (arguments.at("--verbose").asBool())
-            for (const std::string& line : session.simulated_fleet().log())
-                std::cout << "    " << line << "\n";
+        bool has_failed = false;
+        if (are_losses)
+            has_failed =
+                fails(losses_session(seed, is_verbose), seed, is_verbose);
+        else
+        {
+            const auto mix = static_cast<fault_mix>(named - mix_names.begin());
+            has_failed =
+                fails(soak_session(seed, mix, is_verbose), seed, is_verbose);
+        }
+        failing += has_failed ? 1 : 0;
     }
     std::cout << "seeds=" << last - first + 1 << " violations=" << failing
               << "\n";
