--- a/daemon/lib/daemon.cpp
+++ b/daemon/lib/daemon.cpp
@@ -5,6 +5,7 @@
 #include "chicorydrum/daemon/peer_links.hpp"
 #include "chicorydrum/daemon/platform_client.hpp"
 #include "chicorydrum/decision/dispatcher.hpp"
+#include "chicorydrum/support/build_info.hpp"
 #include "chicorydrum/support/log.hpp"
 
 #include <atomic>
@@ -317,6 +318,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     impl& state = *this->pimpl;
     support::write_log(support::log_line("started")
+                           .add("version", support::build_version())
+                           .add("commit", support::build_commit())
                            .add("host", support::to_text(state.self))
                            .add("domain", state.settings.domain)
                            .add("address", state.settings.address)
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "chicorydrum/platform/order_codec.hpp"
 #include "chicorydrum/platform/table_codec.hpp"
 #include "chicorydrum/shard/entry_host.hpp"
+#include "chicorydrum/support/build_info.hpp"
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/transport/http_client.hpp"
 #include "chicorydrum/transport/http_server.hpp"
@@ -499,6 +500,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     impl& state = *this->pimpl;
     support::write_log(log_line("started")
+                           .add("version", support::build_version())
+                           .add("commit", support::build_commit())
                            .add("host", state.settings.name)
                            .add("domain", state.settings.domain)
                            .add("nonce", state.nonce)
--- a/tools/chicorydrum/main.cpp
+++ b/tools/chicorydrum/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The command line for callers and operators.
 #include "chicorydrum/cli/commands.hpp"
+#include "chicorydrum/support/build_info.hpp"
 
 #include <unistd.h>
 
@@ -44,7 +45,7 @@
   --id ID          The whole id of an earlier submission, to send it again.
   --operator NAME  Who takes the step.
   --help           Show this text.
-  --version        Show the version.
+  --version        Show the version and the source commit.
 
 Exit codes: 0 done; 1 failed, and may have run; 2 wrong usage or input;
 3 certain that nothing ran or changed; 4 the outcome is not known.
@@ -147,7 +148,7 @@
     }
     catch (const docopt::DocoptExitVersion&)
     {
-        std::cout << "chicorydrum " CHICORYDRUM_VERSION "\n";
+        std::cout << chicorydrum::support::version_text("chicorydrum") << "\n";
         return 0;
     }
     catch (const std::exception&)
--- a/tools/chicorydrumd/main.cpp
+++ b/tools/chicorydrumd/main.cpp
@@ -2,6 +2,7 @@
 /// The entry host's process.
 #include "chicorydrum/daemon/daemon.hpp"
 #include "chicorydrum/daemon/entry_daemon.hpp"
+#include "chicorydrum/support/build_info.hpp"
 #include "chicorydrum/support/crash_report.hpp"
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/support/yaml_reader.hpp"
@@ -33,7 +34,7 @@
                             settings. Ignored if unset or empty.
   --check                   Check the settings and exit.
   --help                    Show this text.
-  --version                 Show the version.
+  --version                 Show the version and the source commit.
 
 Exit codes: 0 stopped as planned or settings fine, 1 a listener could not be
 opened, 2 wrong usage or settings.
@@ -150,7 +151,7 @@
     }
     catch (const docopt::DocoptExitVersion&)
     {
-        std::cout << "chicorydrumd " CHICORYDRUM_VERSION "\n";
+        std::cout << chicorydrum::support::version_text("chicorydrumd") << "\n";
         return 0;
     }
     catch (const std::exception&)
