A line of what each claim of a shard rests on

Could not be told before: why a host claimed a shard, whom it heard and what it had read. Change: shard_claimed, from const accessors; no decision changes.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -210,6 +210,21 @@
     {
         return this->available;
     }
+    /// Returns whether the whole host table was read.
+    bool hosts_are_read() const
+    {
+        return this->hosts_are_complete;
+    }
+    /// Returns when endpoints were last read, or nothing before the first read.
+    std::optional<support::instant> last_endpoint_read() const
+    {
+        return this->endpoints_last_read_at;
+    }
+    /// Returns how many endpoints are known, of all domains.
+    std::size_t endpoint_count() const
+    {
+        return this->known.size();
+    }
 
 private:
     struct table_state
@@ -277,7 +292,9 @@
     /// No known endpoint is missing if this is false.
     bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
+    /// The first read and the last one.
     std::optional<support::instant> endpoints_read_at;
+    std::optional<support::instant> endpoints_last_read_at;
     /// Since refresh_endpoints(), until a read that began later has ended.
     bool endpoints_are_stale = false;
     /// The read under way began before the last refresh_endpoints().
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -202,6 +202,8 @@
     /// Updates ownership if an endpoint has just accepted a higher token.
     void update_ownership_if_fenced(support::instant now);
     void claim(int number, support::instant now);
+    /// Logs what the claim of a shard rests on, before anything is read anew.
+    void log_claim(int number, fencing_token token, support::instant now);
     void release_shard(int number, const std::string& reason,
                        support::instant now);
     /// Updates the view with the shards of this host and their load.
@@ -242,6 +244,8 @@
     std::map<int, std::unique_ptr<shard_owner>> shards;
     /// This host is stopping, and others may claim its shards.
     bool is_handing_over = false;
+    /// Why this host last gave each shard up.
+    std::map<int, std::string> release_reasons;
     std::optional<int> offered;
     support::instant offer_ends;
     std::int64_t shard_endpoints_version = -1;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -57,6 +58,38 @@
 
 using shard_owners = std::map<shard_name, shard_owner_ref>;
 
+/// Why a shard of the own domain counts as without owner.
+enum class ownerless_cause
+{
+    /// No owner was heard since this process started.
+    never_heard,
+    /// Nothing has arrived on the owner's open link.
+    silent,
+    /// The owner's link is closed, or another host heard it and does not any
+    /// more.
+    link_closed,
+    /// Another process of the owner's host has connected.
+    restarted,
+    /// The owner offers the shard.
+    offered,
+    /// The owner, which may be this host, has given the shard up.
+    released,
+};
+
+std::string_view name_of(ownerless_cause cause);
+
+/// What a claim of a shard rests on.
+struct claim_basis
+{
+    ownerless_cause cause = ownerless_cause::never_heard;
+    /// The last known owner; empty if there is none.
+    std::string predecessor = {};
+    /// When this host last heard of it.
+    std::optional<support::instant> heard_at = {};
+    /// Since when the shard counts as without owner.
+    support::instant since = {};
+};
+
 struct host_view_options
 {
     host_identity self;
@@ -154,6 +187,8 @@
     std::vector<schema::heard_owner> heard_owners() const;
     /// Returns the shards of its own domain that this host should claim now.
     std::vector<int> shards_to_claim(support::instant now);
+    /// Returns why \p shard counts as without owner, or nothing if it does not.
+    std::optional<claim_basis> claim_basis_of(int shard) const;
     /// Returns a shard of this host that a much stronger host of the domain
     /// should claim, if any.
     std::optional<int> shard_to_offer(support::instant now) const;
@@ -189,6 +224,18 @@
     std::vector<std::string> live_peers() const;
     /// Returns the peers with an open link, including silent ones.
     std::vector<std::string> connected_peers() const;
+    /// Returns how many of the live peers are of the own domain.
+    int live_domain_peers() const;
+    /// Returns how many hosts of the own domain the table lists.
+    std::size_t listed_hosts() const
+    {
+        return this->listed.size();
+    }
+    /// Returns how long ago this process started.
+    support::decision_clock::duration age(support::instant now) const
+    {
+        return now - this->started;
+    }
     std::string domain_of(const std::string& host) const;
     std::int64_t config_version_of(const std::string& host) const;
     /// Returns how many jobs of \p route wait at live peers without having
@@ -219,8 +266,10 @@
     static bool has_left(const peer_state& peer);
     bool is_silent(const peer_state& peer, support::milliseconds limit) const;
     support::milliseconds silence_limit_of(const peer_state& peer) const;
-    /// Returns since when \p shard counts as without owner.
-    support::instant ownerless_since(int shard, support::instant now) const;
+    /// Returns why and since when \p shard, which \p current names no usable
+    /// owner of, counts as without owner.
+    claim_basis ownerless(int shard, const shard_owners& current,
+                          support::instant now) const;
     /// Returns the largest processor share for one more shard among the other
     /// hosts of the domain that have been connected for \p span, or 0.
     double best_share_of_others(support::instant now,
@@ -261,9 +310,16 @@
     std::map<int, epoch_state> epochs;
     std::optional<support::instant> stopping_since;
     /// By shard of the own domain.
-    std::map<int, support::instant> without_owner_since;
+    std::map<int, claim_basis> without_owner;
+    struct known_owner
+    {
+        std::string host;
+        /// 0 if this host did not hear the owner itself.
+        std::int64_t nonce = 0;
+        support::instant heard_at;
+    };
     /// The last known owner of each shard of the own domain.
-    std::map<int, std::string> last_owners;
+    std::map<int, known_owner> last_owners;
     support::instant silence_counts_from;
     /// When this host last gave each shard up.
     std::map<int, support::instant> released_at;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -361,6 +361,7 @@
 {
     if (!this->endpoints_read_at)
         this->endpoints_read_at = now;
+    this->endpoints_last_read_at = now;
     std::set<std::string> present;
     for (const endpoint_row& row : rows.endpoints)
     {
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -257,6 +257,7 @@
         this->view.shard_released(number, now);
         return;
     }
+    this->log_claim(number, *token, now);
     shard_options opts = this->options.shard;
     opts.domain = this->options.self.domain;
     opts.shard = number;
@@ -274,6 +275,39 @@
     claimed.update_endpoints(this->table.endpoints(), now);
 }
 
+void entry_host::log_claim(int number, fencing_token token, instant now)
+{
+    const claim_basis basis =
+        this->view.claim_basis_of(number).value_or(claim_basis{.since = now});
+    const bool was_own = basis.predecessor == this->options.self.name;
+    const auto reason = this->release_reasons.find(number);
+    const bool has_reason = was_own && reason != this->release_reasons.end();
+    // -1 where there is no such time.
+    const auto ms_since = [now](const std::optional<instant>& time)
+    {
+        return time ? support::whole_ms(now - *time) : -1;
+    };
+    this->hooks.log(
+        log_line("shard_claimed")
+            .add("shard", number)
+            .add("token", token)
+            .add("cause", has_reason ? std::string_view(reason->second)
+                                     : name_of(basis.cause))
+            .add("predecessor", basis.predecessor)
+            .add("heard_ms", ms_since(basis.heard_at))
+            .add("ownerless_ms", ms_since(basis.since))
+            .add("age_ms", support::whole_ms(this->view.age(now)))
+            .add("peers", this->view.live_domain_peers())
+            .add("listed", static_cast<std::int64_t>(this->view.listed_hosts()))
+            .add("hosts_read", this->table.hosts_are_read())
+            .add("endpoints_read_ms",
+                 ms_since(this->table.last_endpoint_read()))
+            .add("endpoints",
+                 static_cast<std::int64_t>(this->table.endpoint_count()))
+            .add("endpoints_complete",
+                 this->table.endpoints_are_complete(now)));
+}
+
 void entry_host::release_shard(int number, const std::string& reason,
                                instant now)
 {
@@ -285,6 +319,7 @@
             .add("reason", reason)
             .add("open_jobs", static_cast<std::int64_t>(shard.open_jobs())));
     this->shards.erase(number);
+    this->release_reasons[number] = reason;
     this->view.shard_released(number, now);
     if (this->offered == number)
         this->offered.reset();
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -1,6 +1,7 @@
 #include "chicorydrum/shard/host_view.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace chicorydrum::shard
 {
@@ -41,6 +42,14 @@
 
 } // namespace
 
+std::string_view name_of(ownerless_cause cause)
+{
+    static constexpr std::array<std::string_view, 6> names = {
+        "never_heard", "silent",  "link_closed",
+        "restarted",   "offered", "released"};
+    return names[static_cast<std::size_t>(cause)];
+}
+
 host_view::host_view(host_view_options opts, instant now)
     : options(std::move(opts)), started(now), current_time(now)
 {
@@ -178,7 +187,7 @@
     this->known_owners.reset();
     for (auto& [name, peer] : this->peers)
         peer.last_received = now;
-    this->without_owner_since.clear();
+    this->without_owner.clear();
 }
 
 void host_view::stalled(instant now)
@@ -194,17 +203,34 @@
         found->second.last_received = now;
 }
 
-instant host_view::ownerless_since(int shard, instant now) const
+claim_basis host_view::ownerless(int shard, const shard_owners& current,
+                                 instant now) const
 {
     const auto owner = this->last_owners.find(shard);
     if (owner == this->last_owners.end())
-        return now;
-    const auto peer = this->peers.find(owner->second);
+        return {.since = now};
+    claim_basis basis{.cause = ownerless_cause::released,
+                      .predecessor = owner->second.host,
+                      .heard_at = owner->second.heard_at,
+                      .since = now};
+    const auto peer = this->peers.find(basis.predecessor);
+    const bool is_peer = peer != this->peers.end();
     const bool was_silent =
-        peer != this->peers.end() && peer->second.is_connected &&
+        is_peer && peer->second.is_connected &&
         this->is_silent(peer->second, this->silence_limit_of(peer->second));
+    if (current.contains({.domain = this->options.self.domain, .shard = shard}))
+        basis.cause = ownerless_cause::offered;
+    else if (was_silent)
+        basis.cause = ownerless_cause::silent;
+    else if (is_peer && owner->second.nonce != 0 &&
+             peer->second.identity.nonce != owner->second.nonce)
+        basis.cause = ownerless_cause::restarted;
+    else if (!is_peer && basis.predecessor != this->options.self.name)
+        basis.cause = ownerless_cause::link_closed;
     // The silence has lasted longer than the claim delay.
-    return was_silent ? now - this->options.claim_delay : now;
+    if (was_silent)
+        basis.since = now - this->options.claim_delay;
+    return basis;
 }
 
 void host_view::tick(instant now)
@@ -226,12 +252,17 @@
             found != current.end() && !found->second.is_offered;
         if (!is_owned)
         {
-            this->without_owner_since.emplace(
-                shard, this->ownerless_since(shard, now));
+            this->without_owner.try_emplace(
+                shard, this->ownerless(shard, current, now));
             continue;
         }
-        this->without_owner_since.erase(shard);
-        this->last_owners[shard] = found->second.host;
+        this->without_owner.erase(shard);
+        known_owner& owner = this->last_owners[shard];
+        const auto peer = this->peers.find(found->second.host);
+        const bool is_peer = peer != this->peers.end();
+        owner.host = found->second.host;
+        owner.nonce = is_peer ? peer->second.identity.nonce : 0;
+        owner.heard_at = is_peer ? peer->second.last_received : now;
     }
 }
 
@@ -429,7 +460,7 @@
             ++found->second.shards;
     }
     std::map<int, std::string> chosen;
-    for (const auto& [shard, since] : this->without_owner_since)
+    for (const auto& [shard, basis] : this->without_owner)
     {
         contender* best = nullptr;
         for (auto& [name, host] : contenders)
@@ -452,18 +483,17 @@
 {
     this->tick(now);
     std::vector<int> to_claim;
-    if (this->stopping_since || this->without_owner_since.empty() ||
+    if (this->stopping_since || this->without_owner.empty() ||
         !this->has_settled(now))
         return to_claim;
     for (const auto& [shard, host] : this->candidates(this->owners()))
     {
         // An offered shard has had no owner for long when it is given up.
         const auto released = this->released_at.find(shard);
-        const instant since =
-            released == this->released_at.end()
-                ? this->without_owner_since.at(shard)
-                : std::max(this->without_owner_since.at(shard),
-                           released->second);
+        const instant ownerless_since = this->without_owner.at(shard).since;
+        const instant since = released == this->released_at.end()
+                                  ? ownerless_since
+                                  : std::max(ownerless_since, released->second);
         if (host == this->options.self.name &&
             now - since >= this->options.claim_delay)
             to_claim.push_back(shard);
@@ -471,6 +501,14 @@
     return to_claim;
 }
 
+std::optional<claim_basis> host_view::claim_basis_of(int shard) const
+{
+    const auto found = this->without_owner.find(shard);
+    return found == this->without_owner.end()
+               ? std::nullopt
+               : std::optional<claim_basis>(found->second);
+}
+
 double host_view::best_share_of_others(instant now,
                                        support::milliseconds span) const
 {
@@ -494,7 +532,7 @@
 {
     // Only one shard moves at a time, and only while all have owners.
     if (this->stopping_since || this->owned.empty() ||
-        !this->without_owner_since.empty())
+        !this->without_owner.empty())
         return std::nullopt;
     const double own_share =
         this->options.self.power / static_cast<double>(this->owned.size());
@@ -592,6 +630,18 @@
     return live_names;
 }
 
+int host_view::live_domain_peers() const
+{
+    return static_cast<int>(std::count_if(
+        this->peers.begin(), this->peers.end(),
+        [this](const auto& entry)
+        {
+            const peer_state& peer = entry.second;
+            return peer.identity.domain == this->options.self.domain &&
+                   this->is_live(peer);
+        }));
+}
+
 bool host_view::has_silent_link(const std::string& host, instant now)
 {
     if (this->current_time != now)
