Late ticks are logged and measured

Could not be told before: that a process was late by less than a pause. Change: tick_late, at most one line a second, and a histogram of the gaps.

--- a/daemon/include/chicorydrum/daemon/entry_metrics.hpp
+++ b/daemon/include/chicorydrum/daemon/entry_metrics.hpp
@@ -28,6 +28,9 @@
     void observe_answer(shard::answer_kind kind,
                         support::decision_clock::duration took);
 
+    /// Records the time between two ticks.
+    void observe_tick_gap(support::decision_clock::duration gap);
+
     /// Returns all metrics as text.
     std::string scrape(const shard::entry_host& host,
                        const entry_counts& counts);
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -321,6 +321,10 @@
     {
         support::write_log(line);
     };
+    hooks.tick_gap = [this](support::decision_clock::duration gap)
+    {
+        this->host_metrics.observe_tick_gap(gap);
+    };
     return hooks;
 }
 
--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -14,6 +14,9 @@
 
 const prometheus::Histogram::BucketBoundaries answer_seconds = {
     0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+/// Ticks are due every 25 ms; 0.1 counts as late, 0.4 as a pause.
+const prometheus::Histogram::BucketBoundaries gap_seconds = {
+    0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 1};
 
 } // namespace
 
@@ -27,6 +30,13 @@
             .Help("Time from a caller's whole request to its answer.")
             .Register(this->registry);
 
+    prometheus::Histogram& tick_gaps =
+        prometheus::BuildHistogram()
+            .Name("chicorydrum_tick_gap_seconds")
+            .Help("Time between two ticks of this process.")
+            .Register(this->registry)
+            .Add({}, gap_seconds);
+
     void set(const std::string& name, const std::string& help, double value)
     {
         prometheus::BuildGauge()
@@ -66,6 +76,11 @@
         .Observe(support::in_seconds(took));
 }
 
+void entry_metrics::observe_tick_gap(support::decision_clock::duration gap)
+{
+    this->pimpl->tick_gaps.Observe(support::in_seconds(gap));
+}
+
 std::string entry_metrics::scrape(const shard::entry_host& host,
                                   const entry_counts& counts)
 {
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -10,6 +10,7 @@
 #include "chicorydrum/shard/job_intake.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
+#include "chicorydrum/support/line_limit.hpp"
 #include "chicorydrum/support/validation.hpp"
 
 #include <deque>
@@ -46,6 +47,8 @@
     std::function<std::optional<routing_config>(const std::string& document)>
         decode_config;
     std::function<void(const support::log_line&)> log;
+    /// Reports the time between two ticks, pauses included. May be empty.
+    std::function<void(support::decision_clock::duration)> tick_gap = {};
 };
 
 /// Larger shards allow better placement but cost their owner more; see
@@ -81,6 +84,9 @@
     /// When the last tick is this long ago, the process was paused. Shorter
     /// than the time in which others can succeed it.
     support::milliseconds pause_limit{400};
+    /// A tick that comes later than this after the last one is logged. Above
+    /// what a busy machine does often, below what the leases' sums allow for.
+    support::milliseconds late_tick{100};
     /// When the last tick is this long ago, peers may seem silent whose
     /// messages have arrived but were not read yet.
     support::milliseconds stall_limit{300};
@@ -189,6 +195,9 @@
     /// called last by every function that calls a shard or makes the intake
     /// submit.
     void deliver_local_results(support::instant now);
+    /// Logs a tick that comes \p gap after the last one if that is late.
+    void note_tick_gap(support::decision_clock::duration gap,
+                       support::instant now);
     /// Must be called first by every function that handles an event: after a
     /// pause of this process, gives all shards up before anything else happens.
     void begin_event(support::instant now);
@@ -230,6 +239,7 @@
     entry_host_hooks hooks;
     support::instant current_time;
     support::instant last_tick;
+    support::line_limit late_ticks;
     /// The last pause of this process.
     support::instant paused_at;
     support::instant woke_at;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -59,7 +59,11 @@
 
 void entry_host::tick(instant now)
 {
+    const auto gap = now - this->last_tick;
     this->begin_event(now);
+    // A longer one has been noted with the pause.
+    if (gap < this->options.pause_limit)
+        this->note_tick_gap(gap, now);
     this->last_tick = now;
     this->table.set_relaying(!this->view.domains_without_endpoints().empty());
     this->table.tick(now);
@@ -77,6 +81,25 @@
     this->send_heartbeats(now, false);
 }
 
+void entry_host::note_tick_gap(support::decision_clock::duration gap,
+                               instant now)
+{
+    if (this->hooks.tick_gap)
+        this->hooks.tick_gap(gap);
+    if (gap <= this->options.late_tick || gap >= this->options.pause_limit)
+        return;
+    const std::int64_t gap_ms = support::whole_ms(gap);
+    const auto line = this->late_ticks.add(gap_ms, now);
+    if (!line)
+        return;
+    this->hooks.log(
+        log_line("tick_late", support::log_level::warning)
+            .add("gap_ms", gap_ms)
+            .add("count", line->count)
+            .add("longest_ms", line->most)
+            .add("shards", static_cast<std::int64_t>(this->shards.size())));
+}
+
 void entry_host::begin_event(instant now)
 {
     this->current_time = now;
@@ -85,6 +108,7 @@
         this->view.stalled(now);
     if (gap < this->options.pause_limit)
         return;
+    this->note_tick_gap(gap, now);
     this->paused_at = this->last_tick;
     this->woke_at = now;
     this->last_tick = now;
--- a/test/shards/decision_log_test.cpp
+++ b/test/shards/decision_log_test.cpp
@@ -154,6 +154,39 @@
     BOOST_TEST(claims.size() == lines_of(fleet, "shard_owned").size());
 }
 
+// Ticks that come late but not so late that the process counts as paused.
+BOOST_AUTO_TEST_CASE(late_ticks)
+{
+    shard_fleet fleet({.endpoints_per_domain = 2, .powers = {1, 0.9, 0.5}});
+    fleet.run_for(warm_up);
+    fleet.pause("D1-h1", milliseconds(80));
+    fleet.run_for(milliseconds(500));
+    BOOST_TEST(lines_of(fleet, "tick_late").empty());
+    for (int i = 0; i < 40; ++i)
+    {
+        fleet.pause("D1-h1", milliseconds(i == 1 ? 300 : 150));
+        fleet.run_for(milliseconds(400));
+    }
+    const auto lines = lines_of(fleet, "tick_late");
+    // Sixteen seconds, one line each at most.
+    BOOST_TEST(lines.size() >= 10);
+    BOOST_TEST(lines.size() <= 17);
+    BOOST_TEST(has_field(lines.at(0), "count=1"));
+    BOOST_TEST(number_of(lines.at(0), "gap_ms") >= 125);
+    BOOST_TEST(number_of(lines.at(0), "gap_ms") <= 175);
+    BOOST_TEST(has_field(lines.at(0), "shards=1"));
+    // The second line stands for the longest one too.
+    BOOST_TEST(number_of(lines.at(1), "count") >= 2);
+    BOOST_TEST(number_of(lines.at(1), "longest_ms") >= 275);
+    BOOST_TEST(lines_of(fleet, "pause_detected").empty());
+    fleet.pause("D1-h1", milliseconds(450));
+    const std::size_t before = fleet.log().size();
+    fleet.run_for(milliseconds(600));
+    BOOST_TEST(lines_of(fleet, "pause_detected", before).size() == 1);
+    BOOST_TEST(lines_of(fleet, "tick_late", before).empty());
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
