Slow stops are logged and measured

Could not be told before: how long a stop took. Change: stop_slow, at most one line a second for each shard, and a histogram; no decision changes.

--- a/daemon/include/chicorydrum/daemon/entry_metrics.hpp
+++ b/daemon/include/chicorydrum/daemon/entry_metrics.hpp
@@ -28,6 +28,8 @@
     void observe_answer(shard::answer_kind kind,
                         support::decision_clock::duration took);
 
+    /// Records the time from a run's stop to the list that shows its end.
+    void observe_stop(support::decision_clock::duration took);
     /// Records the time between two ticks.
     void observe_tick_gap(support::decision_clock::duration gap);
 
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -321,6 +321,10 @@
     {
         support::write_log(line);
     };
+    hooks.stop_took = [this](support::decision_clock::duration took)
+    {
+        this->host_metrics.observe_stop(took);
+    };
     hooks.tick_gap = [this](support::decision_clock::duration gap)
     {
         this->host_metrics.observe_tick_gap(gap);
--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -14,6 +14,9 @@
 
 const prometheus::Histogram::BucketBoundaries answer_seconds = {
     0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+/// A stopped run ends within 0.05, and the list that shows it follows at once.
+const prometheus::Histogram::BucketBoundaries stop_seconds = {
+    0.01, 0.02, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1};
 /// Ticks are due every 25 ms; 0.1 counts as late, 0.4 as a pause.
 const prometheus::Histogram::BucketBoundaries gap_seconds = {
     0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 1};
@@ -30,6 +33,13 @@
             .Help("Time from a caller's whole request to its answer.")
             .Register(this->registry);
 
+    prometheus::Histogram& stops =
+        prometheus::BuildHistogram()
+            .Name("chicorydrum_stop_seconds")
+            .Help("Time from the order to stop a run until a list shows that "
+                  "it is over.")
+            .Register(this->registry)
+            .Add({}, stop_seconds);
     prometheus::Histogram& tick_gaps =
         prometheus::BuildHistogram()
             .Name("chicorydrum_tick_gap_seconds")
@@ -76,6 +86,11 @@
         .Observe(support::in_seconds(took));
 }
 
+void entry_metrics::observe_stop(support::decision_clock::duration took)
+{
+    this->pimpl->stops.Observe(support::in_seconds(took));
+}
+
 void entry_metrics::observe_tick_gap(support::decision_clock::duration gap)
 {
     this->pimpl->tick_gaps.Observe(support::in_seconds(gap));
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -49,6 +49,8 @@
     std::function<void(const support::log_line&)> log;
     /// Reports the time between two ticks, pauses included. May be empty.
     std::function<void(support::decision_clock::duration)> tick_gap = {};
+    /// Reports how long the stop of a run took; see shard_hooks. May be empty.
+    std::function<void(support::decision_clock::duration)> stop_took = {};
 };
 
 /// Larger shards allow better placement but cost their owner more; see
--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -44,6 +44,8 @@
     /// Set when a list lacks a run that is being stopped: when the run has
     /// certainly ended, even if its end is not listed.
     std::optional<support::instant> gone_by = {};
+    /// When its stop was first ordered.
+    std::optional<support::instant> stopped_at = {};
     /// When an unconfirmed stop is sent again.
     support::instant next_stop = {};
     /// The order that started it; 0 if an earlier owner did.
@@ -82,6 +84,8 @@
     end_evidence evidence = end_evidence::listed;
     /// The state that the run had at this owner; unset if it was not known.
     std::optional<run_state> last_state = {};
+    /// When this owner first ordered its stop, if it did.
+    std::optional<support::instant> stopped_at = {};
 };
 
 struct lease_rules
@@ -195,7 +199,8 @@
     /// \p last_order is the last order that was issued to any endpoint.
     void start_answered(const task_key& task, order_status status,
                         order_id last_order);
-    void begin_stop(const task_key& task, support::instant repeat_at);
+    void begin_stop(const task_key& task, support::instant now,
+                    support::instant repeat_at);
     /// Returns the runs whose stop got no answer in time.
     std::vector<task_key> stops_due(support::instant now) const;
     /// Records an accepted stop: if the run is not there, it will never start.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -8,6 +8,7 @@
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/refused_jobs.hpp"
+#include "chicorydrum/support/line_limit.hpp"
 #include "chicorydrum/support/log.hpp"
 
 #include <functional>
@@ -44,6 +45,9 @@
     /// had accepted that token before.
     std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
     std::function<void(const support::log_line&)> log;
+    /// Reports the time from the first order to stop a run until a list shows
+    /// that it is over. May be empty.
+    std::function<void(support::decision_clock::duration)> stop_took = {};
 };
 
 struct shard_options
@@ -242,6 +246,9 @@
                   support::instant now);
     void send_stop(endpoint_record& where, const task_key& task,
                    support::instant now);
+    /// Reports how long the stop of a run took whose end a list shows.
+    void note_stop(const endpoint_record& where, const ended_run& ended,
+                   support::instant now);
     void start_refused(endpoint_record& where, const sent_order& start,
                        order_status status, support::instant now);
     void update_run_times(const owned_job& job, const ended_run& ended,
@@ -308,6 +315,7 @@
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
+    support::line_limit slow_stops;
     bool needs_placing = false;
     bool adoption_has_ended = false;
 };
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -266,7 +266,8 @@
                                 .add("shard", number)
                                 .add("endpoint", endpoint));
         },
-        .log = this->hooks.log};
+        .log = this->hooks.log,
+        .stop_took = this->hooks.stop_took};
 }
 
 void entry_host::claim(int number, instant now)
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -226,7 +226,7 @@
     }
 }
 
-void leased_endpoint::begin_stop(const task_key& task,
+void leased_endpoint::begin_stop(const task_key& task, support::instant now,
                                  support::instant repeat_at)
 {
     const auto found = this->active_runs.find(task);
@@ -234,6 +234,8 @@
         return;
     found->second.state = run_state::stopping;
     found->second.next_stop = repeat_at;
+    if (!found->second.stopped_at)
+        found->second.stopped_at = now;
 }
 
 std::vector<task_key> leased_endpoint::stops_due(support::instant now) const
@@ -327,6 +329,7 @@
         {
             run.started_at = found->second.started_at;
             run.last_state = found->second.state;
+            run.stopped_at = found->second.stopped_at;
             this->active_runs.erase(found);
         }
         ended.push_back(std::move(run));
@@ -401,7 +404,8 @@
                          .how = run_end::stopped,
                          .started_at = run.started_at,
                          .evidence = end_evidence::missing,
-                         .last_state = run.state});
+                         .last_state = run.state,
+                         .stopped_at = run.stopped_at});
         entry = this->active_runs.erase(entry);
     }
     return ended;
--- a/shard/lib/shard_orders.cpp
+++ b/shard/lib/shard_orders.cpp
@@ -23,6 +23,9 @@
 /// Added to a run's number that an earlier owner has used. Owners change
 /// rarely, so one step usually exceeds all their numbers.
 constexpr std::int64_t stale_run_step = 8;
+/// Three times what an endpoint may take to stop a run; a list that shows it
+/// follows at once.
+constexpr support::milliseconds slow_stop{150};
 
 /// Returns whether an endpoint that answers with \p status has extended its
 /// lease as requested.
@@ -63,7 +66,7 @@
                             instant now)
 {
     const std::int64_t run = where.lease.runs().at(task).run;
-    where.lease.begin_stop(task, now + this->retry_interval(where));
+    where.lease.begin_stop(task, now, now + this->retry_interval(where));
     const order_id order = this->hooks.next_order();
     this->orders[order] = {.to = where.lease.address(),
                            .task = task,
@@ -81,6 +84,33 @@
                       .token = where.lease.token()});
 }
 
+void shard_owner::note_stop(const endpoint_record& where,
+                            const ended_run& ended, instant now)
+{
+    const bool is_listed = ended.evidence == end_evidence::listed ||
+                           ended.evidence == end_evidence::missing;
+    if (!ended.stopped_at || !is_listed)
+        return;
+    const auto took = now - *ended.stopped_at;
+    if (this->hooks.stop_took)
+        this->hooks.stop_took(took);
+    if (took <= slow_stop)
+        return;
+    const std::int64_t took_ms = support::whole_ms(took);
+    const auto line = this->slow_stops.add(took_ms, now);
+    if (!line)
+        return;
+    this->hooks.log(log_line("stop_slow", support::log_level::warning)
+                        .add("task", to_text(ended.task))
+                        .add("run", ended.run)
+                        .add("endpoint", where.lease.entry().id)
+                        .add("took_ms", took_ms)
+                        .add("how", name_of(ended.how))
+                        .add("evidence", name_of(ended.evidence))
+                        .add("count", line->count)
+                        .add("longest_ms", line->most));
+}
+
 void shard_owner::stop_stalled(endpoint_record& where, instant now)
 {
     std::vector<task_key> stalled;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -357,6 +357,7 @@
                             instant now)
 {
     this->needs_placing = true;
+    this->note_stop(where, ended, now);
     const auto found = this->jobs.find(ended.task.job);
     if (found == this->jobs.end())
     {
--- a/test/shards/decision_log_test.cpp
+++ b/test/shards/decision_log_test.cpp
@@ -187,6 +187,42 @@
     check_no_violations(fleet);
 }
 
+// The owner learns late that a run is over, as it was late itself.
+BOOST_AUTO_TEST_CASE(slow_stops)
+{
+    const job_shape long_task{
+        .tasks = 1, .work = milliseconds(3000), .timeout = milliseconds(8000)};
+    shard_fleet fleet({.endpoints_per_domain = 2, .powers = {1, 0.9, 0.5}});
+    fleet.run_for(warm_up);
+    BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+    const std::string quick = fleet.submit("D1-h2", long_task);
+    fleet.run_for(milliseconds(300));
+    fleet.disconnect_caller(quick);
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(lines_of(fleet, "run_stopped").size() == 1);
+    BOOST_TEST(lines_of(fleet, "stop_slow").empty());
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 3; ++i)
+        jobs.push_back(fleet.submit("D1-h2", long_task));
+    fleet.run_for(milliseconds(300));
+    for (const std::string& job : jobs)
+        fleet.disconnect_caller(job);
+    fleet.run_for(milliseconds(10));
+    BOOST_TEST(lines_of(fleet, "run_stopped").size() == 4);
+    fleet.pause("D1-h1", milliseconds(300));
+    fleet.run_for(milliseconds(1000));
+    const auto lines = lines_of(fleet, "stop_slow");
+    // One line for the three of them.
+    BOOST_REQUIRE(lines.size() == 1);
+    BOOST_TEST_INFO(lines.front());
+    BOOST_TEST(number_of(lines.front(), "took_ms") >= 250);
+    BOOST_TEST(number_of(lines.front(), "took_ms") <= 400);
+    BOOST_TEST(has_field(lines.front(), "run=1"));
+    BOOST_TEST(has_field(lines.front(), "how=stopped"));
+    BOOST_TEST(has_field(lines.front(), "evidence=listed"));
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
