--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -59,7 +59,11 @@
 
 void entry_host::tick(instant now)
 {
+    const auto gap = now - this->last_tick;
     this->begin_event(now);
+    // A longer one has been noted with the pause.
+    if (gap < this->options.pause_limit)
+        this->note_tick_gap(gap, now);
     this->last_tick = now;
     this->table.set_relaying(!this->view.domains_without_endpoints().empty());
     this->table.tick(now);
@@ -77,6 +81,25 @@
     this->send_heartbeats(now, false);
 }
 
+void entry_host::note_tick_gap(support::decision_clock::duration gap,
+                               instant now)
+{
+    if (this->hooks.tick_gap)
+        this->hooks.tick_gap(gap);
+    if (gap <= this->options.late_tick || gap >= this->options.pause_limit)
+        return;
+    const std::int64_t gap_ms = support::whole_ms(gap);
+    const auto line = this->late_ticks.add(gap_ms, now);
+    if (!line)
+        return;
+    this->hooks.log(
+        log_line("tick_late", support::log_level::warning)
+            .add("gap_ms", gap_ms)
+            .add("count", line->count)
+            .add("longest_ms", line->most)
+            .add("shards", static_cast<std::int64_t>(this->shards.size())));
+}
+
 void entry_host::begin_event(instant now)
 {
     this->current_time = now;
@@ -85,6 +108,7 @@
         this->view.stalled(now);
     if (gap < this->options.pause_limit)
         return;
+    this->note_tick_gap(gap, now);
     this->paused_at = this->last_tick;
     this->woke_at = now;
     this->last_tick = now;
@@ -244,7 +268,8 @@
                                 .add("shard", number)
                                 .add("endpoint", endpoint));
         },
-        .log = this->hooks.log};
+        .log = this->hooks.log,
+        .stop_took = this->hooks.stop_took};
 }
 
 void entry_host::claim(int number, instant now)
@@ -259,6 +284,7 @@
         this->view.shard_released(number, now);
         return;
     }
+    this->log_claim(number, *token, now);
     shard_options opts = this->options.shard;
     opts.domain = this->options.self.domain;
     opts.shard = number;
@@ -278,6 +304,39 @@
     claimed.update_endpoints(this->table.endpoints(), now);
 }
 
+void entry_host::log_claim(int number, fencing_token token, instant now)
+{
+    const claim_basis basis =
+        this->view.claim_basis_of(number).value_or(claim_basis{.since = now});
+    const bool was_own = basis.predecessor == this->options.self.name;
+    const auto reason = this->release_reasons.find(number);
+    const bool has_reason = was_own && reason != this->release_reasons.end();
+    // -1 where there is no such time.
+    const auto ms_since = [now](const std::optional<instant>& time)
+    {
+        return time ? support::whole_ms(now - *time) : -1;
+    };
+    this->hooks.log(
+        log_line("shard_claimed")
+            .add("shard", number)
+            .add("token", token)
+            .add("cause", has_reason ? std::string_view(reason->second)
+                                     : name_of(basis.cause))
+            .add("predecessor", basis.predecessor)
+            .add("heard_ms", ms_since(basis.heard_at))
+            .add("ownerless_ms", ms_since(basis.since))
+            .add("age_ms", support::whole_ms(this->view.age(now)))
+            .add("peers", this->view.live_domain_peers())
+            .add("listed", static_cast<std::int64_t>(this->view.listed_hosts()))
+            .add("hosts_read", this->table.hosts_are_read())
+            .add("endpoints_read_ms",
+                 ms_since(this->table.last_endpoint_read()))
+            .add("endpoints",
+                 static_cast<std::int64_t>(this->table.endpoint_count()))
+            .add("endpoints_complete",
+                 this->table.endpoints_are_complete(now)));
+}
+
 void entry_host::release_shard(int number, const std::string& reason,
                                instant now)
 {
@@ -289,6 +348,7 @@
             .add("reason", reason)
             .add("open_jobs", static_cast<std::int64_t>(shard.open_jobs())));
     this->shards.erase(number);
+    this->release_reasons[number] = reason;
     this->view.shard_released(number, now);
     if (this->offered == number)
         this->offered.reset();
