Placement: an owner knows when a job's shards were divided

Cause: whether tasks may run in other shards was asked of the owner's own last division, which was long ago; the job's host had divided just now.

Why it works: a submission says into how many shards the domain was divided when the job was first sent there. An owner of another number of shards waits until the earlier leases have lapsed.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -146,6 +146,9 @@
   8: i32 shard
   /// Numbers the submissions of a call.
   9: optional i32 submission
+  /// The number of shards that the domain had when an owner there may first
+  /// have started tasks of the job; unset for jobs of another domain.
+  10: optional i32 first_shards
 }
 
 /// The caller has disconnected or has cancelled the job.
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -104,6 +104,9 @@
         std::map<std::string, std::int32_t> holders = {};
         /// Whether another owner may have started tasks of it.
         bool may_run = false;
+        /// The own domain's number of shards when it was first sent there; 0
+        /// before.
+        int first_shards = 0;
         /// Shards that have refused it.
         std::vector<shard_name> refused_by = {};
     };
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -118,6 +118,12 @@
     message.domain = job.shard->domain;
     message.shard = job.shard->shard;
     message.__set_submission(++job.submission);
+    if (job.shard->domain == this->options.domain)
+    {
+        if (job.first_shards == 0)
+            job.first_shards = this->shards;
+        message.__set_first_shards(job.first_shards);
+    }
     job.holders[job.sent_to] = job.submission;
     this->hooks.log(log_line("job_forwarded")
                         .add("job", job.work.id)
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -57,6 +57,9 @@
                      support::instant now)
     : work(submitted.work), terms(submitted.terms),
       caller(submitted, std::move(host), now), may_run(submitted.may_run),
+      first_shards(submitted.__isset.first_shards
+                       ? std::optional<int>(submitted.first_shards)
+                       : std::nullopt),
       received(now), arrived(this->caller.arrived),
       deadline(now + support::microseconds(submitted.time_left_us))
 {
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -100,6 +100,9 @@
     schema::job_policy terms;
     waiting_call caller;
     bool may_run = false;
+    /// The domain's number of shards when another owner may first have started
+    /// tasks of it, if known.
+    std::optional<int> first_shards;
     /// When the job reached this owner, and when its first entry host.
     support::instant received;
     support::instant arrived;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -117,8 +117,12 @@
     // owner's lease must expire first, or its stop be executed.
     if (now >= job.received + lapse_bound(this->options.lease))
         return true;
-    // Nor can this owner list endpoints that it does not know yet.
-    return !this->options.was_divided && this->hooks.endpoints_are_complete() &&
+    // Nor can this owner list endpoints that it does not know yet, or that
+    // belong to other shards since a division.
+    const bool was_divided =
+        this->options.was_divided ||
+        job.first_shards.value_or(this->options.shards) != this->options.shards;
+    return !was_divided && this->hooks.endpoints_are_complete() &&
            this->has_listed_all_since(job.received, now);
 }
 
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -135,7 +135,8 @@
         .include(check(submitted.terms))
         .integer("age_us", submitted.age_us, 0, max_span_us)
         .integer("time_left_us", submitted.time_left_us, -max_span_us,
-                 max_span_us);
+                 max_span_us)
+        .integer("first_shards", submitted.first_shards, 0, max_shards);
     for (std::size_t i = 0; i < work.groups.size(); ++i)
         checked.include(check(work.groups[i], i));
     return checked.outcome();
