New owners: count from the claim, and wait for slow unlisted endpoints

Hosts that start apart may have a predecessor that they never heard. It counts from the claim now, also where the predecessor was heard only while it offered its shard. - An endpoint that was unlisted between the claim and its first list was removed. - An unlisted endpoint that did not answer for 50 to 75 ms was given up. It is kept until it is listed, two list requests have failed, or earlier leases have lapsed; restart/successor_that_does_not_know_an_unlisted_endpoint also plays answers that take up to 150 ms.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -187,10 +187,6 @@
     std::vector<schema::heard_owner> heard_owners() const;
     /// Returns the shards of its own domain that this host should claim now.
     std::vector<int> shards_to_claim(support::instant now);
-    /// Returns when another owner of \p shard may last have given orders, if
-    /// this host owns it from now on: before the start of this process if it
-    /// has never heard of one.
-    support::instant earlier_owner_until(int shard, support::instant now) const;
     /// Returns why \p shard counts as without owner, or nothing if it does not.
     std::optional<claim_basis> claim_basis_of(int shard) const;
     /// Returns a shard of this host that a much stronger host of the domain
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -61,8 +61,6 @@
     /// Tasks of a job from an earlier owner may run on endpoints of other
     /// shards, whose runs this owner cannot list.
     bool was_divided = false;
-    /// When an earlier owner may last have given orders.
-    support::instant earlier_owner_until = {};
     fencing_token token = 0;
     lease_rules lease = {};
     /// Factor by which a task takes longer away from its data.
@@ -247,6 +245,8 @@
     /// Returns whether this owner knows what earlier owners of the shard have
     /// started.
     bool knows_runs_of_predecessors(support::instant now) const;
+    /// Returns when the last lease of an earlier owner has lapsed.
+    support::instant predecessors_lapse() const;
     /// Returns whether this owner knows what another one that was sent \p job
     /// has started of it.
     bool knows_runs_of_others(const owned_job& job, support::instant now) const;
@@ -297,7 +297,11 @@
     static bool is_superseded(const endpoint_record& where,
                               const sent_order& order, order_status status);
     endpoint_record* find_endpoint(const std::string& id);
-    void remove_unlisted_endpoints();
+    /// Returns whether an endpoint may yet list runs of earlier owners, so that
+    /// it is kept although the platform does not list it any more.
+    bool awaits_first_list(const endpoint_record& record,
+                           support::instant now) const;
+    void remove_unlisted_endpoints(support::instant now);
     /// Returns whether an endpoint belongs to this shard.
     bool is_of_shard(const schema::endpoint_registration& entry) const;
     endpoint_record& add_endpoint(const schema::endpoint_registration& entry,
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -16,9 +16,6 @@
     /// Whether the platform lists the endpoint. Otherwise it gets no new work.
     bool is_listed = true;
     support::instant unlisted_since = {};
-    /// It was not listed any more when its shard was claimed. It is kept until
-    /// its first list, or the first list request without answer.
-    bool is_leftover = false;
     /// Whether its last call was answered.
     bool is_responding = true;
     /// A list must be requested at once, even if no run is known there.
@@ -34,6 +31,8 @@
     support::instant list_due = {};
     /// Consecutive list requests whose answer was overdue.
     int overdue_lists = 0;
+    /// List requests that have failed, other than by being overdue.
+    int failed_lists = 0;
     /// When the last answered list was requested.
     support::instant listed_as_of = {};
     /// Where the last list came from; unset before the first one. All runs that
@@ -51,10 +50,6 @@
     int consecutive_failures = 0;
     int quarantines = 0;
 
-    bool awaits_first_list() const
-    {
-        return this->is_leftover && this->is_responding && !this->listed_at;
-    }
     void run_succeeded();
     /// Records a failed run; several in a row quarantine the endpoint, longer
     /// each time.
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -290,7 +290,6 @@
     opts.shard = number;
     opts.shards = this->view.shard_count();
     opts.was_divided = this->view.was_divided_recently(now);
-    opts.earlier_owner_until = this->view.earlier_owner_until(number, now);
     opts.token = *token;
     auto new_shard =
         std::make_unique<shard_owner>(opts, this->hooks_for_shard(number), now);
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -233,11 +233,6 @@
     return basis;
 }
 
-instant host_view::earlier_owner_until(int shard, instant now) const
-{
-    return this->last_owners.contains(shard) ? now : this->started;
-}
-
 void host_view::tick(instant now)
 {
     this->current_time = now;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -103,13 +103,16 @@
     // A job that is new to this owner may be a copy whose earlier call a
     // predecessor has served. What is not listed ends with the last lease that
     // the predecessor can have given.
-    const instant lapsed_by =
-        this->options.earlier_owner_until + lapse_bound(this->options.lease);
-    return now >= lapsed_by ||
+    return now >= this->predecessors_lapse() ||
            (this->hooks.has_read_endpoints() &&
             this->has_listed_all_since(this->owned_since, now));
 }
 
+instant shard_owner::predecessors_lapse() const
+{
+    return this->owned_since + lapse_bound(this->options.lease);
+}
+
 bool shard_owner::knows_runs_of_others(const owned_job& job, instant now) const
 {
     // Another owner may have started tasks of the job on any endpoint,
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -108,7 +108,6 @@
         endpoint_record& record = this->add_endpoint(entry, now);
         record.is_listed = false;
         record.unlisted_since = now;
-        record.is_leftover = true;
     }
 }
 
@@ -166,8 +165,18 @@
 support::milliseconds
 shard_owner::retry_interval(const endpoint_record& record) const
 {
+    const bool is_wanted = record.is_listed || !record.listed_at;
     return this->options.retry_interval *
-           (record.is_listed ? 1 : unlisted_retry_factor);
+           (is_wanted ? 1 : unlisted_retry_factor);
+}
+
+bool shard_owner::awaits_first_list(const endpoint_record& record,
+                                    instant now) const
+{
+    // A connection may be reset once although the endpoint is healthy.
+    constexpr int max_failed_lists = 2;
+    return !record.listed_at && record.failed_lists < max_failed_lists &&
+           now < this->predecessors_lapse();
 }
 
 void shard_owner::tick(instant now)
@@ -180,19 +189,19 @@
             this->drop_endpoint_runs(*record, end_evidence::unlisted, now);
         this->tick_endpoint(*record, now);
     }
-    this->remove_unlisted_endpoints();
+    this->remove_unlisted_endpoints(now);
     this->end_expired_jobs(now);
     this->place(now);
     this->shed_overload(now);
 }
 
-void shard_owner::remove_unlisted_endpoints()
+void shard_owner::remove_unlisted_endpoints(instant now)
 {
     for (auto entry = this->endpoints.begin(); entry != this->endpoints.end();)
     {
         const endpoint_record& record = *entry->second;
         if (record.is_listed || !record.lease.runs().empty() ||
-            record.awaits_first_list())
+            this->awaits_first_list(record, now))
         {
             ++entry;
             continue;
@@ -379,6 +388,7 @@
     }
     if (list.status != order_status::accepted)
     {
+        ++record->failed_lists;
         if (record->is_responding)
             this->hooks.log(
                 log_line("endpoint_lost", support::log_level::warning)
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -549,8 +549,7 @@
 bool shard_owner::has_unlisted_runs() const
 {
     return std::any_of(this->endpoints.begin(), this->endpoints.end(),
-                       [](const auto& entry)
-                       {
+                       [](const auto& entry) {
                            return !entry.second->is_listed &&
                                   !entry.second->lease.runs().empty();
                        });
--- a/test/shards/restart_test.cpp
+++ b/test/shards/restart_test.cpp
@@ -26,22 +26,26 @@
 BOOST_AUTO_TEST_CASE(successor_that_does_not_know_an_unlisted_endpoint)
 {
     for (int offset = 0; offset <= 5000; offset += 100)
-        BOOST_TEST_CONTEXT("offset " << offset)
-        {
-            shard_fleet fleet({.endpoints_per_domain = 2});
-            fleet.run_for(warm_up);
-            const std::string owner = fleet.owner_of("D1");
-            const std::string job =
-                fleet.submit(other_host(fleet, owner), very_long_task);
-            fleet.run_for(milliseconds(100));
-            BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 1);
-            fleet.remove_endpoint("D1-e1");
-            fleet.run_for(milliseconds(offset));
-            fleet.kill(owner);
-            fleet.run_for(milliseconds(20000));
-            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
-            check_no_violations(fleet);
-        }
+        for (const int delay : {0, 150})
+            BOOST_TEST_CONTEXT("offset " << offset << " delay " << delay)
+            {
+                shard_fleet fleet(
+                    {.endpoints_per_domain = 2,
+                     .longest_answer_delay = milliseconds(delay)});
+                fleet.run_for(warm_up);
+                const std::string owner = fleet.owner_of("D1");
+                const std::string job =
+                    fleet.submit(other_host(fleet, owner), very_long_task);
+                fleet.run_for(milliseconds(100));
+                BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 1);
+                fleet.remove_endpoint("D1-e1");
+                fleet.run_for(milliseconds(offset));
+                fleet.kill(owner);
+                fleet.run_for(milliseconds(20000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                check_no_violations(fleet);
+            }
 }
 
 // The same if the owner hands its shard over to a stronger host: it gives no
