Fault soak: hosts that lose their power

Cause: the soak killed processes, so that every peer, endpoint and caller saw the end at once, and had no links between hosts.

A host without power forwards nothing, not even a close; what was under way may arrive late. Beside it: chains of losses, all hosts of a domain or of both lost at once after single restarts, cuts between hosts (held both ways or one way, refused, late), stalls of 100 to 390 ms, floods, callers that close early, endpoints that restart, answer late or omit runs that are being stopped. The session writes its faults, calls, starts, stops and ends to session.log. The check for two runs is as it was.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -21,12 +21,14 @@
 using support::milliseconds;
 using transport::http_response;
 
-/// Callers, readiness, peers, metrics and the proxy before the store.
-constexpr int ports_per_host = 5;
+/// Callers, readiness, peers, metrics and the proxies before the store and the
+/// callers' port.
+constexpr int ports_per_host = 6;
 constexpr milliseconds pump_interval{2};
 constexpr milliseconds load_span{9000};
 constexpr milliseconds fault_span{7000};
 constexpr milliseconds resend_delay{1300};
+constexpr int max_attempts = 3;
 /// Recovery time after all faults have ended: a third of twelve seconds,
 /// doubled for a busy machine.
 constexpr milliseconds recovery_limit{8000};
@@ -127,12 +129,15 @@
       random(
           static_cast<std::minstd_rand::result_type>(session_seed * 7919 + 3)),
       loop({.max_connections = 4000}), began(transport::event_loop::now()),
-      pump(this->loop.make_timer([] {})), calls({.loop = this->loop})
+      last_pump(this->began), pump(this->loop.make_timer([] {})),
+      calls({.loop = this->loop})
 {
     std::string path = "/tmp/chicorydrum-faults-XXXXXX";
     if (::mkdtemp(path.data()) == nullptr)
         throw std::runtime_error("cannot make a work directory");
     this->work_directory = path;
+    if (this->shape.loses_power)
+        this->journal.open(path + "/session.log");
     this->queue.run_until(support::instant(support::seconds(1)));
     this->store_calm_since = this->queue.now();
     const int ports_per_domain = this->shape.hosts_per_domain * ports_per_host +
@@ -175,11 +180,17 @@
         [this]
         {
             const support::instant now = transport::event_loop::now();
+            constexpr milliseconds noted_delay{25};
+            if (now - this->last_pump > noted_delay)
+                this->note(
+                    "session late by ms " +
+                    std::to_string(support::whole_ms(now - this->last_pump)));
+            this->last_pump = now;
             this->advance_time();
-            for (const auto& one : this->hosts)
-                one->store_proxy->poll(now);
-            for (const auto& one : this->endpoints)
-                one->proxy->poll(now);
+            std::vector<tcp_proxy*> all;
+            for (const auto& one : this->proxies)
+                all.push_back(one.get());
+            tcp_proxy::poll_all(all, now);
             this->pump.start(pump_interval);
         });
     this->pump.start(pump_interval);
@@ -207,10 +218,10 @@
     {
         return milliseconds(this->callers[task.job].work_ms);
     };
-    server.endpoint->need_of = [](const shard::task_key&)
+    server.endpoint->need_of = [this](const shard::task_key&)
     {
         schema::resources need;
-        need.millicores = 6800;
+        need.millicores = this->shape.task_millicores;
         return need;
     };
     server.endpoint->on_started = [this, id](const shard::task_key& task)
@@ -220,6 +231,8 @@
     server.endpoint->on_ended =
         [this, id](const shard::task_key& task, shard::run_end how)
     {
+        this->note("end " + name_of(task) + " at " + id + " " +
+                   std::string(shard::name_of(how)));
         this->running_at[task].erase(id);
         if (how == shard::run_end::done)
             this->done.insert(task);
@@ -238,7 +251,18 @@
             {
                 return http_response{.status = 400};
             }});
-    server.proxy = std::make_unique<tcp_proxy>(port + 1, port);
+    const int links =
+        this->shape.loses_power ? this->shape.hosts_per_domain : 1;
+    for (int i = 0; i < links; ++i)
+    {
+        const std::size_t host =
+            this->hosts.size() + static_cast<std::size_t>(i);
+        server.proxies.push_back(
+            &this->add_proxy({.address = this->address_of(host),
+                              .port = port + 1,
+                              .server_port = port}));
+        this->links_of[host].push_back(server.proxies.back());
+    }
     this->put_row("servers", id, endpoint_document(server.endpoint->entry()));
     this->endpoints.push_back(std::move(created));
 }
@@ -251,16 +275,25 @@
     created->domain = domain;
     created->callers_port = port;
     created->first_port = port;
-    const int proxy_port = port + ports_per_host - 1;
-    created->store_proxy =
-        std::make_unique<tcp_proxy>(proxy_port, this->store_port);
+    const std::string address = this->address_of(this->hosts.size());
+    const int proxy_port = port + 4;
+    created->store_proxy = &this->add_proxy({.address = address,
+                                             .port = proxy_port,
+                                             .server_port = this->store_port});
+    if (this->shape.loses_power)
+        this->add_power_links(*created);
+    static constexpr std::array powers = {0.5, 0.5, 0.3, 0.09};
+    const double power = this->shape.loses_power
+                             ? powers[this->hosts.size() % powers.size()]
+                             : 0.25;
     std::ofstream(this->work_directory + "/" + name + ".yaml")
         << "name: " << name << "\ndomain: " << domain
         << "\naddress: 127.0.0.1\nlisteners:\n  callers: 127.0.0.1:" << port
         << "\n  readiness: 127.0.0.1:" << port + 1
         << "\n  peer_port: " << port + 2 << "\n  metrics_port: " << port + 3
-        << "\nstore: 127.0.0.1:" << proxy_port
-        << "\nlimits:\n  link_rate: " << this->shape.link_rate << "\n";
+        << "\nstore: " << address << ":" << proxy_port
+        << "\nlimits:\n  link_rate: " << this->shape.link_rate
+        << "\n  processor_share: " << power << "\n";
     this->start_host(*created);
     this->hosts.push_back(std::move(created));
 }
@@ -307,6 +340,7 @@
     const auto at = transport::event_loop::now() - this->began;
     this->recorded_violations.push_back(
         "t=" + std::to_string(support::whole_ms(at)) + " " + what);
+    this->note("violation: " + what);
 }
 
 void fault_session::start_host(entry_process& host)
@@ -412,7 +446,8 @@
     }
     if (!is_feed && this->lagging)
     {
-        const auto rows = rows_after(this->lagging->tables[table], table, 0);
+        auto rows = rows_after(this->lagging->tables[table], table, 0);
+        this->localize(rows, request.host);
         this->store->respond(
             id, json_response(
                     200, {{"rows", rows}, {"ver", this->lagging->version}}));
@@ -420,8 +455,10 @@
     }
     const std::int64_t wait =
         is_feed ? std::stoll(query_value(request.query, "wait_ms")) : 0;
-    this->answer_changes(id, table, after,
-                         this->queue.now() + milliseconds(wait));
+    this->answer_changes(id, {.table = table,
+                              .reader = request.host,
+                              .after = after,
+                              .until = this->queue.now() + milliseconds(wait)});
 }
 
 void fault_session::set_store(bool is_up, bool lags)
@@ -436,16 +473,16 @@
 }
 
 void fault_session::answer_changes(transport::exchange_id id,
-                                   const std::string& table, std::int64_t after,
-                                   support::instant until)
+                                   const table_wait& wait)
 {
-    const json rows = rows_after(this->tables[table], table, after);
-    if (rows.empty() && this->queue.now() < until)
+    json rows = rows_after(this->tables[wait.table], wait.table, wait.after);
+    if (rows.empty() && this->queue.now() < wait.until)
     {
-        this->queue.after(milliseconds(20), [this, id, table, after, until]
-                          { this->answer_changes(id, table, after, until); });
+        this->queue.after(milliseconds(20),
+                          [this, id, wait] { this->answer_changes(id, wait); });
         return;
     }
+    this->localize(rows, wait.reader);
     this->store->respond(
         id, json_response(200, {{"rows", rows}, {"ver", this->store_version}}));
 }
@@ -483,6 +520,10 @@
         order.run = body["run"];
         order.token = body["fence"];
         order.lease_end_ms = body["deadline_ms"];
+        this->note("start " + name_of(order.task) + " run " +
+                   std::to_string(order.run) + " token " +
+                   std::to_string(order.token) + " at " +
+                   where.endpoint->entry().id);
         where.endpoint->start(order, reply);
         return;
     }
@@ -490,6 +531,10 @@
     order.task = task_of(body["task"]);
     order.run = body["run"];
     order.token = body["fence"];
+    this->note("stop " + name_of(order.task) + " run " +
+               std::to_string(order.run) + " token " +
+               std::to_string(order.token) + " at " +
+               where.endpoint->entry().id);
     where.endpoint->stop(order, reply);
 }
 
@@ -499,9 +544,16 @@
 {
     const std::string job = "j" + std::to_string(this->seed) + "x" +
                             std::to_string(this->callers.size());
-    this->callers[job] = {
-        .tasks = 1 + this->pick(3),
-        .work_ms = 30 + this->pick(this->shape.longest_work_ms - 30)};
+    this->callers[job] = {.tasks = 1 + this->pick(3),
+                          .work_ms =
+                              30 + this->pick(this->shape.longest_work_ms - 30),
+                          .patience_ms = this->shape.caller_patience_ms};
+    if (this->shape.loses_power && this->pick(12) == 0)
+    {
+        // Closes early and does not come back.
+        this->callers[job].attempts = max_attempts - 1;
+        this->callers[job].patience_ms = 50 + this->pick(800);
+    }
     this->send(job, this->pick_host());
 }
 
@@ -509,6 +561,9 @@
 {
     caller_state& caller = this->callers.at(job);
     ++caller.attempts;
+    caller.host = host;
+    this->note("call " + std::to_string(caller.attempts) + " of " + job +
+               " to " + this->hosts[host]->name);
     transport::client_request request;
     request.address = "127.0.0.1";
     request.port = this->hosts[host]->callers_port;
@@ -518,12 +573,12 @@
     request.headers = {
         {.name = "deadline-ms",
          .value = std::to_string(this->shape.caller_timeout_ms)}};
-    request.timeout = milliseconds(this->shape.caller_patience_ms);
+    request.timeout = milliseconds(caller.patience_ms);
     request.body = json{{"spec", "s"},
                         {"preemptible", true},
                         {"steps",
                          {{{"count", caller.tasks},
-                           {"cpu", 6800},
+                           {"cpu", this->shape.task_millicores},
                            {"estimate_ms", caller.work_ms}}}}}
                        .dump();
     ++this->open_calls;
@@ -546,10 +601,11 @@
         caller.was_always_refused && (status == 503 || status == 429);
     if (!is_final)
     {
-        if (caller.attempts >= 3)
+        if (caller.attempts >= max_attempts)
             return;
-        this->queue.after(resend_delay,
-                          [this, job] { this->send(job, this->pick_host()); });
+        this->queue.after(
+            resend_delay, [this, job]
+            { this->send(job, this->next_host(this->callers.at(job))); });
         return;
     }
     caller.final_status = status;
@@ -613,7 +669,7 @@
         at(when, [this] { this->put_config(); });
         return;
     case 5:
-        at(when, [&server] { server.proxy->reset_all(); });
+        at(when, [&server] { server.proxies.front()->reset_all(); });
         at(when + milliseconds(50), [&host] { host.store_proxy->reset_all(); });
         return;
     case 6:
@@ -623,7 +679,7 @@
         const link_fault fault =
             faults[static_cast<std::size_t>(this->pick(3))];
         tcp_proxy& proxy =
-            this->pick(3) == 0 ? *host.store_proxy : *server.proxy;
+            this->pick(3) == 0 ? *host.store_proxy : *server.proxies.front();
         at(when, [&proxy, fault] { proxy.set_fault(fault); });
         at(when + span, [&proxy] { proxy.set_fault(link_fault::none); });
         return;
@@ -645,14 +701,14 @@
 void fault_session::clear_faults()
 {
     this->set_store(true, false);
+    for (const auto& one : this->proxies)
+        one->set_fault(link_fault::none);
     for (const auto& one : this->endpoints)
-    {
-        one->proxy->set_fault(link_fault::none);
         one->endpoint->set_fault(shards::endpoint_fault::none);
-    }
+    for (std::size_t i = 0; i < this->hosts.size(); ++i)
+        this->restore_power(i);
     for (const auto& host : this->hosts)
     {
-        host->store_proxy->set_fault(link_fault::none);
         host->child->signal(SIGCONT);
         const auto exit_code = host->child->exit_code();
         const bool is_unexpected =
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -9,6 +9,7 @@
 #include "shards/virtual_endpoint.hpp"
 #include "tcp_proxy.hpp"
 
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 namespace chicorydrum::faults
 {
 
@@ -33,10 +36,17 @@
     int caller_timeout_ms = 2500;
     /// How long callers wait before they close the connection.
     int caller_patience_ms = 3500;
+    /// What each task needs of an endpoint's 16,000.
+    int task_millicores = 6800;
+    /// Every link of a host is its own, so that it can lose its power; hosts of
+    /// a domain have different processor shares.
+    bool loses_power = false;
 };
 
 /// Four domains of two shards each.
 session_shape installation_shape();
+/// Two domains of two shards each, whose hosts may lose their power.
+session_shape power_shape();
 
 class fault_session
 {
@@ -50,6 +60,10 @@
     /// once, while the store is silent, refuses some of them, lags or forgets,
     /// and endpoints leave; returns the violated guarantees.
     std::vector<std::string> run_installation();
+    /// Runs a session in which hosts lose their power, one after the other or
+    /// all at once, beside cuts between hosts, stalls, floods, and endpoints
+    /// that restart or are late; returns the violated guarantees.
+    std::vector<std::string> run_power();
     /// Runs a session without faults in which another writer leaves odd rows in
     /// all tables; returns the violated guarantees.
     std::vector<std::string> run_odd_entries();
@@ -67,14 +81,19 @@
         int first_port = 0;
         std::unique_ptr<process_test::child_process> child;
         /// Between the host and the store.
-        std::unique_ptr<tcp_proxy> store_proxy;
+        tcp_proxy* store_proxy = nullptr;
+        /// Before the callers' port, if hosts lose their power.
+        tcp_proxy* callers_proxy = nullptr;
         bool is_stopping = false;
+        bool is_dark = false;
     };
     struct endpoint_server
     {
         std::unique_ptr<shards::virtual_endpoint> endpoint;
         std::unique_ptr<transport::http_server> server;
-        std::unique_ptr<tcp_proxy> proxy;
+        /// One for all hosts; if hosts lose their power, one for each of its
+        /// domain.
+        std::vector<tcp_proxy*> proxies;
         std::optional<support::instant> draining_since;
     };
     struct caller_state
@@ -82,6 +101,9 @@
         int tasks = 0;
         int work_ms = 0;
         int attempts = 0;
+        int patience_ms = 0;
+        /// Of the last attempt.
+        std::size_t host = 0;
         bool was_always_refused = true;
         int final_status = 0;
     };
@@ -102,6 +124,35 @@
     /// Waits until all hosts are ready; false after a time limit.
     bool wait_ready();
     void submit_for(support::milliseconds span, int longest_gap_ms);
+    tcp_proxy& add_proxy(const proxy_route& route);
+    /// The address from which a host's links are seen to come, and to which it
+    /// sends: one for each host that may lose its power.
+    std::string address_of(std::size_t host) const;
+    void add_power_links(entry_process& host);
+    /// Shows \p rows to the host that reads them at \p reader: with the
+    /// addresses of its own links.
+    void localize(nlohmann::json& rows, const std::string& reader) const;
+    /// Writes to the session's own log, beside those of the hosts.
+    void note(const std::string& what);
+    void lose_power(std::size_t host, bool callers_notice);
+    void restore_power(std::size_t host);
+    void plan_loss(std::size_t host, support::milliseconds when,
+                   support::milliseconds span);
+    void plan_chain(support::milliseconds when);
+    void plan_blackout(support::milliseconds when);
+    void plan_cut(support::milliseconds when);
+    void plan_stalls(support::milliseconds when);
+    void plan_endpoint_restarts(support::milliseconds when);
+    void plan_late_endpoints(const std::string& domain,
+                             support::milliseconds when);
+    void plan_flood(support::milliseconds when);
+    std::vector<std::size_t> hosts_of(const std::string& domain) const;
+    std::string pick_domain()
+    {
+        return "d" + std::to_string(1 + this->pick(this->shape.domains));
+    }
+    /// Returns the host of a job's next attempt.
+    std::size_t next_host(const caller_state& caller);
     /// Checks that all hosts are ready again and serve.
     void check_recovery();
     void plan_restarts(support::milliseconds when);
@@ -114,8 +165,14 @@
     void restart_host(entry_process& host, support::milliseconds span);
     void serve_store(transport::exchange_id id,
                      const transport::http_request& request);
-    void answer_changes(transport::exchange_id id, const std::string& table,
-                        std::int64_t after, support::instant until);
+    struct table_wait
+    {
+        std::string table;
+        std::string reader;
+        std::int64_t after = 0;
+        support::instant until;
+    };
+    void answer_changes(transport::exchange_id id, const table_wait& wait);
     void serve_endpoint(endpoint_server& where, transport::exchange_id id,
                         const transport::http_request& request);
     void put_row(const std::string& table, const std::string& key,
@@ -150,8 +207,10 @@
     session_shape shape;
     std::minstd_rand random;
     std::string work_directory;
+    std::ofstream journal;
     transport::event_loop loop;
     support::instant began;
+    support::instant last_pump;
     fleet::event_queue queue;
     transport::timer pump;
     transport::http_client calls;
@@ -180,6 +239,12 @@
     support::instant store_calm_since;
     std::int64_t store_version = 0;
     std::int64_t config_version = 0;
+    std::vector<std::unique_ptr<tcp_proxy>> proxies;
+    /// All links with an end at a host, by its number; if hosts lose their
+    /// power.
+    std::map<std::size_t, std::vector<tcp_proxy*>> links_of;
+    /// By the numbers of the host that dials and of the other one.
+    std::map<std::pair<std::size_t, std::size_t>, tcp_proxy*> peer_links;
     std::vector<std::unique_ptr<entry_process>> hosts;
     std::vector<std::unique_ptr<endpoint_server>> endpoints;
     std::map<std::string, caller_state> callers;
--- a/test/faults/installation.cpp
+++ b/test/faults/installation.cpp
@@ -39,7 +39,7 @@
     this->queue.after(span,
                       [this, &host]
                       {
-                          if (host.child->exit_code())
+                          if (host.child->exit_code() && !host.is_dark)
                               this->start_host(host);
                       });
 }
--- a/test/faults/main.cpp
+++ b/test/faults/main.cpp
@@ -3,6 +3,8 @@
 #include "fault_session.hpp"
 
 #include <iostream>
+#include <memory>
+#include <stdexcept>
 
 #include <docopt/docopt.h>
 
@@ -11,7 +13,7 @@
 
 constexpr const char* usage = R"(Real entry hosts under faults, on loopback.
 
-Usage: fault_soak [--seeds RANGE] [--odd-entries] [--installation]
+Usage: fault_soak [--seeds RANGE] [--odd-entries] [--installation] [--power]
 
 Options:
   --seeds RANGE   Seeds as FIRST..LAST [default: 1..3].
@@ -19,8 +21,31 @@
                   store.
   --installation  Four domains whose hosts all start anew or stand still, while
                   the store is in trouble and endpoints leave.
+  --power         Two domains whose hosts of different powers lose their power,
+                  stall and are cut off, while endpoints restart or are late.
 )";
 
+/// Tries other ports if another program has just taken some.
+std::unique_ptr<chicorydrum::faults::fault_session>
+open_session(std::uint64_t seed,
+             const chicorydrum::faults::session_shape& shape)
+{
+    constexpr int max_tries = 5;
+    for (int tries = 1;; ++tries)
+    {
+        try
+        {
+            return std::make_unique<chicorydrum::faults::fault_session>(seed,
+                                                                        shape);
+        }
+        catch (const std::runtime_error&)
+        {
+            if (tries == max_tries)
+                throw;
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -40,10 +65,15 @@
     {
         using namespace chicorydrum::faults;
         const bool is_installation = arguments.at("--installation").asBool();
-        fault_session session(seed, is_installation ? installation_shape()
-                                                    : session_shape());
+        const bool is_power = arguments.at("--power").asBool();
+        const auto opened =
+            open_session(seed, is_installation ? installation_shape()
+                               : is_power      ? power_shape()
+                                               : session_shape());
+        fault_session& session = *opened;
         const std::vector<std::string> violations =
             is_installation ? session.run_installation()
+            : is_power      ? session.run_power()
             : arguments.at("--odd-entries").asBool() ? session.run_odd_entries()
                                                      : session.run_session();
         if (violations.empty())
--- a/test/process/process_fleet.cpp
+++ b/test/process/process_fleet.cpp
@@ -50,6 +50,20 @@
     return bound == 0;
 }
 
+/// Listens on \p port until the process ends; false if another one does.
+bool reserve(int port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_reserved =
+        bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) == 0 &&
+        listen(descriptor, 1) == 0;
+    if (!is_reserved)
+        close(descriptor);
+    return is_reserved;
+}
+
 std::string binary(const std::string& name)
 {
     return std::string(CHICORYDRUM_BIN_DIR) + "/" + name;
@@ -76,21 +90,34 @@
 
 int find_free_ports(int count)
 {
+    // Blocks of ports, more than one session uses. A process keeps a block for
+    // its life by listening on the first port: a port is free also while the
+    // host that uses it has stopped.
     constexpr int first = 12000;
-    constexpr int range = 18000;
-    // More than one session uses, since those with successive process ids run
-    // at the same time.
-    constexpr int ports_per_process = 251;
-    static int next = getpid() * ports_per_process % range;
-    for (int tries = 0; tries < range; ++tries)
+    constexpr int block_size = 250;
+    constexpr int blocks = 72;
+    static int block = -1;
+    static int next = 0;
+    for (int tries = 0; tries < blocks; ++tries)
     {
-        const int base = first + next;
-        next = (next + count) % range;
-        bool all_free = true;
-        for (int port = base; port < base + count; ++port)
-            all_free = all_free && is_free(port);
-        if (all_free)
+        if (block >= 0 && next + count > block_size)
+            next = 1;
+        for (; block >= 0 && next + count <= block_size; ++next)
+        {
+            const int base = first + block * block_size + next;
+            bool all_free = true;
+            for (int port = base; port < base + count; ++port)
+                all_free = all_free && is_free(port);
+            if (!all_free)
+                continue;
+            next += count;
             return base;
+        }
+        const int candidate = (getpid() + tries) % blocks;
+        if (!reserve(first + candidate * block_size))
+            continue;
+        block = candidate;
+        next = 1;
     }
     throw std::runtime_error("no free ports");
 }
