--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -58,10 +58,12 @@
     const bool may_place_new = this->knows_runs_of_predecessors(now);
     for (const auto& [id, job] : this->jobs)
     {
+        if (job->waiting_tasks() == 0)
+            continue;
         const bool may_place = job->may_run
                                    ? this->knows_runs_of_others(*job, now)
                                    : may_place_new;
-        if (job->waiting_tasks() > 0 && may_place)
+        if (may_place)
             queue.push_back(job.get());
     }
     // Earliest target first among jobs that can still meet it, then the rest.
