--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -83,6 +83,8 @@
         }
     }
     this->maintain_links();
+    if (opts.report_interval.count() > 0)
+        this->report_endpoints();
 }
 
 shard_fleet::~shard_fleet() = default;
@@ -809,26 +811,13 @@
         rows.is_whole = wanted.wants_all || wanted.after == 0;
         if (!rows.is_whole && wanted.after < this->history_from)
             rows.status = shard::read_status::history_lost;
-        const row_table shown =
-            wanted.wants_all ? this->rows_before(wanted.table, this->read_lag)
-                             : this->rows_of(wanted.table);
-        for (const auto& [key, row] : shown)
-        {
-            if (!wanted.wants_all && row.version <= wanted.after)
-                continue;
-            if (wanted.wants_all && row.is_removed)
-                continue;
-            if (wanted.table == directory_table::config)
-                rows.config = row.config;
-            else if (wanted.table == directory_table::hosts)
-                rows.hosts.push_back(
-                    {.name = key,
-                     .record = row.host,
-                     .version = row.is_removed ? 0 : row.version});
-            else
-                rows.endpoints.push_back(
-                    {.id = key, .entry = row.endpoint, .version = row.version});
-        }
+        else if (!wanted.wants_all)
+            this->append_changes(rows, wanted.after);
+        else
+            for (const auto& [key, row] :
+                 this->rows_before(wanted.table, this->read_lag))
+                if (!row.is_removed)
+                    append_row(rows, key, row);
     }
     this->queue.after(
         delay,
@@ -840,6 +829,54 @@
         });
 }
 
+void shard_fleet::append_row(shard::table_rows& rows, const std::string& key,
+                             const stored_row& row)
+{
+    switch (rows.table)
+    {
+    case directory_table::config:
+        rows.config = row.config;
+        return;
+    case directory_table::hosts:
+        rows.hosts.push_back({.name = key,
+                              .record = row.host,
+                              .version = row.is_removed ? 0 : row.version});
+        return;
+    case directory_table::endpoints:
+        rows.endpoints.push_back(
+            {.id = key, .entry = row.endpoint, .version = row.version});
+        return;
+    }
+}
+
+void shard_fleet::append_changes(shard::table_rows& rows,
+                                 std::int64_t after) const
+{
+    std::size_t count = 0;
+    for (const row_change& change :
+         this->changes[static_cast<std::size_t>(rows.table)])
+    {
+        if (change.row.version <= after)
+            continue;
+        append_row(rows, change.key, change.row);
+        if (++count < this->options.changes_per_answer)
+            continue;
+        rows.version = change.row.version;
+        return;
+    }
+}
+
+void shard_fleet::report_endpoints()
+{
+    // A copy, as each report changes the rows.
+    const row_table listed = this->rows_of(directory_table::endpoints);
+    for (const auto& [id, row] : listed)
+        if (!row.is_removed)
+            this->store_row(directory_table::endpoints, id, row);
+    this->queue.after(this->options.report_interval,
+                      [this] { this->report_endpoints(); });
+}
+
 void shard_fleet::write(const std::string& name, int incarnation,
                         const shard::registration_write& wanted)
 {
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -49,6 +49,11 @@
     /// Bytes that each host's link carries in a millisecond, each way; 0 for
     /// any number. Calls to endpoints queue in it.
     double link_bytes_per_ms = 0;
+    /// Rows that the store's answer to a read of changes holds.
+    std::size_t changes_per_answer = 500;
+    /// Interval in which each endpoint reports to the store, which changes its
+    /// row; 0 for only when its entry changes.
+    support::milliseconds report_interval{0};
     /// Whether the log also has the faults, the runs that begin and end, and
     /// the lists that endpoints execute.
     bool is_traced = false;
@@ -291,6 +296,13 @@
     /// Returns the rows of \p table as they were \p lag ago.
     row_table rows_before(shard::directory_table table,
                           support::milliseconds lag) const;
+    /// Adds \p row to the answer to a read.
+    static void append_row(shard::table_rows& rows, const std::string& key,
+                           const stored_row& row);
+    /// Answers a read of changes: each change of a row by itself, in order, as
+    /// many as one answer holds.
+    void append_changes(shard::table_rows& rows, std::int64_t after) const;
+    void report_endpoints();
     /// Returns the store's version \p lag ago.
     std::int64_t version_before(support::milliseconds lag) const;
     /// Returns whether an endpoint that drains since \p since must get no new
