Endpoints: changes that do not fit into one answer are read on at once

Cause: the store answers a read of changes with each change by itself, oldest first, 500 at most. A host took such a part for all, used rows that were up to 20 s old as they came, also over later news from peers, and read the next part after 0.5 s (owners) or 2 s (others, which fall behind for good with more than 375 endpoints). A process that started within the store's history took the first part of that for the whole table.

Now a process first reads all rows; an answer that is full is read on at once; all rows are read once the changes that were read outnumber the endpoints; while behind, a host counts as one that does not follow the endpoints, so that its peers tell it of leaving ones; and a change that is older than what is known is never used. The class: a part of an answer taken for the whole of it. Looked for elsewhere: reads of all rows already continue by has_more; configuration and hosts are read on at once by their long polls; lists of runs use has_more_ends.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -91,6 +91,9 @@
     std::string next_key = {};
     /// The version after which the next read continues.
     std::int64_t version = 0;
+    /// A read of changes: there may be more than the answer holds. They are in
+    /// the order in which they were made, so that the rows may be old.
+    bool is_cut = false;
     std::optional<routing_config> config;
     std::vector<host_row> hosts;
     std::vector<endpoint_row> endpoints;
@@ -240,7 +243,11 @@
     struct table_state
     {
         std::int64_t after = 0;
-        bool wants_all = false;
+        /// Changes from the beginning on would show rows as they were.
+        bool wants_all = true;
+        /// Rows of answers that did not hold all changes, since the last one
+        /// that did. Not 0 while this host is behind the store.
+        std::size_t rows_behind = 0;
         /// The earlier answers of a read of all rows that needs several.
         std::optional<table_rows> earlier = {};
         bool is_reading = false;
@@ -278,6 +285,9 @@
     std::optional<table_rows> join(table_rows rows, support::instant now);
     void apply(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
+    /// Reads on at once after an answer that did not hold all changes, or reads
+    /// all rows once these are fewer than the changes that were read.
+    void follow_cut_answer(const table_rows& rows, support::instant now);
     void apply_hosts(const table_rows& rows, support::instant now);
     /// Reports the hosts whose rows \p rows shows as removed.
     void report_removed_hosts(const table_rows& rows);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -93,7 +93,7 @@
 {
     const table_state& table = this->state_of(directory_table::endpoints);
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
-           !table.has_followed;
+           !table.has_followed || table.rows_behind > 0;
 }
 
 std::vector<schema::leaving_endpoint>
@@ -266,6 +266,13 @@
     if (rows.table != directory_table::endpoints)
         return;
     this->apply_endpoints(rows, now);
+    if (rows.is_cut)
+    {
+        this->follow_cut_answer(rows, now);
+        return;
+    }
+    table.rows_behind = 0;
+    this->endpoints_last_read_at = now;
     if (std::exchange(this->endpoint_read_is_stale, false))
         return;
     this->endpoints_are_stale = false;
@@ -274,6 +281,22 @@
                                           : this->options.standby_interval);
 }
 
+void directory::follow_cut_answer(const table_rows& rows, instant now)
+{
+    table_state& table = this->state_of(rows.table);
+    table.rows_behind += rows.endpoints.size();
+    table.next_read = now;
+    if (table.rows_behind < this->known.size())
+        return;
+    table.wants_all = true;
+    this->hooks.log(
+        log_line("changes_skipped")
+            .add("table", name_of(rows.table))
+            .add("after", table.after)
+            .add("rows", static_cast<std::int64_t>(table.rows_behind))
+            .add("known", static_cast<std::int64_t>(this->known.size())));
+}
+
 void directory::log_malformed(const table_rows& rows)
 {
     std::set<std::string>& logged = this->state_of(rows.table).logged;
@@ -361,13 +384,13 @@
 {
     if (!this->endpoints_read_at)
         this->endpoints_read_at = now;
-    this->endpoints_last_read_at = now;
     std::set<std::string> present;
     for (const endpoint_row& row : rows.endpoints)
     {
         present.insert(row.id);
-        // A read of all rows may show them as they were before other answers.
-        if (rows.is_whole && this->is_outdated(row))
+        // A read of all rows may show them as they were before other answers,
+        // and changes are read after a peer has told of a later one.
+        if (this->is_outdated(row))
             continue;
         if (row.entry)
             this->apply_entry(row, now);
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -445,6 +445,99 @@
     BOOST_TEST(this->reads.size() >= 1U);
 }
 
+// Guards against changes that wait for the next interval, so that a host which
+// has fallen behind uses rows that are seconds old.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_is_cut_is_read_on_at_once,
+                        directory_fixture)
+{
+    const auto read_of = [this](const table_rows& rows)
+    {
+        this->reads.clear();
+        this->table.rows_read(rows, this->now);
+        this->table.tick(this->now);
+        for (const table_read& read : this->reads)
+            if (read.table == directory_table::endpoints)
+                return std::optional(read);
+        return std::optional<table_read>();
+    };
+    const auto row = [](int number, std::int64_t at)
+    {
+        endpoint_row made{.id = "i-" + std::to_string(number),
+                          .entry = schema::endpoint_registration(),
+                          .version = at};
+        made.entry->id = made.id;
+        made.entry->domain = "D1";
+        return made;
+    };
+    table_rows all;
+    all.table = directory_table::endpoints;
+    all.status = read_status::read;
+    all.is_whole = true;
+    all.version = 10;
+    for (int i = 0; i < 5; ++i)
+        all.endpoints.push_back(row(i, 1 + i));
+    BOOST_TEST(!read_of(all));
+    BOOST_TEST(!this->table.lacks_endpoints());
+
+    this->run_for(milliseconds(2500));
+    table_rows cut = all;
+    cut.is_whole = false;
+    cut.is_cut = true;
+    cut.version = 12;
+    cut.endpoints = {row(0, 11), row(1, 12)};
+    const auto second = read_of(cut);
+    BOOST_REQUIRE(second);
+    BOOST_TEST(!second->wants_all);
+    BOOST_TEST(second->after == 12);
+    BOOST_TEST(this->table.lacks_endpoints());
+
+    // All rows are fewer than the changes that it has read since.
+    cut.version = 15;
+    cut.endpoints = {row(0, 13), row(1, 14), row(2, 15)};
+    const auto third = read_of(cut);
+    BOOST_REQUIRE(third);
+    BOOST_TEST(third->wants_all);
+    all.version = 20;
+    BOOST_TEST(!read_of(all));
+    BOOST_TEST(!this->table.lacks_endpoints());
+}
+
+// Guards against an endpoint that a peer has told of as leaving, and that older
+// changes turn back.
+BOOST_FIXTURE_TEST_CASE(older_changes_do_not_turn_a_leaving_endpoint_back,
+                        directory_fixture)
+{
+    endpoint_row row{
+        .id = "i-0", .entry = schema::endpoint_registration(), .version = 5};
+    row.entry->id = row.id;
+    row.entry->domain = "D1";
+    row.entry->born_ms = 1;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 5;
+    rows.endpoints = {row};
+    this->answer(rows);
+    schema::leaving_endpoint news;
+    news.id = row.id;
+    news.domain = "D1";
+    news.born_ms = 1;
+    news.version = 9;
+    this->table.note_leaving(news);
+    BOOST_TEST(this->table.endpoints().front().is_draining);
+
+    rows.is_whole = false;
+    rows.version = 7;
+    rows.endpoints.front().version = 7;
+    this->answer(rows);
+    BOOST_TEST(this->table.endpoints().front().is_draining);
+    rows.version = 10;
+    rows.endpoints.front().version = 10;
+    this->answer(rows);
+    BOOST_TEST(!this->table.endpoints().front().is_draining);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -808,7 +808,7 @@
         rows.status = shard::read_status::read;
         rows.version = wanted.wants_all ? this->version_before(this->read_lag)
                                         : this->store_version;
-        rows.is_whole = wanted.wants_all || wanted.after == 0;
+        rows.is_whole = wanted.wants_all;
         if (!rows.is_whole && wanted.after < this->history_from)
             rows.status = shard::read_status::history_lost;
         else if (!wanted.wants_all)
@@ -862,6 +862,7 @@
         if (++count < this->options.changes_per_answer)
             continue;
         rows.version = change.row.version;
+        rows.is_cut = true;
         return;
     }
 }
