Virtual soak: sessions wait as long as their callers

The time that a session goes on after its last job covers, by its own comment, recovery, a caller's timeout and one more resend; these are 12 s for the usual jobs (4.7 + 2 x 3 + 1.3), but 21 s for the long jobs of this mix, which waited 12 s too.

The time now follows from the mix's longest timeout. The check is the same, and no time is shorter than before.

--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -45,8 +45,13 @@
 constexpr milliseconds start_of_load{3500};
 constexpr milliseconds end_of_faults{20000};
 constexpr milliseconds end_of_load{24000};
-/// Covers recovery, a caller's timeout and one more resend.
-constexpr milliseconds settling{12000};
+constexpr milliseconds recovery{4700};
+constexpr milliseconds resend_delay{1300};
+/// How long callers wait for an answer: at least, and what is drawn beyond it.
+constexpr milliseconds least_timeout{1500};
+constexpr int timeout_choices_ms = 1500;
+/// The same for the jobs of the "takeover" mix, which outlast a takeover.
+constexpr int long_timeout_choices_ms = 6000;
 /// Factor of all times of the "channels" mix, whose tasks must outlast the
 /// resend delay.
 constexpr int long_work = 4;
@@ -136,6 +141,8 @@
         return milliseconds(this->learns_late ? when.count() * 7919 % longest
                                               : 0);
     }
+    /// Returns how long a session goes on after its last job was sent.
+    milliseconds settling() const;
     void plan_load();
     void plan_fault(milliseconds when);
     void plan_host_fault(milliseconds when, const std::string& host);
@@ -165,6 +172,17 @@
     std::int64_t config = 1;
 };
 
+milliseconds soak_session::settling() const
+{
+    // Covers recovery, a caller's timeout and one more resend.
+    const int choices = this->mix == fault_mix::takeover
+                            ? long_timeout_choices_ms
+                            : timeout_choices_ms;
+    const milliseconds longest = least_timeout + milliseconds(choices);
+    const int factor = this->mix == fault_mix::channels ? long_work : 1;
+    return factor * (recovery + 2 * longest + resend_delay);
+}
+
 void soak_session::plan_load()
 {
     // Jobs must outlast a takeover to be run by two owners.
@@ -172,7 +190,8 @@
     const bool is_large = this->mix == fault_mix::installations;
     const int longest_gap = are_long ? 300 : is_large ? 40 : 120;
     const int longest_work = are_long || is_large ? 1500 : 600;
-    const int longest_timeout = are_long ? 6000 : 1500;
+    const int timeout_choices =
+        are_long ? long_timeout_choices_ms : timeout_choices_ms;
     for (milliseconds when = start_of_load; when < end_of_load;
          when += milliseconds(10 + this->pick(longest_gap)))
     {
@@ -180,8 +199,8 @@
         job_shape shape{.tasks = 1 + this->pick(6),
                         .millicores = 4000 + this->pick(5000),
                         .work = milliseconds(20 + this->pick(longest_work)),
-                        .timeout =
-                            milliseconds(1500 + this->pick(longest_timeout))};
+                        .timeout = least_timeout +
+                                   milliseconds(this->pick(timeout_choices))};
         if (this->mix == fault_mix::channels)
         {
             shape.work *= long_work;
@@ -824,9 +843,7 @@
                        for (const std::string& host : this->fleet.host_names())
                            this->fleet.start(host);
                    });
-    this->fleet.run_for(end_of_load +
-                        (this->mix == fault_mix::channels ? long_work : 1) *
-                            settling);
+    this->fleet.run_for(end_of_load + this->settling());
     std::vector<std::string> found = this->fleet.violations();
     for (const char* const domain : {"D1", "D2", "D3", "D4"})
         if (this->fleet.owners_of(domain) != this->fleet.shards_of(domain))
