New jobs wait while an owner of another domain is lost with runs

An owner could not tell such a copy from a new job and knew nothing of the state of other domains' owners. It now knows when it last heard the owner of each of their shards. An owner heard within 600 ms has ended the jobs of every host whose callers' copies can be here, and one not heard for 1,500 ms has no lease left. Between the two, jobs that are new here are held, and refusals say that they may have run, until the owner or its successor is heard or the window ends. The window ends by what this host has heard and by the longest lease. A process younger than the window holds jobs while a listed domain has not been heard.

A killed or stopping owner with a successor holds none. A held job whose worth is over is answered as interrupted. Not priced: hosts starved so far that heartbeats between domains come more than 600 ms apart.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "chicorydrum/shard/messages.hpp"
+#include "chicorydrum/shard/owner_sightings.hpp"
 
 #include <map>
 #include <optional>
@@ -25,20 +26,6 @@
     double power = 0;
 };
 
-/// One shard of one domain.
-struct shard_name
-{
-    std::string domain;
-    int shard = 0;
-
-    bool operator==(const shard_name&) const = default;
-    bool operator<(const shard_name& other) const
-    {
-        return std::tie(this->domain, this->shard) <
-               std::tie(other.domain, other.shard);
-    }
-};
-
 /// The owner of a shard and the shard's load.
 struct shard_owner_ref
 {
@@ -129,6 +116,7 @@
     /// The same once the domain's hosts in the table are known: enough time to
     /// dial them twice. Shorter if all of them have sent a heartbeat.
     support::milliseconds known_settling_time{500};
+    sighting_options sightings = {};
 };
 
 class host_view
@@ -146,6 +134,11 @@
     /// The table lists a host of the own domain.
     void host_listed(const std::string& host);
     void host_unlisted(const std::string& host);
+    /// The table lists a host of another domain.
+    void domain_listed(const std::string& domain)
+    {
+        this->sightings.domain_listed(domain);
+    }
     /// All hosts that the domain had before this process started were listed.
     void listing_complete();
     void set_stopping(support::instant now);
@@ -211,6 +204,12 @@
     /// Returns whether \p peer does not follow the endpoints in the store.
     bool lacks_endpoints(const std::string& peer) const;
     bool is_live(const std::string& host) const;
+    /// Returns an owner of another domain that may have left runs of jobs whose
+    /// copies arrive here, if any.
+    std::optional<lost_owner> find_lost_owner(support::instant now) const
+    {
+        return this->sightings.find_lost(now);
+    }
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
     /// Returns whether this host has just lost all its peers, not only because
@@ -321,6 +320,7 @@
     /// The last known owner of each shard of the own domain.
     std::map<int, known_owner> last_owners;
     support::instant silence_counts_from;
+    owner_sightings sightings;
     /// When this host last gave each shard up.
     std::map<int, support::instant> released_at;
 };
--- a/shard/include/chicorydrum/shard/messages.hpp
+++ b/shard/include/chicorydrum/shard/messages.hpp
@@ -28,6 +28,20 @@
 /// which the owner counts how often it has raised the token of the endpoint.
 using support::token_raise_bits;
 
+/// One shard of one domain.
+struct shard_name
+{
+    std::string domain;
+    int shard = 0;
+
+    bool operator==(const shard_name&) const = default;
+    bool operator<(const shard_name& other) const
+    {
+        return std::tie(this->domain, this->shard) <
+               std::tie(other.domain, other.shard);
+    }
+};
+
 /// One task of one job.
 struct task_key
 {
--- /dev/null
+++ b/shard/include/chicorydrum/shard/owner_sightings.hpp
@@ -0,0 +1,72 @@
+/// \file
+/// When the owners of other domains were last heard. An owner that is lost
+/// leaves runs behind until its last lease has lapsed, and copies of their jobs
+/// may arrive here.
+#pragma once
+
+#include "chicorydrum/shard/messages.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chicorydrum::shard
+{
+
+struct sighting_options
+{
+    /// An owner that was heard this lately has ended the jobs of every host
+    /// whose callers' copies can be here: copies come 1,300 ms after the loss
+    /// of a host, whose owner stops its runs within 625 ms (silence 500, grace
+    /// after a stall 50, tick 25, stop 50).
+    support::milliseconds recent{600};
+    /// The last lease of an owner that was not heard for this long has lapsed:
+    /// next heartbeat 300, tick that is late by 100, lapse of a lease 1,100.
+    support::milliseconds lapse{1500};
+};
+
+/// An owner of another domain whose runs may be active without it.
+struct lost_owner
+{
+    shard_name name;
+    /// When it was last heard; unset if it never was.
+    std::optional<support::instant> heard_at;
+    /// When its last lease has lapsed.
+    support::instant lapses_at;
+};
+
+class owner_sightings
+{
+public:
+    owner_sightings(sighting_options opts, support::instant now);
+
+    /// Domain \p domain has hosts: it may have owners that were lost before
+    /// this process heard them.
+    void domain_listed(const std::string& domain);
+    /// A heartbeat of the owner of \p name, which divides its domain into
+    /// \p shards, has arrived.
+    void heard(const shard_name& name, fencing_token token, int shards,
+               support::instant now);
+    /// Returns the lost owner whose last lease lapses last, or nothing if
+    /// copies that arrive now have no active runs in other domains.
+    std::optional<lost_owner> find_lost(support::instant now) const;
+
+private:
+    struct sighting
+    {
+        fencing_token token = 0;
+        support::instant at;
+    };
+
+    sighting_options options;
+    support::instant started;
+    std::set<std::string> domains;
+    /// The highest number of shards that an owner of each domain has named.
+    std::map<std::string, int> shard_counts;
+    /// Of the owner with the highest token: it has listed its predecessor's
+    /// runs.
+    std::map<shard_name, sighting> owners;
+};
+
+} // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/shard/ended_jobs.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
+#include "chicorydrum/shard/owner_sightings.hpp"
 #include "chicorydrum/shard/refused_jobs.hpp"
 #include "chicorydrum/support/line_limit.hpp"
 #include "chicorydrum/support/log.hpp"
@@ -43,6 +44,9 @@
     std::function<bool()> endpoints_are_complete;
     /// Returns whether this process has read the platform's endpoints.
     std::function<bool()> has_read_endpoints;
+    /// Returns an owner of another domain that was lost and may have left runs
+    /// of jobs that are new here, if any.
+    std::function<std::optional<lost_owner>()> find_lost_owner;
     /// An endpoint refuses this owner's fencing token; \p had_accepted if it
     /// had accepted that token before.
     std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
@@ -250,6 +254,11 @@
     /// Returns whether this owner knows what another one that was sent \p job
     /// has started of it.
     bool knows_runs_of_others(const owned_job& job, support::instant now) const;
+    /// Holds \p job back if it may be a copy whose runs a lost owner of another
+    /// domain has left.
+    void hold_if_owner_is_lost(owned_job& job, support::instant now);
+    /// Returns whether \p job is held back.
+    bool is_held(const owned_job& job, support::instant now) const;
     /// Returns the endpoint where a task is expected to end first, or null. May
     /// return null although one is free if a faster one is worth the wait.
     endpoint_record* choose(const owned_job& job, const task_key& task,
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -90,6 +90,8 @@
              {
                  if (record.domain == this->options.self.domain)
                      this->view.host_listed(host);
+                 else
+                     this->view.domain_listed(record.domain);
                  this->hooks.host_known(host, record);
              },
              .host_removed =
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -51,7 +51,8 @@
 }
 
 host_view::host_view(host_view_options opts, instant now)
-    : options(std::move(opts)), started(now), current_time(now)
+    : options(std::move(opts)), started(now), current_time(now),
+      sightings(this->options.sightings, now)
 {
 }
 
@@ -97,8 +98,16 @@
     found->second.last_received = now;
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
-    if (!is_news || found->second.identity.domain != this->options.self.domain)
+    const std::string& domain = found->second.identity.domain;
+    if (domain != this->options.self.domain)
+    {
+        for (const schema::ownership& claim : heartbeat.owned)
+            this->sightings.heard({.domain = domain, .shard = claim.shard},
+                                  claim.token, heartbeat.shard_count, now);
         return is_news;
+    }
+    if (!is_news)
+        return false;
     this->raise_shard_count(heartbeat.shard_count, now);
     for (const schema::ownership& owned_there : heartbeat.owned)
         this->record_token(owned_there.shard, owned_there.token);
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -58,7 +58,7 @@
     const bool may_place_new = this->knows_runs_of_predecessors(now);
     for (const auto& [id, job] : this->jobs)
     {
-        if (job->waiting_tasks() == 0)
+        if (job->waiting_tasks() == 0 || this->is_held(*job, now))
             continue;
         const bool may_place = job->may_run
                                    ? this->knows_runs_of_others(*job, now)
@@ -138,6 +138,31 @@
            this->has_listed_all_since(job.received, now);
 }
 
+void shard_owner::hold_if_owner_is_lost(owned_job& job, instant now)
+{
+    const auto lost = this->hooks.find_lost_owner();
+    if (!lost)
+        return;
+    job.held_until = lost->lapses_at;
+    // -1 if it was never heard.
+    const std::int64_t heard_ms =
+        lost->heard_at ? support::whole_ms(now - *lost->heard_at) : -1;
+    this->hooks.log(
+        log_line("job_held")
+            .add("job", job.id())
+            .add("lost_domain", lost->name.domain)
+            .add("lost_shard", lost->name.shard)
+            .add("heard_ms", heard_ms)
+            .add("longest_ms", support::whole_ms(lost->lapses_at - now)));
+}
+
+bool shard_owner::is_held(const owned_job& job, instant now) const
+{
+    // A lost owner that is heard again has ended the jobs of lost hosts.
+    return job.held_until && now < *job.held_until &&
+           this->hooks.find_lost_owner();
+}
+
 bool shard_owner::place_job(owned_job& job, instant now)
 {
     bool placed_any = false;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -97,6 +97,7 @@
     auto new_job = std::make_unique<owned_job>(job, host, now);
     owned_job& added = *new_job;
     this->jobs[added.id()] = std::move(new_job);
+    this->hold_if_owner_is_lost(added, now);
     this->adopt_runs(added);
     if (added.may_run)
         this->request_all_lists(now);
@@ -178,7 +179,9 @@
                          const std::string& reason,
                          support::milliseconds retry_after, instant now)
 {
-    const bool may_run = this->may_have_run(job.work, job.may_run, now);
+    const bool may_run =
+        this->may_have_run(job.work, job.may_run, now) ||
+        (unsupported_reason(job.work).empty() && this->hooks.find_lost_owner());
     const schema::job_result outcome =
         may_run ? schema::job_result::interrupted : schema::job_result::not_run;
     schema::job_ended ended =
@@ -463,7 +466,8 @@
 
 bool shard_owner::may_have_run(const owned_job& job, instant now) const
 {
-    return job.has_started() || this->may_have_run(job.work, job.may_run, now);
+    return job.has_started() || this->is_held(job, now) ||
+           this->may_have_run(job.work, job.may_run, now);
 }
 
 void shard_owner::end_expired_jobs(instant now)
--- /dev/null
+++ b/shard/unittests/owner_sightings_test.cpp
@@ -0,0 +1,88 @@
+/// \file
+/// Tests which owners of other domains count as lost with runs, and how long.
+#include "chicorydrum/shard/owner_sightings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shard
+{
+
+using support::instant;
+using support::milliseconds;
+
+namespace
+{
+
+const instant start(milliseconds(1000));
+/// When the process has run for longer than any lease.
+const instant later = start + milliseconds(5000);
+const shard_name first{.domain = "D2", .shard = 0};
+const shard_name second{.domain = "D2", .shard = 1};
+const sighting_options limits{.recent = milliseconds(600),
+                              .lapse = milliseconds(1500)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(owner_sightings_rules)
+
+BOOST_AUTO_TEST_CASE(owner_counts_as_lost_within_its_window_only)
+{
+    owner_sightings owners(limits, start);
+    owners.heard(first, 7, 1, later);
+    BOOST_TEST(!owners.find_lost(later + milliseconds(600)).has_value());
+    const auto lost = owners.find_lost(later + milliseconds(601));
+    BOOST_REQUIRE(lost.has_value());
+    BOOST_TEST((lost->name == first));
+    BOOST_TEST((lost->heard_at == later));
+    BOOST_TEST((lost->lapses_at == later + milliseconds(1500)));
+    BOOST_TEST(owners.find_lost(later + milliseconds(1499)).has_value());
+    BOOST_TEST(!owners.find_lost(later + milliseconds(1500)).has_value());
+}
+
+// The loss of one owner is hidden by another of its domain.
+BOOST_AUTO_TEST_CASE(each_shard_counts_for_itself)
+{
+    owner_sightings owners(limits, start);
+    owners.heard(first, 7, 2, later);
+    owners.heard(second, 7, 2, later + milliseconds(500));
+    BOOST_TEST((owners.find_lost(later + milliseconds(700))->name == first));
+    const instant both_lost = later + milliseconds(1200);
+    BOOST_TEST((owners.find_lost(both_lost)->name == second));
+}
+
+// An owner that was succeeded is heard, while its successor is lost.
+BOOST_AUTO_TEST_CASE(lower_tokens_do_not_count)
+{
+    owner_sightings owners(limits, start);
+    owners.heard(first, 7, 1, later);
+    owners.heard(first, 8, 1, later + milliseconds(700));
+    BOOST_TEST(!owners.find_lost(later + milliseconds(700)).has_value());
+    owners.heard(first, 7, 1, later + milliseconds(1400));
+    BOOST_TEST(owners.find_lost(later + milliseconds(1400)).has_value());
+    // The successor's leases have lapsed: the domain may count anew.
+    owners.heard(first, 1, 1, later + milliseconds(2300));
+    BOOST_TEST(!owners.find_lost(later + milliseconds(2400)).has_value());
+}
+
+// A domain is lost while this process starts, which has never heard it.
+BOOST_AUTO_TEST_CASE(new_process_waits_for_domains_that_it_has_not_heard)
+{
+    owner_sightings owners(limits, start);
+    const instant soon = start + milliseconds(100);
+    BOOST_TEST(!owners.find_lost(soon).has_value());
+    owners.domain_listed("D2");
+    BOOST_REQUIRE(owners.find_lost(soon).has_value());
+    BOOST_TEST(
+        (owners.find_lost(soon)->lapses_at == start + milliseconds(1500)));
+    owners.heard(first, 7, 2, soon);
+    BOOST_TEST((owners.find_lost(soon)->name == second));
+    owners.heard(second, 7, 2, soon);
+    BOOST_TEST(!owners.find_lost(soon).has_value());
+    BOOST_TEST(!owner_sightings(limits, start)
+                    .find_lost(start + milliseconds(1500))
+                    .has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shard
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -54,6 +54,7 @@
                  { this->reports.push_back(end); },
                  .endpoints_are_complete = [] { return true; },
                  .has_read_endpoints = [] { return true; },
+                 .find_lost_owner = [] { return std::nullopt; },
                  .fenced = [this](const std::string&, bool) { ++this->fenced; },
                  .log =
                      [](const support::log_line&) {
