New owners ask the entry hosts what was refused

What callers could see: a job that its home shard had refused, and that another shard ran, was started a second time when its copy met a new owner of the home shard (shards.restart.copy_at_the_successor_of_an_owner_that_refused).

Cause: the refusal was known to the owner that had given it, and to nobody who told its successor.

The entry host of the job knows. With what it has open at a new owner, each host, of any domain, now names the jobs that this shard has refused and that run elsewhere (`elsewhere`, optional, so that hosts of both versions understand each other). The owner records them as its own refusals. Until every host whose jobs owners keep has answered, it starts nothing that is new to it, and says of its refusals that the job may have run; that ends with the 1.1 s after the claim, as before. A silent host is waited for until its jobs are ended everywhere, not for the 400 ms of the adoption: a host that stalls for 450 ms keeps its jobs.

The fixture of late_orders has an owner without an entry host, so it says itself that there are no other hosts; its checks stay.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -107,6 +107,18 @@
   4: i64 version
 }
 
+/// A job that the sender has open in another shard than the receiver's, where
+/// copies of it arrive.
+struct job_elsewhere {
+  1: i64 call
+  2: string id
+  /// The receiver's shard.
+  3: string domain
+  4: i32 shard
+  /// Time until the caller's deadline.
+  5: i64 time_left_us
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -129,6 +141,8 @@
   11: bool lacks_endpoints
   /// The leaving endpoints of the receiver's domain, if it lacks them.
   12: list<leaving_endpoint> leaving
+  /// With open_jobs: what the receiver's shards must not start a copy of.
+  13: optional list<job_elsewhere> elsewhere
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -60,6 +60,9 @@
     bool is_open(const std::string& id) const;
     /// Returns the ids of the jobs that wait for a result of \p host.
     std::vector<std::string> jobs_at(const std::string& host) const;
+    /// Returns the open jobs that \p shard has refused and another shard has.
+    std::vector<schema::job_elsewhere>
+    jobs_elsewhere(const shard_name& shard, support::instant now) const;
     /// Returns the hosts that may have a job of this host.
     std::set<std::string> holders() const;
 
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -126,6 +126,10 @@
     void withdraw_all(const std::string& host,
                       const std::vector<std::string>& open,
                       support::instant now);
+    /// Entry host \p host has \p job open in another shard, as it did under an
+    /// earlier owner: copies of it end as interrupted.
+    void note_elsewhere(const std::string& host,
+                        const schema::job_elsewhere& job, support::instant now);
     /// Ends the jobs of an entry host that has failed, as its callers'
     /// connections are lost with it. If it is only late, it is told.
     void end_jobs_of(const std::string& host, support::instant now);
@@ -145,6 +149,10 @@
         this->adoption_has_ended = true;
     }
 
+    /// Every host whose jobs are kept has named those that run in other shards
+    /// and whose copies arrive here.
+    void end_inquiry(support::instant now);
+
     /// Handles deadlines, leases and requests that are due.
     void tick(support::instant now);
 
@@ -243,7 +251,7 @@
     bool has_listed_all_since(support::instant since,
                               support::instant now) const;
     /// Returns whether this owner knows what earlier owners of the shard have
-    /// started.
+    /// started, and what they have refused that may run in other shards.
     bool knows_runs_of_predecessors(support::instant now) const;
     /// Returns when the last lease of an earlier owner has lapsed.
     support::instant predecessors_lapse() const;
@@ -350,6 +358,7 @@
     support::line_limit slow_stops;
     bool needs_placing = false;
     bool adoption_has_ended = false;
+    bool inquiry_has_ended = false;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -428,6 +428,9 @@
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
+    for (const schema::job_elsewhere& job : heartbeat.elsewhere)
+        if (shard_owner* const shard = this->find_shard(job.domain, job.shard))
+            shard->note_elsewhere(peer, job, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
         this->table.note_leaving(endpoint);
     this->update_shard_endpoints(now);
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -3,6 +3,7 @@
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -219,6 +220,16 @@
     schema::shard_message message = this->make_heartbeat(
         this->view.domain_of(owner) == this->options.self.domain);
     message.beat.__set_open_jobs(this->intake.jobs_at(owner));
+    std::vector<schema::job_elsewhere> elsewhere;
+    for (const auto& [name, claim] : this->view.owners())
+    {
+        if (claim.host != owner)
+            continue;
+        const auto found =
+            this->intake.jobs_elsewhere(name, this->current_time);
+        elsewhere.insert(elsewhere.end(), found.begin(), found.end());
+    }
+    message.beat.__set_elsewhere(std::move(elsewhere));
     const auto answered = this->answered_tokens.find(owner);
     if (answered != this->answered_tokens.end())
         message.beat.__set_known_tokens(answered->second);
@@ -228,6 +239,11 @@
 void entry_host::end_answered_adoptions()
 {
     const std::vector<std::string> peers = this->view.live_peers();
+    // Owners end the jobs of the others, which have fallen silent.
+    std::vector<std::string> kept;
+    std::copy_if(peers.begin(), peers.end(), std::back_inserter(kept),
+                 [this](const std::string& peer)
+                 { return this->view.keeps_jobs_of(peer); });
     for (const auto& [number, shard] : this->shards)
     {
         const auto has_answered =
@@ -242,6 +258,8 @@
         };
         if (std::all_of(peers.begin(), peers.end(), has_answered))
             shard->end_adoption();
+        if (std::all_of(kept.begin(), kept.end(), has_answered))
+            shard->end_inquiry(this->current_time);
     }
 }
 
@@ -299,6 +317,9 @@
     this->table.set_owner(true);
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
+    for (const schema::job_elsewhere& job : this->intake.jobs_elsewhere(
+             {.domain = opts.domain, .shard = number}, now))
+        claimed.note_elsewhere(this->options.self.name, job, now);
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
 }
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -232,6 +232,26 @@
     return ids;
 }
 
+std::vector<schema::job_elsewhere>
+job_intake::jobs_elsewhere(const shard_name& shard, instant now) const
+{
+    std::vector<schema::job_elsewhere> found;
+    for (const auto& [call, job] : this->jobs)
+    {
+        if (!job.shard || *job.shard == shard ||
+            std::find(job.refused_by.begin(), job.refused_by.end(), shard) ==
+                job.refused_by.end())
+            continue;
+        schema::job_elsewhere& named = found.emplace_back();
+        named.call = static_cast<std::int64_t>(call);
+        named.id = job.work.id;
+        named.domain = shard.domain;
+        named.shard = shard.shard;
+        named.time_left_us = (job.deadline - now).count();
+    }
+    return found;
+}
+
 std::set<std::string> job_intake::holders() const
 {
     std::set<std::string> hosts;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -107,7 +107,7 @@
     // the predecessor can have given.
     if (now >= this->predecessors_lapse())
         return true;
-    return this->hooks.has_read_endpoints() &&
+    return this->inquiry_has_ended && this->hooks.has_read_endpoints() &&
            std::none_of(this->endpoints.begin(), this->endpoints.end(),
                         [this, now](const auto& entry)
                         {
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cassert>
 #include <set>
+#include <utility>
 
 namespace chicorydrum::shard
 {
@@ -295,6 +296,40 @@
         this->remove(id, now);
 }
 
+void shard_owner::note_elsewhere(const std::string& host,
+                                 const schema::job_elsewhere& job, instant now)
+{
+    // Copies arrive at the home shard only.
+    if (shard_of(job.id, this->options.shards) != this->options.shard)
+        return;
+    const caller_call call{.host = host, .call = job.call};
+    const auto active = this->jobs.find(job.id);
+    const bool has_copy = active != this->jobs.end() &&
+                          call != caller_call{active->second->caller.host,
+                                              active->second->caller.call};
+    this->hooks.log(log_line("job_elsewhere")
+                        .add("job", job.id)
+                        .add("shard", this->options.shard)
+                        .add("host", host)
+                        .add("copy", has_copy));
+    // It has arrived before the answer of the earlier call's host.
+    if (has_copy)
+        this->finish(job.id, schema::job_result::interrupted,
+                     "offered_elsewhere", now);
+    this->record_refusal(job.id, call,
+                         now + support::microseconds(job.time_left_us), now);
+}
+
+void shard_owner::end_inquiry(instant now)
+{
+    if (std::exchange(this->inquiry_has_ended, true))
+        return;
+    this->hooks.log(
+        log_line("inquiry_ended")
+            .add("shard", this->options.shard)
+            .add("age_ms", support::whole_ms(now - this->owned_since)));
+}
+
 void shard_owner::end_jobs_of(const std::string& host, instant now)
 {
     std::vector<std::string> ids;
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -18,7 +18,11 @@
 constexpr std::size_t max_name_length = 200;
 constexpr std::int64_t max_port = 65535;
 constexpr std::size_t max_owned_shards = 1024;
+/// A host has 2,000 open jobs at most, each with up to four shards where its
+/// copies may arrive.
+constexpr std::size_t max_jobs_elsewhere = 8000;
 constexpr const char* plain = "a plain name";
+constexpr std::int64_t max_span_us = max_span_ms * 1000;
 
 /// Records the first value that is out of its range.
 class range_check
@@ -97,6 +101,16 @@
                             .integer("shard", shard, 0, max_shards - 1)
                             .integer("token", token, 1, max_owner_token)
                             .outcome());
+    checked.require(heartbeat.elsewhere.size() <= max_jobs_elsewhere,
+                    "elsewhere", "a short list");
+    for (const schema::job_elsewhere& job : heartbeat.elsewhere)
+        checked.include(range_check()
+                            .require(is_job_id(job.id), "id", "a job's id")
+                            .require(is_plain_name(job.domain), "domain", plain)
+                            .integer("shard", job.shard, 0, max_shards - 1)
+                            .integer("time_left_us", job.time_left_us,
+                                     -max_span_us, max_span_us)
+                            .outcome());
     checked.require(heartbeat.leaving.size() <= max_leaving, "leaving",
                     "a short list");
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
@@ -124,7 +138,6 @@
 
 result<void> check_submission(const schema::job_submitted& submitted)
 {
-    constexpr std::int64_t max_span_us = max_span_ms * 1000;
     const schema::job& work = submitted.work;
     range_check checked;
     checked.require(is_job_id(work.id), "id", "a job's id")
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -60,6 +60,8 @@
                      }},
                 support::instant(support::seconds(1)))
     {
+        // No other host is alive.
+        this->owner.end_inquiry(this->now);
     }
 
     void set_endpoints(std::vector<schema::endpoint_registration> listed)
--- a/test/shards/new_owner_test.cpp
+++ b/test/shards/new_owner_test.cpp
@@ -127,6 +127,52 @@
     }
 }
 
+// The owner of a job's home shard has refused it and is lost, and a copy meets
+// the successor before the entry host, which may be late, has named the job.
+BOOST_AUTO_TEST_CASE(copy_before_a_new_owner_has_heard_of_refused_jobs)
+{
+    const job_shape filling{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(9000),
+                            .timeout = milliseconds(20000)};
+    const job_shape refused{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(2500),
+                            .timeout = milliseconds(5000)};
+    for (const int stall : {0, 200, 300, 390, 450})
+        for (int offset = 200; offset <= 900; offset += 25)
+            BOOST_TEST_CONTEXT("stall " << stall << " offset " << offset)
+            {
+                shard_fleet fleet({.hosts_per_domain = 4,
+                                   .endpoints_per_domain = 4,
+                                   .endpoints_per_shard = 2,
+                                   .powers = {1, 0.9, 0.1, 0.1}});
+                fleet.run_for(warm_up);
+                // By their ids, job1 and job3 belong to shard 0 and job2 to
+                // shard 1.
+                const std::string filler = fleet.submit("D1-h3", filling);
+                fleet.submit("D1-h3", {.tasks = 1, .work = milliseconds(10)});
+                fleet.run_for(milliseconds(50));
+                const std::string job = fleet.submit("D1-h3", refused);
+                fleet.run_for(milliseconds(50));
+                BOOST_TEST(fleet.starts_of(job) == 2);
+                fleet.disconnect_caller(filler);
+                fleet.run_for(milliseconds(150));
+                fleet.send_copies_to("D1-h4");
+                fleet.lose_caller(job, std::nullopt, milliseconds(offset));
+                for (const char* const host : {"D1-h1", "D1-h2"})
+                    if (fleet.host(host)->owned_shards().contains(0))
+                        fleet.kill(host);
+                // It has told by now that it does not hear the owner any more.
+                fleet.run_for(milliseconds(200));
+                if (stall > 0)
+                    fleet.pause("D1-h3", milliseconds(stall));
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(fleet.caller(job).attempts > 1);
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/transport/unittests/odd_frames_test.cpp
+++ b/transport/unittests/odd_frames_test.cpp
@@ -224,6 +224,22 @@
                      {
                          m.beat.__set_known_tokens({{-1, 1}});
                      }},
+                    {"a job elsewhere without id",
+                     [](message& m)
+                     {
+                         schema::job_elsewhere job;
+                         job.domain = "D1";
+                         m.beat.__set_elsewhere({job});
+                     }},
+                    {"a job elsewhere of shard -1",
+                     [](message& m)
+                     {
+                         schema::job_elsewhere job;
+                         job.id = "job";
+                         job.domain = "D1";
+                         job.shard = -1;
+                         m.beat.__set_elsewhere({job});
+                     }},
                     {"100000 shards owned", [](message& m)
                      {
                          m.beat.owned.resize(100000, m.beat.owned[0]);
