News of leaving endpoints waits for rows that are not known yet

A host that the store refuses could go on giving work to an endpoint that leaves although its peers had told it: `note_leaving` dropped the news if the endpoint was not known, or known in another incarnation. And peers told nobody any more of an endpoint whose row was removed while it still served.

Each host now keeps, by id, the last row that says that an endpoint leaves, as read or as told. The store numbers all its rows in one order, so a row that is older than the news cannot contradict it, whatever its incarnation; a later one ends it. The memory is bounded, and peers are told of endpoints without an entry for 30 s.

The new suite `shards.leaving` runs in virtual time.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -163,6 +163,11 @@
     support::milliseconds dropped_lately{30000};
     /// Dropped endpoints that are remembered.
     std::size_t max_dropped = 4096;
+    /// How long peers are told of a leaving endpoint without an entry. It may
+    /// serve for many seconds after its entry was removed.
+    support::milliseconds leaving_memory{30000};
+    /// Leaving endpoints that are remembered.
+    std::size_t max_remembered_leaving = 4096;
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
@@ -185,11 +190,14 @@
     /// Returns whether the endpoints in the store are not followed at the
     /// moment.
     bool lacks_endpoints() const;
-    /// Returns the leaving endpoints of \p domain.
-    std::vector<schema::leaving_endpoint>
-    leaving(const std::string& domain) const;
-    /// A peer has read that an endpoint leaves.
-    void note_leaving(const schema::leaving_endpoint& endpoint);
+    /// Returns the leaving endpoints of \p domain, also those whose rows were
+    /// removed lately, as they may still serve.
+    std::vector<schema::leaving_endpoint> leaving(const std::string& domain,
+                                                  support::instant now) const;
+    /// A peer has read that an endpoint leaves. Earlier rows of the endpoint,
+    /// also those that are read later, say nothing against it.
+    void note_leaving(const schema::leaving_endpoint& endpoint,
+                      support::instant now);
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
     void refresh_endpoints();
@@ -261,6 +269,15 @@
         std::optional<schema::endpoint_registration> contradiction = {};
     };
 
+    struct leaving_news
+    {
+        schema::leaving_endpoint endpoint;
+        /// Of all news of this host, this is the one with that number.
+        std::int64_t number = 0;
+        /// When it was first read or heard, or its entry was dropped since.
+        support::instant as_of;
+    };
+
     struct dropped_endpoint
     {
         schema::endpoint_registration entry;
@@ -291,6 +308,10 @@
     bool is_outdated(const endpoint_row& row) const;
     /// Uses an entry unless it contradicts the one that is known.
     void apply_entry(const endpoint_row& row, support::instant now);
+    /// Notes that an endpoint leaves, unless a later row was noted of it.
+    /// Returns whether this is news.
+    bool remember_leaving(const schema::leaving_endpoint& endpoint,
+                          support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
     /// Writes the registration again: at once after a stable registration, then
@@ -305,6 +326,10 @@
     /// Dropped endpoints by id. Their versions keep reads of earlier rows from
     /// bringing them back.
     std::map<std::string, dropped_endpoint> dropped;
+    /// By id, the last row of each endpoint that says that it leaves, as read
+    /// or as told by a peer. A later row that says otherwise ends it.
+    std::map<std::string, leaving_news> news;
+    std::int64_t last_news = 0;
     /// The other hosts that were reported, and the versions of their rows.
     std::map<std::string, std::int64_t> known_hosts;
     /// No known endpoint is missing if this is false.
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -38,6 +38,17 @@
     return {};
 }
 
+schema::leaving_endpoint leaving_of(const schema::endpoint_registration& entry,
+                                    std::int64_t version)
+{
+    schema::leaving_endpoint one;
+    one.id = entry.id;
+    one.domain = entry.domain;
+    one.born_ms = entry.born_ms;
+    one.version = version;
+    return one;
+}
+
 } // namespace
 
 std::string_view name_of(directory_table table)
@@ -97,41 +108,67 @@
 }
 
 std::vector<schema::leaving_endpoint>
-directory::leaving(const std::string& domain) const
+directory::leaving(const std::string& domain, instant now) const
 {
     std::vector<schema::leaving_endpoint> found;
-    for (const auto& [id, known_one] : this->known)
+    for (const auto& [id, one] : this->news)
     {
-        const schema::endpoint_registration& entry = known_one.entry;
-        if (!entry.is_draining || entry.domain != domain ||
-            found.size() >= support::max_leaving)
-            continue;
-        schema::leaving_endpoint& one = found.emplace_back();
-        one.id = id;
-        one.domain = entry.domain;
-        one.born_ms = entry.born_ms;
-        one.version = known_one.version;
+        const bool may_serve = this->known.contains(id) ||
+                               now - one.as_of < this->options.leaving_memory;
+        if (may_serve && one.endpoint.domain == domain &&
+            found.size() < support::max_leaving)
+            found.push_back(one.endpoint);
     }
     return found;
 }
 
-void directory::note_leaving(const schema::leaving_endpoint& endpoint)
+bool directory::remember_leaving(const schema::leaving_endpoint& endpoint,
+                                 instant now)
+{
+    const auto found = this->news.find(endpoint.id);
+    if (found != this->news.end() &&
+        found->second.endpoint.version >= endpoint.version)
+        return false;
+    if (found == this->news.end() &&
+        this->news.size() >= this->options.max_remembered_leaving)
+        this->news.erase(std::min_element(
+            this->news.begin(), this->news.end(),
+            [](const auto& one, const auto& other)
+            { return one.second.number < other.second.number; }));
+    this->news[endpoint.id] = {
+        .endpoint = endpoint, .number = ++this->last_news, .as_of = now};
+    return true;
+}
+
+void directory::note_leaving(const schema::leaving_endpoint& endpoint,
+                             instant now)
 {
     const auto found = this->known.find(endpoint.id);
-    if (found == this->known.end())
+    const bool is_known = found != this->known.end();
+    // The version of a missing entry is that of the answer that lacked it,
+    // which may be later than a row that nobody here has read.
+    const bool is_outdated = is_known &&
+                             found->second.version >= endpoint.version &&
+                             !(found->second.missing_since &&
+                               found->second.entry.born_ms == endpoint.born_ms);
+    if (is_outdated || !this->remember_leaving(endpoint, now))
         return;
-    known_endpoint& known_one = found->second;
-    if (known_one.entry.born_ms != endpoint.born_ms ||
-        known_one.version >= endpoint.version || known_one.entry.is_draining)
-        return;
-    known_one.entry.is_draining = true;
-    known_one.version = endpoint.version;
-    ++this->endpoint_changes;
+    // An entry of another incarnation is outdated: its successor leaves.
+    const bool is_used = is_known && !found->second.entry.is_draining;
+    if (is_used)
+    {
+        found->second.entry.is_draining = true;
+        ++this->endpoint_changes;
+    }
+    if (is_known)
+        found->second.version =
+            std::max(found->second.version, endpoint.version);
     this->hooks.log(log_line("endpoint_leaves")
                         .add("endpoint", endpoint.id)
                         .add("born_ms", endpoint.born_ms)
                         .add("version", endpoint.version)
-                        .add("source", "peer"));
+                        .add("source", "peer")
+                        .add("outcome", is_used ? "applied" : "remembered"));
 }
 
 void directory::refresh_endpoints()
@@ -412,13 +449,27 @@
         }
     }
     this->dropped.erase(row.id);
+    schema::endpoint_registration entry = *row.entry;
+    std::int64_t version = row.version;
+    const auto told = this->news.find(row.id);
+    if (entry.is_draining)
+        this->remember_leaving(leaving_of(entry, row.version), now);
+    else if (told != this->news.end() &&
+             told->second.endpoint.version > row.version)
+    {
+        // A peer has read a later row than this one.
+        entry.is_draining = true;
+        version = told->second.endpoint.version;
+    }
+    else if (told != this->news.end())
+        this->news.erase(told);
     known_endpoint& endpoint = this->known[row.id];
-    endpoint.version = row.version;
+    endpoint.version = version;
     endpoint.missing_since.reset();
     endpoint.contradiction.reset();
-    if (endpoint.entry == *row.entry)
+    if (endpoint.entry == entry)
         return;
-    endpoint.entry = *row.entry;
+    endpoint.entry = std::move(entry);
     ++this->endpoint_changes;
 }
 
@@ -455,6 +506,9 @@
             this->dropped[entry.first] = {.entry = endpoint.entry,
                                           .version = endpoint.version,
                                           .dropped_at = now};
+            const auto told = this->news.find(entry.first);
+            if (told != this->news.end())
+                told->second.as_of = now;
             return true;
         });
     if (gone > 0)
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -429,7 +429,7 @@
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
-        this->table.note_leaving(endpoint);
+        this->table.note_leaving(endpoint, now);
     this->update_shard_endpoints(now);
     if (heartbeat.__isset.known_tokens)
         this->answered_by[peer] = heartbeat.known_tokens;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -437,7 +437,7 @@
             continue;
         }
         schema::shard_message with_leaving = usual;
-        with_leaving.beat.leaving = this->table.leaving(domain);
+        with_leaving.beat.leaving = this->table.leaving(domain, now);
         this->hooks.send(peer, with_leaving);
     }
     if (local_is_due)
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -445,6 +445,88 @@
     BOOST_TEST(this->reads.size() >= 1U);
 }
 
+// Guards against news of a leaving endpoint that is lost since the endpoint is
+// not known, or is known in another incarnation.
+BOOST_FIXTURE_TEST_CASE(news_of_leaving_endpoints_wait_for_their_rows,
+                        directory_fixture)
+{
+    const auto read =
+        [this](const std::string& id, std::int64_t born, std::int64_t row)
+    {
+        table_rows rows;
+        rows.table = directory_table::endpoints;
+        rows.status = read_status::read;
+        rows.version = row;
+        rows.endpoints = {{.id = id, .entry = {}, .version = row}};
+        rows.endpoints[0].entry.emplace();
+        rows.endpoints[0].entry->id = id;
+        rows.endpoints[0].entry->born_ms = born;
+        this->table.rows_read(rows, this->now);
+    };
+    const auto tell =
+        [this](const std::string& id, std::int64_t born, std::int64_t row)
+    {
+        schema::leaving_endpoint told;
+        told.id = id;
+        told.born_ms = born;
+        told.version = row;
+        this->table.note_leaving(told, this->now);
+    };
+    const auto leaves = [this](const std::string& id)
+    {
+        for (const auto& entry : this->table.endpoints())
+            if (entry.id == id)
+                return entry.is_draining;
+        return false;
+    };
+    // Not known yet; the row is an earlier one.
+    tell("i-1", 7, 20);
+    read("i-1", 7, 10);
+    BOOST_TEST(leaves("i-1"));
+    // Known in an earlier incarnation.
+    read("i-2", 7, 11);
+    const auto before = this->table.endpoints_version();
+    tell("i-2", 8, 21);
+    BOOST_TEST(leaves("i-2"));
+    BOOST_TEST(this->table.endpoints_version() != before);
+    read("i-2", 8, 15);
+    BOOST_TEST(leaves("i-2"));
+    // Known by a later row.
+    read("i-3", 8, 30);
+    tell("i-3", 7, 22);
+    BOOST_TEST(!leaves("i-3"));
+    // Later rows say otherwise.
+    read("i-1", 8, 31);
+    BOOST_TEST(!leaves("i-1"));
+    read("i-2", 9, 32);
+    BOOST_TEST(!leaves("i-2"));
+}
+
+// Guards against an endpoint that peers are not told of any more since its row
+// was removed, although it still serves.
+BOOST_FIXTURE_TEST_CASE(removed_endpoints_are_told_of_for_a_while,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 10;
+    rows.endpoints = {{.id = "i-1", .entry = {}, .version = 10}};
+    rows.endpoints[0].entry.emplace();
+    rows.endpoints[0].entry->id = "i-1";
+    rows.endpoints[0].entry->domain = "D1";
+    rows.endpoints[0].entry->is_draining = true;
+    this->table.rows_read(rows, this->now);
+    rows.version = 11;
+    rows.endpoints = {{.id = "i-1", .entry = {}, .version = 11}};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(5000));
+    BOOST_TEST(this->table.endpoints().empty());
+    BOOST_TEST(this->table.leaving("D1", this->now).size() == 1U);
+    this->run_for(milliseconds(30000));
+    BOOST_TEST(this->table.leaving("D1", this->now).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- /dev/null
+++ b/test/shards/leaving_test.cpp
@@ -0,0 +1,204 @@
+/// \file
+/// Endpoints that leave, and what the owners of their shards know of it.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+/// The time in which a small site's endpoints still serve after they have told
+/// the store that they leave.
+constexpr milliseconds small_drain_time{2000};
+/// Longer than the time after which a refused host's reads fail.
+constexpr milliseconds refusal_noticed{1600};
+
+/// Submits jobs for \p span and returns how many tasks \p endpoint started
+/// meanwhile.
+int starts_during(shard_fleet& fleet, const std::string& endpoint,
+                  milliseconds span)
+{
+    constexpr milliseconds gap{50};
+    const int before = fleet.endpoint(endpoint).starts();
+    submit_load(fleet, static_cast<int>(span / gap), gap);
+    return fleet.endpoint(endpoint).starts() - before;
+}
+
+/// Keeps all hosts of \p domain from the store.
+void refuse_domain(shard_fleet& fleet, const std::string& domain)
+{
+    for (const std::string& host : fleet.host_names())
+        if (host.starts_with(domain + "-"))
+            fleet.partition({host}, {"store"});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leaving)
+
+// Guards against starts on a new incarnation that leaves, by an owner that the
+// store refuses and that knows the earlier one.
+BOOST_AUTO_TEST_CASE(unknown_incarnation_leaves)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    fleet.partition({fleet.owner_of("D1")}, {"store"});
+    fleet.run_for(refusal_noticed);
+    // Without closed connections, only the next call shows the restart.
+    fleet.restart_endpoint("D1-e1");
+    fleet.set_draining("D1-e1");
+    fleet.run_for(small_drain_time);
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(2000)) == 0);
+    check_no_violations(fleet);
+}
+
+// Guards against starts on a leaving endpoint that the owner first reads of in
+// rows as they were before, when it has been told of it already.
+BOOST_AUTO_TEST_CASE(unknown_endpoint_leaves)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    const int refusal = fleet.partition({owner}, {"store"});
+    fleet.run_for(refusal_noticed);
+    fleet.add_endpoint("D1", 5);
+    fleet.run_for(milliseconds(3000));
+    fleet.set_draining("D1-e5");
+    fleet.run_for(milliseconds(1000));
+    fleet.discard_history();
+    fleet.set_read_lag(milliseconds(3000));
+    fleet.heal(refusal);
+    BOOST_TEST(starts_during(fleet, "D1-e5", milliseconds(1900)) == 0);
+    check_no_violations(fleet);
+}
+
+// Guards against starts on an endpoint that still serves after its row was
+// removed, by a domain that the store refuses and that hears of others later.
+BOOST_AUTO_TEST_CASE(row_is_removed_before_the_news)
+{
+    shard_fleet fleet({.domains = 2});
+    fleet.run_for(warm_up);
+    refuse_domain(fleet, "D1");
+    std::set<std::string> first;
+    std::set<std::string> second;
+    for (const std::string& host : fleet.host_names())
+        (host.starts_with("D1-") ? first : second).insert(host);
+    const int cut = fleet.partition(first, second);
+    fleet.set_draining("D1-e1");
+    fleet.run_for(milliseconds(1000));
+    fleet.remove_endpoint("D1-e1");
+    // Longer than the time for which a missing entry stands.
+    fleet.run_for(milliseconds(4000));
+    fleet.heal(cut);
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(2000)) == 0);
+}
+
+// Guards against news that a refused owner does not get since all hosts that
+// could tell it start anew when the endpoint leaves.
+BOOST_AUTO_TEST_CASE(relays_start_anew)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string owner = fleet.owner_of("D1");
+    fleet.partition({owner}, {"store"});
+    fleet.run_for(refusal_noticed);
+    fleet.set_draining("D1-e1");
+    for (const std::string& host : fleet.host_names())
+        if (host != owner)
+            fleet.kill(host);
+    fleet.run_for(milliseconds(1000));
+    for (const std::string& host : fleet.host_names())
+        if (host != owner)
+            fleet.start(host);
+    fleet.run_for(milliseconds(900));
+    starts_during(fleet, "D1-e1", milliseconds(2000));
+    check_no_violations(fleet);
+}
+
+// Guards against news that comes too late to an owner that the store refuses
+// from the moment on at which the endpoint leaves.
+BOOST_AUTO_TEST_CASE(owner_is_refused_at_that_moment)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({});
+        fleet.run_for(warm_up + milliseconds(offset * 25));
+        fleet.partition({fleet.owner_of("D1")}, {"store"});
+        fleet.set_draining("D1-e1");
+        starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+        check_no_violations(fleet);
+    }
+}
+
+// The same if the hosts that tell of it have slow reads themselves.
+BOOST_AUTO_TEST_CASE(relays_read_slowly)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({});
+        fleet.run_for(warm_up + milliseconds(offset * 25));
+        const std::string owner = fleet.owner_of("D1");
+        for (const std::string& host : fleet.host_names())
+            if (host != owner)
+                fleet.set_read_delay(host, milliseconds(200));
+        fleet.partition({owner}, {"store"});
+        fleet.set_draining("D1-e1");
+        starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+        check_no_violations(fleet);
+    }
+}
+
+// Guards against a host that takes itself for informed after one good read
+// between two refusals.
+BOOST_AUTO_TEST_CASE(refusal_ends_and_begins_again)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({});
+        fleet.run_for(warm_up);
+        const std::string owner = fleet.owner_of("D1");
+        const int refusal = fleet.partition({owner}, {"store"});
+        fleet.run_for(milliseconds(3000));
+        fleet.heal(refusal);
+        fleet.run_for(milliseconds(100 + offset * 50));
+        fleet.partition({owner}, {"store"});
+        fleet.set_draining("D1-e1");
+        starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+        check_no_violations(fleet);
+    }
+}
+
+// Guards against hosts that start anew, read rows as they were before, and give
+// work to endpoints of which the one host that went on knows that they leave.
+BOOST_AUTO_TEST_CASE(all_but_one_start_anew_while_the_store_lags)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string other = other_host(fleet, fleet.owner_of("D1"));
+    fleet.set_draining("D1-e1");
+    // Covers the longest time between two reads.
+    fleet.run_for(milliseconds(2100));
+    fleet.set_read_lag(milliseconds(8000));
+    for (const std::string& host : fleet.host_names())
+        if (host != other)
+            fleet.kill(host);
+    fleet.run_for(milliseconds(300));
+    for (const std::string& host : fleet.host_names())
+        if (host != other)
+            fleet.start(host);
+    // The reads that follow show changes as long as the store keeps them.
+    fleet.discard_history();
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(4000)) == 0);
+    check_no_violations(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -717,6 +717,12 @@
     this->set_store_disturbed(lag.count() > 0 || !this->store_is_up);
 }
 
+void shard_fleet::set_read_delay(const std::string& host, milliseconds delay)
+{
+    this->trace("read_delay " + host + " ms=" + std::to_string(delay.count()));
+    this->read_delays[host] = delay;
+}
+
 void shard_fleet::set_store_disturbed(bool is_disturbed)
 {
     const bool was_disturbed = !this->store_disturbances.empty() &&
@@ -777,14 +783,18 @@
 void shard_fleet::read(const std::string& name, int incarnation,
                        const shard::table_read& wanted)
 {
-    const bool reaches =
-        this->store_is_up && !this->are_partitioned(name, "store");
+    const auto slowed = this->read_delays.find(name);
+    const support::microseconds usual =
+        slowed == this->read_delays.end() ? store_delay : slowed->second;
+    const bool reaches = this->store_is_up &&
+                         !this->are_partitioned(name, "store") &&
+                         usual < store_timeout;
     shard::table_rows rows;
     rows.table = wanted.table;
     auto delay = support::duration_cast<support::microseconds>(store_timeout);
     if (reaches)
     {
-        delay = store_delay;
+        delay = usual;
         const bool is_new =
             std::any_of(this->rows_of(wanted.table).begin(),
                         this->rows_of(wanted.table).end(),
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -172,6 +172,9 @@
     void discard_history();
     /// Makes reads of whole tables show the rows as they were \p lag ago.
     void set_read_lag(support::milliseconds lag);
+    /// Makes the store take \p delay for each read of \p host; the answer shows
+    /// the rows as they were when it was asked for.
+    void set_read_delay(const std::string& host, support::milliseconds delay);
     /// Makes each answer of \p endpoint take between \p least and \p most.
     /// Its orders are executed in time.
     void set_answer_delay(const std::string& endpoint,
@@ -357,6 +360,8 @@
     /// All changes of each table, for reads of earlier rows.
     std::array<std::vector<row_change>, shard::directory_tables> changes;
     support::milliseconds read_lag{0};
+    /// By host; other reads take the usual time.
+    std::map<std::string, support::milliseconds> read_delays;
     struct time_span
     {
         support::instant from;
