Heartbeats say up to which version the endpoints are known

When the store refused all hosts of a domain at the moment at which an endpoint left, its owners went on giving it work for longer than two seconds: the other domains' hosts told them only once each of them had said that it did not follow the endpoints, which takes a failed read of each, for hosts without a shard up to 2 s later. A host that hung in a read counted as informed, and nothing showed how old its knowledge was.

Heartbeats now name the store's version up to which the endpoints were read, and each host tells each peer, once on a link, of the leaving endpoints of its domain above that version. More of them than one heartbeat holds follow in the next ones. A peer that does not follow is told as soon as there is news. A read that is due for a second without a good answer counts as late like a failed one (an owner's knowledge is 1.5 s old then), and the host says so at once. The age is logged when that begins and ends (`endpoints_late`, `endpoints_followed`), and shown by the metric `endpoints_age_seconds`.

`reads_that_hang_count_as_lacking` and `more_leaving_endpoints_than_a_heartbeat_holds` need the new functions.

--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -134,6 +134,10 @@
             static_cast<double>(host.hosts().connected_peers().size()));
     all.set("store_available", "1 while the store answers.",
             host.store_is_available() ? 1 : 0);
+    if (const auto age = host.endpoints_age())
+        all.set("endpoints_age_seconds",
+                "Time since the last good read of the endpoints was asked for.",
+                support::in_seconds(*age));
     all.set("ready", "1 while new callers should come to this host.",
             host.is_ready() ? 1 : 0);
     all.set("owned_shards", "Shards that this host owns.",
--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -127,8 +127,12 @@
   10: optional map<i32, i64> known_tokens
   /// The sender does not follow the endpoints in the store at the moment.
   11: bool lacks_endpoints
-  /// The leaving endpoints of the receiver's domain, if it lacks them.
+  /// Leaving endpoints of the receiver's domain whose rows are later than its
+  /// endpoints_version, each of them once on a link.
   12: list<leaving_endpoint> leaving
+  /// The version of the store up to which the sender has read the endpoints; 0
+  /// before its first read.
+  13: i64 endpoints_version
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -152,6 +152,10 @@
     support::milliseconds owner_interval{500};
     /// The same for hosts that own no shard but may take one over.
     support::milliseconds standby_interval{2000};
+    /// A read of the endpoints that is due for this long without a good answer
+    /// is late: an owner's knowledge is then 1.5 s old, and an endpoint that
+    /// leaves may serve for two seconds.
+    support::milliseconds late_read{1000};
     /// How long an endpoint without an entry is kept, since entries also expire
     /// when the store fails.
     support::milliseconds missing_grace{2500};
@@ -172,6 +176,15 @@
     support::milliseconds longest_backoff{1000};
 };
 
+/// Leaving endpoints to tell a peer of.
+struct leaving_list
+{
+    std::vector<schema::leaving_endpoint> endpoints;
+    /// The number of the last news that was looked at; the next list continues
+    /// after it.
+    std::int64_t last = 0;
+};
+
 class directory
 {
 public:
@@ -188,12 +201,30 @@
     /// that leave.
     void set_relaying(bool relays);
     /// Returns whether the endpoints in the store are not followed at the
-    /// moment.
-    bool lacks_endpoints() const;
-    /// Returns the leaving endpoints of \p domain, also those whose rows were
-    /// removed lately, as they may still serve.
-    std::vector<schema::leaving_endpoint> leaving(const std::string& domain,
-                                                  support::instant now) const;
+    /// moment, or reads of them are late.
+    bool lacks_endpoints(support::instant now) const;
+    /// Returns the version of the store up to which the endpoints were read; 0
+    /// if there is none that can be relied on.
+    std::int64_t endpoints_read_to() const
+    {
+        return this->endpoints_read_version;
+    }
+    /// Returns when the last good read of the endpoints was asked for, or
+    /// nothing before it.
+    std::optional<support::instant> endpoints_as_of() const
+    {
+        return this->endpoints_asked_at;
+    }
+    /// Returns the number of the last news of a leaving endpoint.
+    std::int64_t last_leaving() const
+    {
+        return this->last_news;
+    }
+    /// Returns the leaving endpoints of \p domain with rows after version
+    /// \p known whose news is numbered above \p after, in that order; also
+    /// those whose rows were removed lately, as they may still serve.
+    leaving_list leaving(const std::string& domain, std::int64_t known,
+                         std::int64_t after, support::instant now) const;
     /// A peer has read that an endpoint leaves. Earlier rows of the endpoint,
     /// also those that are read later, say nothing against it.
     void note_leaving(const schema::leaving_endpoint& endpoint,
@@ -253,6 +284,10 @@
         std::optional<table_rows> earlier = {};
         bool is_reading = false;
         support::instant next_read;
+        /// When the first read since the last good one was asked for.
+        std::optional<support::instant> wanted_since = {};
+        /// When the read under way was asked for, or its first answer.
+        support::instant asked_at = {};
         support::milliseconds backoff{0};
         /// A read of changes has succeeded since the last lost history.
         bool has_followed = true;
@@ -295,6 +330,8 @@
     std::optional<table_rows> join(table_rows rows, support::instant now);
     void apply(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
+    /// Logs when the endpoints begin or cease to be followed.
+    void log_following(support::instant now);
     void apply_hosts(const table_rows& rows, support::instant now);
     /// Reports the hosts whose rows \p rows shows as removed.
     void report_removed_hosts(const table_rows& rows);
@@ -338,6 +375,10 @@
     /// The first read and the last one.
     std::optional<support::instant> endpoints_read_at;
     std::optional<support::instant> endpoints_last_read_at;
+    std::optional<support::instant> endpoints_asked_at;
+    std::int64_t endpoints_read_version = 0;
+    /// As logged last.
+    bool was_following = false;
     /// Since refresh_endpoints(), until a read that began later has ended.
     bool endpoints_are_stale = false;
     /// The read under way began before the last refresh_endpoints().
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -170,6 +170,15 @@
     {
         return this->table.is_available();
     }
+    /// Returns the age of what this host knows of the endpoints in the store,
+    /// as of the last event, or nothing before the first read.
+    std::optional<support::decision_clock::duration> endpoints_age() const
+    {
+        const auto as_of = this->table.endpoints_as_of();
+        if (!as_of)
+            return std::nullopt;
+        return this->current_time - *as_of;
+    }
 
 private:
     void handle_heartbeat(const std::string& peer,
@@ -225,6 +234,12 @@
     /// Offers a shard of this host to a much stronger host of the domain.
     void offer_shard(support::instant now);
     void send_heartbeats(support::instant now, bool to_all);
+    /// Returns the leaving endpoints that \p peer is to be told of on its link.
+    std::vector<schema::leaving_endpoint> news_for(const std::string& peer,
+                                                   support::instant now);
+    /// Tells the peers that do not follow the endpoints of those that leave,
+    /// without waiting for the next heartbeat.
+    void tell_lacking_peers(support::instant now);
     /// Tells \p owner what this host has open there. Must follow all
     /// submissions to it.
     void send_open_jobs(const std::string& owner);
@@ -270,6 +285,17 @@
     bool is_isolated = false;
     /// A link was opened or closed since ownership was last updated.
     bool links_have_changed = false;
+    /// What a peer was told of leaving endpoints on its present link.
+    struct told_news
+    {
+        /// The number of the last news, and the version that the peer had read
+        /// to then.
+        std::int64_t last = 0;
+        std::int64_t version = 0;
+    };
+    std::map<std::string, told_news> told_peers;
+    /// As the last heartbeat to all said.
+    bool lacked_endpoints = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
     order_id last_order = 0;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -210,6 +210,10 @@
     std::set<std::string> domains_without_endpoints() const;
     /// Returns whether \p peer does not follow the endpoints in the store.
     bool lacks_endpoints(const std::string& peer) const;
+    /// Returns the version up to which \p peer has read the endpoints, or
+    /// nothing before its first heartbeat.
+    std::optional<std::int64_t>
+    endpoints_version_of(const std::string& peer) const;
     bool is_live(const std::string& host) const;
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -100,26 +100,56 @@
     this->relays = relays_now;
 }
 
-bool directory::lacks_endpoints() const
+bool directory::lacks_endpoints(instant now) const
 {
     const table_state& table = this->state_of(directory_table::endpoints);
+    const bool is_late = table.wanted_since &&
+                         now - *table.wanted_since >= this->options.late_read;
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
-           !table.has_followed;
+           !table.has_followed || is_late;
 }
 
-std::vector<schema::leaving_endpoint>
-directory::leaving(const std::string& domain, instant now) const
+void directory::log_following(instant now)
 {
-    std::vector<schema::leaving_endpoint> found;
+    const bool follows = !this->lacks_endpoints(now);
+    if (follows == std::exchange(this->was_following, follows))
+        return;
+    const std::int64_t age_ms =
+        this->endpoints_asked_at
+            ? support::whole_ms(now - *this->endpoints_asked_at)
+            : -1;
+    this->hooks.log(log_line(follows ? "endpoints_followed" : "endpoints_late",
+                             support::log_level::warning)
+                        .add("age_ms", age_ms)
+                        .add("version", this->endpoints_read_version));
+}
+
+leaving_list directory::leaving(const std::string& domain,
+                                std::int64_t known_to, std::int64_t after,
+                                instant now) const
+{
+    leaving_list list{.endpoints = {}, .last = after};
+    if (after >= this->last_news)
+        return list;
+    std::vector<const leaving_news*> later;
     for (const auto& [id, one] : this->news)
     {
         const bool may_serve = this->known.contains(id) ||
                                now - one.as_of < this->options.leaving_memory;
-        if (may_serve && one.endpoint.domain == domain &&
-            found.size() < support::max_leaving)
-            found.push_back(one.endpoint);
+        if (may_serve && one.number > after && one.endpoint.domain == domain &&
+            one.endpoint.version > known_to)
+            later.push_back(&one);
     }
-    return found;
+    std::sort(later.begin(), later.end(),
+              [](const leaving_news* one, const leaving_news* other)
+              { return one->number < other->number; });
+    const bool is_whole = later.size() <= support::max_leaving;
+    if (!is_whole)
+        later.resize(support::max_leaving);
+    for (const leaving_news* const one : later)
+        list.endpoints.push_back(one->endpoint);
+    list.last = is_whole ? this->last_news : later.back()->number;
+    return list;
 }
 
 bool directory::remember_leaving(const schema::leaving_endpoint& endpoint,
@@ -209,6 +239,10 @@
             continue;
         const auto which = static_cast<directory_table>(i);
         table.is_reading = true;
+        if (!table.wanted_since)
+            table.wanted_since = now;
+        if (!table.earlier)
+            table.asked_at = now;
         const bool waits = which != directory_table::endpoints &&
                            table.after > 0 && !table.wants_all;
         this->hooks.read(
@@ -219,6 +253,7 @@
              .wait = waits ? this->options.change_wait : milliseconds(0)});
     }
     this->drop_missing_endpoints(now);
+    this->log_following(now);
 }
 
 void directory::rows_read(const table_rows& rows, instant now)
@@ -245,6 +280,8 @@
                             .add("version", rows.version));
         table.wants_all = true;
         table.earlier.reset();
+        if (has_decreased && rows.table == directory_table::endpoints)
+            this->endpoints_read_version = 0;
         // The first loss is not delayed, as changes are unknown meanwhile. A
         // store that shows rows whose changes it has forgotten loses each read
         // again, and the reads of all hosts would use up its rate.
@@ -302,6 +339,9 @@
         this->apply_hosts(rows, now);
     if (rows.table != directory_table::endpoints)
         return;
+    this->endpoints_read_version = rows.version;
+    this->endpoints_asked_at = table.asked_at;
+    table.wanted_since.reset();
     this->apply_endpoints(rows, now);
     if (std::exchange(this->endpoint_read_is_stale, false))
         return;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -337,6 +337,7 @@
     this->view.connected(peer, now);
     this->answered_tokens.erase(peer.name);
     this->answered_by.erase(peer.name);
+    this->told_peers.erase(peer.name);
     this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
@@ -430,6 +431,7 @@
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
         this->table.note_leaving(endpoint, now);
+    this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
     if (heartbeat.__isset.known_tokens)
         this->answered_by[peer] = heartbeat.known_tokens;
@@ -521,6 +523,7 @@
 {
     this->begin_event(now);
     this->table.rows_read(rows, now);
+    this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
     this->table.tick(now);
 }
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -78,7 +78,12 @@
     this->intake.tick(now);
     this->cancellations.tick(now);
     this->deliver_local_results(now);
-    this->send_heartbeats(now, false);
+    // Peers then read the endpoints more often, and tell of what leaves.
+    const bool lacks_endpoints = this->table.lacks_endpoints(now);
+    const bool begins_to_lack =
+        !std::exchange(this->lacked_endpoints, lacks_endpoints) &&
+        lacks_endpoints;
+    this->send_heartbeats(now, begins_to_lack);
 }
 
 void entry_host::note_tick_gap(support::decision_clock::duration gap,
@@ -403,7 +408,8 @@
             heartbeat.waiting[route] += count;
     if (to_own_domain)
         heartbeat.heard = this->view.heard_owners();
-    heartbeat.lacks_endpoints = this->table.lacks_endpoints();
+    heartbeat.lacks_endpoints = this->table.lacks_endpoints(this->current_time);
+    heartbeat.endpoints_version = this->table.endpoints_read_to();
     schema::shard_message message;
     message.__set_beat(std::move(heartbeat));
     return message;
@@ -417,8 +423,6 @@
         return;
     const schema::shard_message local = this->make_heartbeat(true);
     const schema::shard_message remote = this->make_heartbeat(false);
-    const std::set<std::string> lacking =
-        this->view.domains_without_endpoints();
     // A holder of jobs ends them after a shorter silence.
     const std::set<std::string> holders = this->intake.holders();
     for (const std::string& peer : this->view.connected_peers())
@@ -430,14 +434,14 @@
         if (!is_due)
             continue;
         const schema::shard_message& usual = is_local ? local : remote;
-        const std::string domain = this->view.domain_of(peer);
-        if (!lacking.contains(domain) || !this->view.lacks_endpoints(peer))
+        std::vector<schema::leaving_endpoint> news = this->news_for(peer, now);
+        if (news.empty())
         {
             this->hooks.send(peer, usual);
             continue;
         }
         schema::shard_message with_leaving = usual;
-        with_leaving.beat.leaving = this->table.leaving(domain, now);
+        with_leaving.beat.leaving = std::move(news);
         this->hooks.send(peer, with_leaving);
     }
     if (local_is_due)
@@ -448,6 +452,41 @@
             now + this->options.remote_heartbeat_interval;
 }
 
+std::vector<schema::leaving_endpoint>
+entry_host::news_for(const std::string& peer, instant now)
+{
+    const auto version = this->view.endpoints_version_of(peer);
+    if (!version)
+        return {};
+    told_news& before = this->told_peers[peer];
+    // Its rows may be earlier ones again.
+    if (*version < before.version)
+        before.last = 0;
+    before.version = *version;
+    leaving_list list = this->table.leaving(this->view.domain_of(peer),
+                                            *version, before.last, now);
+    before.last = list.last;
+    return std::move(list.endpoints);
+}
+
+void entry_host::tell_lacking_peers(instant now)
+{
+    if (this->table.last_leaving() == 0)
+        return;
+    for (const std::string& peer : this->view.connected_peers())
+    {
+        if (!this->view.lacks_endpoints(peer))
+            continue;
+        std::vector<schema::leaving_endpoint> news = this->news_for(peer, now);
+        if (news.empty())
+            continue;
+        schema::shard_message message = this->make_heartbeat(
+            this->view.domain_of(peer) == this->options.self.domain);
+        message.beat.leaving = std::move(news);
+        this->hooks.send(peer, message);
+    }
+}
+
 bool entry_host::is_ready() const
 {
     const shard_owners owners = this->view.reachable_owners();
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -621,6 +621,15 @@
            found->second.last_heartbeat.lacks_endpoints;
 }
 
+std::optional<std::int64_t>
+host_view::endpoints_version_of(const std::string& peer) const
+{
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end() || !found->second.has_heartbeat)
+        return std::nullopt;
+    return found->second.last_heartbeat.endpoints_version;
+}
+
 std::vector<std::string> host_view::live_peers() const
 {
     std::vector<std::string> live_names;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -3,6 +3,7 @@
 #include "chicorydrum/shard/directory.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -502,6 +503,75 @@
     BOOST_TEST(!leaves("i-2"));
 }
 
+// Guards against leaving endpoints that a peer is never told of since there are
+// more of them than one heartbeat holds, and against telling it what it has
+// read.
+BOOST_FIXTURE_TEST_CASE(more_leaving_endpoints_than_a_heartbeat_holds,
+                        directory_fixture)
+{
+    constexpr std::size_t count = support::max_leaving * 5 / 2;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = static_cast<std::int64_t>(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        endpoint_row& row = rows.endpoints.emplace_back();
+        row.id = "i-" + std::to_string(i);
+        // Not in the order of the ids.
+        row.version = static_cast<std::int64_t>(count - i);
+        row.entry.emplace();
+        row.entry->id = row.id;
+        row.entry->domain = i % 5 == 0 ? "D2" : "D1";
+        row.entry->is_draining = true;
+    }
+    this->table.rows_read(rows, this->now);
+    std::set<std::string> told;
+    std::int64_t after = 0;
+    for (int lists = 0; lists < 4; ++lists)
+    {
+        const leaving_list list =
+            this->table.leaving("D1", 0, after, this->now);
+        BOOST_TEST(list.endpoints.size() <= support::max_leaving);
+        for (const schema::leaving_endpoint& one : list.endpoints)
+            BOOST_TEST(told.insert(one.id).second);
+        after = list.last;
+    }
+    BOOST_TEST(told.size() == support::max_leaving * 2);
+    BOOST_TEST(this->table.endpoints_read_to() == rows.version);
+    const std::int64_t known = rows.version - 9;
+    BOOST_TEST(
+        this->table.leaving("D1", known, 0, this->now).endpoints.size() == 7U);
+    BOOST_TEST(this->table.leaving("D1", rows.version, 0, this->now)
+                   .endpoints.empty());
+}
+
+// Guards against a host that takes itself for informed while a read hangs.
+BOOST_FIXTURE_TEST_CASE(reads_that_hang_count_as_lacking, directory_fixture)
+{
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
+    this->table.set_owner(true);
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 5;
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    const instant asked = *this->table.endpoints_as_of();
+    this->run_for(milliseconds(1400));
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(125));
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(2000));
+    BOOST_TEST((*this->table.endpoints_as_of() == asked));
+    BOOST_TEST(this->count_lines("event=endpoints_late age_ms=15") == 1);
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->count_lines("event=endpoints_followed") == 2);
+    BOOST_TEST(this->count_lines("event=endpoints_late") == 1);
+}
+
 // Guards against an endpoint that peers are not told of any more since its row
 // was removed, although it still serves.
 BOOST_FIXTURE_TEST_CASE(removed_endpoints_are_told_of_for_a_while,
@@ -522,9 +592,10 @@
     this->table.rows_read(rows, this->now);
     this->run_for(milliseconds(5000));
     BOOST_TEST(this->table.endpoints().empty());
-    BOOST_TEST(this->table.leaving("D1", this->now).size() == 1U);
+    BOOST_TEST(this->table.leaving("D1", 0, 0, this->now).endpoints.size() ==
+               1U);
     this->run_for(milliseconds(30000));
-    BOOST_TEST(this->table.leaving("D1", this->now).empty());
+    BOOST_TEST(this->table.leaving("D1", 0, 0, this->now).endpoints.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/shards/leaving_test.cpp
+++ b/test/shards/leaving_test.cpp
@@ -137,6 +137,20 @@
     }
 }
 
+// The same for a whole domain, which only hosts of another one can tell.
+BOOST_AUTO_TEST_CASE(domain_is_refused_at_that_moment)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({.domains = 2});
+        fleet.run_for(warm_up + milliseconds(offset * 25));
+        refuse_domain(fleet, "D1");
+        fleet.set_draining("D1-e1");
+        starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+        check_no_violations(fleet);
+    }
+}
+
 // The same if the hosts that tell of it have slow reads themselves.
 BOOST_AUTO_TEST_CASE(relays_read_slowly)
 {
@@ -179,13 +193,14 @@
 // work to endpoints of which the one host that went on knows that they leave.
 BOOST_AUTO_TEST_CASE(all_but_one_start_anew_while_the_store_lags)
 {
+    constexpr milliseconds lag(8000);
     shard_fleet fleet({});
-    fleet.run_for(warm_up);
+    fleet.run_for(warm_up + lag);
     const std::string other = other_host(fleet, fleet.owner_of("D1"));
     fleet.set_draining("D1-e1");
     // Covers the longest time between two reads.
     fleet.run_for(milliseconds(2100));
-    fleet.set_read_lag(milliseconds(8000));
+    fleet.set_read_lag(lag);
     for (const std::string& host : fleet.host_names())
         if (host != other)
             fleet.kill(host);
