Endpoints in doubt get no new tasks

An endpoint whose row was gone, could not be read or contradicted the last good one kept getting new tasks for 2.5 s, after up to 0.5 s until that was read: the whole time in which an endpoint that leaves still serves (3 s, 2 s on the small sites). An endpoint that left between two reads was never seen to leave.

An endpoint in doubt keeps its runs and leases as before, but gets new tasks only by what the host knows: none if the row is odd, or went while the store answered this host; those that no other endpoint can take if the entry may have lapsed with the store (a read failed within the last 5 s, before or after the loss, or no read succeeded for as long, or the domain lacks most of its entries, two at least). A row that contradicts the entry but says that the endpoint leaves is believed in that. `endpoint_doubted` logs each change.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -159,6 +159,10 @@
     /// How long an endpoint without an entry is kept, since entries also expire
     /// when the store fails.
     support::milliseconds missing_grace{2500};
+    /// How long after a failed read entries may be missing because the store
+    /// was away: they are back two seconds after its return, and are read
+    /// within another two.
+    support::milliseconds outage_memory{5000};
     /// A registration that stays this long is stable.
     support::milliseconds stable_registration{5000};
     /// Malformed rows of each table that are logged, each of them once.
@@ -176,6 +180,20 @@
     support::milliseconds longest_backoff{1000};
 };
 
+/// What is doubtful of an endpoint whose row is missing or odd. Its runs go on,
+/// and its leases are extended, in any case.
+enum class entry_doubt
+{
+    none,
+    /// The entry may have lapsed because the store was away: new tasks go there
+    /// if no other endpoint can take them.
+    last_resort,
+    /// The row was removed, or is another writer's: no new tasks.
+    unusable,
+};
+
+std::string_view name_of(entry_doubt doubt);
+
 /// Leaving endpoints to tell a peer of.
 struct leaving_list
 {
@@ -234,6 +252,13 @@
     void refresh_endpoints();
     /// Returns the endpoints that may be used now.
     std::vector<schema::endpoint_registration> endpoints() const;
+    /// Returns the endpoints of endpoints() that are in doubt, by id.
+    std::map<std::string, entry_doubt> doubts() const;
+    /// Increases whenever doubts() changes while endpoints() does not.
+    std::int64_t doubts_version() const
+    {
+        return this->doubt_changes;
+    }
     /// Returns the endpoints that were dropped lately, since their entries were
     /// missing. Some of them may be alive, and run tasks.
     std::vector<schema::endpoint_registration>
@@ -300,6 +325,10 @@
         /// The version of the last row that was used, or of its removal.
         std::int64_t version = 0;
         std::optional<support::instant> missing_since;
+        /// Not none if and only if missing_since is set.
+        entry_doubt doubt = entry_doubt::none;
+        /// The row was there when it was last read, but not usable.
+        bool is_odd = false;
         /// The last row that contradicted the entry; logged once.
         std::optional<schema::endpoint_registration> contradiction = {};
     };
@@ -336,10 +365,15 @@
     /// Reports the hosts whose rows \p rows shows as removed.
     void report_removed_hosts(const table_rows& rows);
     void apply_endpoints(const table_rows& rows, support::instant now);
-    /// Notes that a row names no usable endpoint: the last good entry stands
-    /// until it counts as missing.
-    void note_missing(const std::string& id, std::int64_t version,
+    /// Notes that a row names no usable endpoint: the last good entry stands in
+    /// doubt until it counts as missing. \p is_odd says that there is a row.
+    void note_missing(const std::string& id, std::int64_t version, bool is_odd,
                       support::instant now);
+    /// Notes that the store does not answer, or did not for a while.
+    void note_outage(support::instant now);
+    /// Takes the missing entries of domains that lack most of theirs as lapsed.
+    void doubt_losses_of_domains();
+    void set_doubt(known_endpoint& endpoint, entry_doubt doubt);
     /// Returns whether a later row or removal of the same endpoint than \p row
     /// was read before.
     bool is_outdated(const endpoint_row& row) const;
@@ -372,6 +406,9 @@
     /// No known endpoint is missing if this is false.
     bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
+    std::int64_t doubt_changes = 0;
+    /// When the store was last found away.
+    std::optional<support::instant> store_away_at;
     /// The first read and the last one.
     std::optional<support::instant> endpoints_read_at;
     std::optional<support::instant> endpoints_last_read_at;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -276,6 +276,7 @@
     std::optional<int> offered;
     support::instant offer_ends;
     std::int64_t shard_endpoints_version = -1;
+    std::int64_t shard_doubts_version = -1;
     bool stopping = false;
     /// While stopping: when the last callers are answered.
     support::instant last_answers;
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "chicorydrum/decision/run_time_model.hpp"
+#include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/ended_jobs.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
@@ -102,6 +103,10 @@
     update_endpoints(const std::vector<schema::endpoint_registration>& listed,
                      support::instant now);
 
+    /// Applies which of the listed endpoints are in doubt, from the next tick
+    /// or update_endpoints() on.
+    void update_doubts(std::map<std::string, entry_doubt> doubted);
+
     /// Lists endpoints that the platform does not list any more: tasks that an
     /// earlier owner has started may run there.
     void
@@ -304,6 +309,7 @@
                            support::instant now) const;
     void remove_unlisted_endpoints(support::instant now);
     /// Returns whether an endpoint belongs to this shard.
+    void update_doubt(endpoint_record& record);
     bool is_of_shard(const schema::endpoint_registration& entry) const;
     endpoint_record& add_endpoint(const schema::endpoint_registration& entry,
                                   support::instant now);
@@ -343,6 +349,8 @@
     /// Raises of the token at endpoints that were removed: they refuse lower
     /// tokens if they are listed again.
     std::map<std::string, fencing_token> earlier_raises;
+    /// Of all domains; the records hold those of this shard.
+    std::map<std::string, entry_doubt> doubts;
     decision::run_time_model run_times;
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -65,6 +65,13 @@
     return names[static_cast<std::size_t>(status)];
 }
 
+std::string_view name_of(entry_doubt doubt)
+{
+    static constexpr std::array<std::string_view, 3> names = {
+        "none", "last_resort", "unusable"};
+    return names[static_cast<std::size_t>(doubt)];
+}
+
 directory::directory(directory_options opts, directory_hooks callbacks,
                      instant now)
     : options(std::move(opts)), hooks(std::move(callbacks)),
@@ -264,6 +271,7 @@
     if (rows.status == read_status::unavailable)
     {
         this->set_available(false, name_of(rows.table));
+        this->note_outage(now);
         table.backoff = this->next_backoff(table.backoff);
         table.next_read = now + table.backoff;
         return;
@@ -340,6 +348,11 @@
     if (rows.table != directory_table::endpoints)
         return;
     this->endpoints_read_version = rows.version;
+    const bool had_gap = this->endpoints_asked_at &&
+                         table.asked_at - *this->endpoints_asked_at >=
+                             this->options.outage_memory;
+    if (had_gap)
+        this->note_outage(now);
     this->endpoints_asked_at = table.asked_at;
     table.wanted_since.reset();
     this->apply_endpoints(rows, now);
@@ -439,6 +452,9 @@
     if (!this->endpoints_read_at)
         this->endpoints_read_at = now;
     this->endpoints_last_read_at = now;
+    std::set<std::string> malformed;
+    for (const malformed_row& row : rows.malformed)
+        malformed.insert(row.key);
     std::set<std::string> present;
     for (const endpoint_row& row : rows.endpoints)
     {
@@ -449,13 +465,14 @@
         if (row.entry)
             this->apply_entry(row, now);
         else
-            this->note_missing(row.id, row.version, now);
+            this->note_missing(row.id, row.version, malformed.contains(row.id),
+                               now);
     }
-    if (!rows.is_whole)
-        return;
-    for (const auto& [id, endpoint] : this->known)
-        if (!present.contains(id) && rows.version >= endpoint.version)
-            this->note_missing(id, rows.version, now);
+    if (rows.is_whole)
+        for (const auto& [id, endpoint] : this->known)
+            if (!present.contains(id) && rows.version >= endpoint.version)
+                this->note_missing(id, rows.version, false, now);
+    this->doubt_losses_of_domains();
 }
 
 bool directory::is_outdated(const endpoint_row& row) const
@@ -484,7 +501,14 @@
                                     .add("born_ms", row.entry->born_ms)
                                     .add("address", row.entry->address));
             earlier->second.contradiction = *row.entry;
-            this->note_missing(row.id, row.version, now);
+            this->note_missing(row.id, row.version, true, now);
+            if (!row.entry->is_draining)
+                return;
+            // Whoever wrote it may know.
+            schema::endpoint_registration& entry = earlier->second.entry;
+            this->remember_leaving(leaving_of(entry, row.version), now);
+            if (!std::exchange(entry.is_draining, true))
+                ++this->endpoint_changes;
             return;
         }
     }
@@ -506,6 +530,8 @@
     known_endpoint& endpoint = this->known[row.id];
     endpoint.version = version;
     endpoint.missing_since.reset();
+    endpoint.is_odd = false;
+    this->set_doubt(endpoint, entry_doubt::none);
     endpoint.contradiction.reset();
     if (endpoint.entry == entry)
         return;
@@ -514,18 +540,81 @@
 }
 
 void directory::note_missing(const std::string& id, std::int64_t version,
-                             instant now)
+                             bool is_odd, instant now)
 {
     const auto found = this->known.find(id);
     if (found == this->known.end())
         return;
-    found->second.version = version;
-    if (found->second.missing_since)
+    known_endpoint& endpoint = found->second;
+    endpoint.version = version;
+    endpoint.is_odd = endpoint.is_odd || is_odd;
+    const bool may_have_lapsed =
+        this->store_away_at &&
+        now - *this->store_away_at < this->options.outage_memory;
+    if (endpoint.is_odd)
+        this->set_doubt(endpoint, entry_doubt::unusable);
+    else if (!endpoint.missing_since)
+        this->set_doubt(endpoint, may_have_lapsed ? entry_doubt::last_resort
+                                                  : entry_doubt::unusable);
+    if (endpoint.missing_since)
         return;
-    found->second.missing_since = now;
+    endpoint.missing_since = now;
     this->may_miss_endpoints = true;
 }
 
+void directory::note_outage(instant now)
+{
+    this->store_away_at = now;
+    // It may have begun before this host noticed.
+    for (auto& [id, endpoint] : this->known)
+        if (endpoint.missing_since && !endpoint.is_odd)
+            this->set_doubt(endpoint, entry_doubt::last_resort);
+}
+
+void directory::doubt_losses_of_domains()
+{
+    if (!this->may_miss_endpoints)
+        return;
+    struct count
+    {
+        int all = 0;
+        int missing = 0;
+    };
+    // A single one is more likely to have left.
+    constexpr int least_missing = 2;
+    std::map<std::string, count> domains;
+    for (const auto& [id, endpoint] : this->known)
+    {
+        count& domain = domains[endpoint.entry.domain];
+        ++domain.all;
+        if (endpoint.missing_since && !endpoint.is_odd)
+            ++domain.missing;
+    }
+    for (auto& [id, endpoint] : this->known)
+    {
+        const count& domain = domains[endpoint.entry.domain];
+        const bool lacks_most =
+            domain.missing >= least_missing && domain.missing * 2 > domain.all;
+        if (endpoint.missing_since && !endpoint.is_odd && lacks_most)
+            this->set_doubt(endpoint, entry_doubt::last_resort);
+    }
+}
+
+void directory::set_doubt(known_endpoint& endpoint, entry_doubt doubt)
+{
+    if (std::exchange(endpoint.doubt, doubt) != doubt)
+        ++this->doubt_changes;
+}
+
+std::map<std::string, entry_doubt> directory::doubts() const
+{
+    std::map<std::string, entry_doubt> found;
+    for (const auto& [id, endpoint] : this->known)
+        if (endpoint.doubt != entry_doubt::none)
+            found[id] = endpoint.doubt;
+    return found;
+}
+
 void directory::drop_missing_endpoints(instant now)
 {
     // A missing entry means nothing while the store is unavailable.
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -3,6 +3,7 @@
 /// reliably it runs tasks, and the pending list request.
 #pragma once
 
+#include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 
 #include <optional>
@@ -16,6 +17,8 @@
     /// Whether the platform lists the endpoint. Otherwise it gets no new work.
     bool is_listed = true;
     support::instant unlisted_since = {};
+    /// Of the entry, as long as the endpoint is listed.
+    entry_doubt doubt = entry_doubt::none;
     /// Whether its last call was answered.
     bool is_responding = true;
     /// A list must be requested at once, even if no run is known there.
@@ -50,6 +53,12 @@
     int consecutive_failures = 0;
     int quarantines = 0;
 
+    /// Returns whether the platform lists the endpoint for new work.
+    bool is_offered() const
+    {
+        return this->is_listed && this->doubt != entry_doubt::unusable &&
+               !this->lease.entry().is_draining;
+    }
     void run_succeeded();
     /// Records a failed run; several in a row quarantine the endpoint, longer
     /// each time.
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -538,9 +538,12 @@
 void entry_host::update_shard_endpoints(instant now)
 {
     const std::int64_t version = this->table.endpoints_version();
-    if (version == this->shard_endpoints_version)
+    const std::int64_t doubts = this->table.doubts_version();
+    if (version == this->shard_endpoints_version &&
+        doubts == this->shard_doubts_version)
         return;
     this->shard_endpoints_version = version;
+    this->shard_doubts_version = doubts;
     const std::vector<schema::endpoint_registration> listed =
         this->table.endpoints();
     const auto own =
@@ -555,7 +558,10 @@
         wanted_shards *= 2;
     this->view.raise_shard_count(wanted_shards, now);
     for (const auto& [number, shard] : this->shards)
+    {
+        shard->update_doubts(this->table.doubts());
         shard->update_endpoints(listed, now);
+    }
     this->deliver_local_results(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -304,6 +304,7 @@
     this->table.set_owner(true);
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
+    claimed.update_doubts(this->table.doubts());
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
 }
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -53,10 +53,9 @@
         const schema::endpoint_registration& endpoint = record->lease.entry();
         // A new incarnation is listed within milliseconds.
         const bool is_usable =
-            record->is_listed && record->is_responding &&
+            record->is_offered() && record->is_responding &&
             (record->lease.is_known() || record->lease.awaits_incarnation()) &&
-            !endpoint.is_draining && endpoint.pool == pool &&
-            now >= record->quarantined_until;
+            endpoint.pool == pool && now >= record->quarantined_until;
         if (!is_usable)
             continue;
         const double slowness = this->run_times.slowness(id);
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -28,8 +28,8 @@
                  const schema::task_group& group)
 {
     const schema::endpoint_registration& endpoint = record.lease.entry();
-    return record.is_listed && record.lease.has_current_entry() &&
-           !endpoint.is_draining && endpoint.pool == job.terms.pool &&
+    return record.is_offered() && record.lease.has_current_entry() &&
+           endpoint.pool == job.terms.pool &&
            (group.required_label.empty() ||
             has_label(endpoint, group.required_label));
 }
@@ -180,6 +180,7 @@
     const owned_task& state = job.tasks[static_cast<std::size_t>(task.group)]
                                        [static_cast<std::size_t>(task.index)];
     endpoint_record* best = nullptr;
+    bool best_is_doubted = false;
     double best_ms = 0;
     double fastest_ms = 0;
     for (const auto& [id, record] : this->endpoints)
@@ -201,8 +202,13 @@
         // An endpoint where the task did not complete is chosen last.
         if (id == state.endpoint)
             expected *= 4;
-        if (best == nullptr || expected < best_ms)
+        const bool is_doubted = record->doubt != entry_doubt::none;
+        const bool is_better = best == nullptr || (is_doubted == best_is_doubted
+                                                       ? expected < best_ms
+                                                       : best_is_doubted);
+        if (is_better)
         {
+            best_is_doubted = is_doubted;
             best = record.get();
             best_ms = expected;
         }
@@ -300,8 +306,7 @@
     for (const auto& [id, record] : this->endpoints)
     {
         const schema::endpoint_registration& endpoint = record->lease.entry();
-        if (!record->is_listed || endpoint.is_draining ||
-            !record->is_responding)
+        if (!record->is_offered() || !record->is_responding)
             continue;
         cores += static_cast<double>(endpoint.capacity.millicores) / 1000.0 /
                  this->run_times.slowness(id);
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -92,6 +92,26 @@
     this->tick(now);
 }
 
+void shard_owner::update_doubts(std::map<std::string, entry_doubt> doubted)
+{
+    this->doubts = std::move(doubted);
+    for (const auto& [id, record] : this->endpoints)
+        this->update_doubt(*record);
+}
+
+void shard_owner::update_doubt(endpoint_record& record)
+{
+    const std::string& id = record.lease.entry().id;
+    const auto found = this->doubts.find(id);
+    const entry_doubt doubt =
+        found == this->doubts.end() ? entry_doubt::none : found->second;
+    if (std::exchange(record.doubt, doubt) == doubt)
+        return;
+    this->hooks.log(log_line("endpoint_doubted")
+                        .add("endpoint", id)
+                        .add("doubt", name_of(doubt)));
+}
+
 bool shard_owner::is_of_shard(const schema::endpoint_registration& entry) const
 {
     return entry.domain == this->options.domain &&
@@ -130,6 +150,7 @@
     new_record->next_list = now;
     endpoint_record& added = *new_record;
     this->endpoints[entry.id] = std::move(new_record);
+    this->update_doubt(added);
     this->hooks.log(log_line("endpoint_added")
                         .add("endpoint", entry.id)
                         .add("address", entry.address)
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -521,8 +521,7 @@
     for (const auto& [id, record] : this->endpoints)
     {
         const schema::endpoint_registration& endpoint = record->lease.entry();
-        const bool is_usable = record->is_listed && record->is_responding &&
-                               !endpoint.is_draining &&
+        const bool is_usable = record->is_offered() && record->is_responding &&
                                record->lease.is_known();
         if (!is_usable)
             continue;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -546,6 +546,96 @@
                    .endpoints.empty());
 }
 
+// Guards against new work for an endpoint whose row is gone or odd while the
+// store answers, and against none at all when entries have lapsed with it.
+BOOST_FIXTURE_TEST_CASE(endpoints_in_doubt, directory_fixture)
+{
+    const auto make_row = [this](const std::string& id)
+    {
+        endpoint_row row{.id = id, .entry = {}, .version = ++this->version};
+        row.entry.emplace();
+        row.entry->id = id;
+        row.entry->domain = "D1";
+        row.entry->born_ms = 7;
+        row.entry->port = 80;
+        return row;
+    };
+    const auto read = [this](std::vector<endpoint_row> changed)
+    {
+        table_rows rows;
+        rows.table = directory_table::endpoints;
+        rows.status = read_status::read;
+        rows.version = ++this->version;
+        for (const endpoint_row& row : changed)
+            if (!row.entry && row.id == "odd")
+                rows.malformed.push_back({.key = row.id, .problem = "bytes"});
+        rows.endpoints = std::move(changed);
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(25));
+    };
+    const auto gone = [this](const std::string& id)
+    {
+        return endpoint_row{.id = id, .entry = {}, .version = ++this->version};
+    };
+    const auto doubt_of = [this](const std::string& id)
+    {
+        const auto doubts = this->table.doubts();
+        const auto found = doubts.find(id);
+        return found == doubts.end() ? entry_doubt::none : found->second;
+    };
+    const auto read_all = [&]
+    {
+        read({make_row("a"), make_row("b"), make_row("c"), make_row("d"),
+              make_row("e"), make_row("odd")});
+    };
+    const auto lose_store = [this]
+    {
+        table_rows rows;
+        rows.table = directory_table::config;
+        this->table.rows_read(rows, this->now);
+    };
+    read_all();
+    BOOST_TEST(this->table.doubts().empty());
+    auto before = this->table.doubts_version();
+    read({gone("a"), gone("odd")});
+    BOOST_TEST(this->table.doubts_version() != before);
+    BOOST_TEST((doubt_of("a") == entry_doubt::unusable));
+    BOOST_TEST((doubt_of("odd") == entry_doubt::unusable));
+    BOOST_TEST(this->table.endpoints().size() == 6U);
+    // The outage may have begun before this host saw it.
+    lose_store();
+    BOOST_TEST((doubt_of("a") == entry_doubt::last_resort));
+    BOOST_TEST((doubt_of("odd") == entry_doubt::unusable));
+    before = this->table.doubts_version();
+    read_all();
+    BOOST_TEST(this->table.doubts().empty());
+    BOOST_TEST(this->table.doubts_version() != before);
+    read({gone("b")});
+    BOOST_TEST((doubt_of("b") == entry_doubt::last_resort));
+    // The outage is long over.
+    read_all();
+    this->run_for(milliseconds(10000));
+    read({gone("b")});
+    BOOST_TEST((doubt_of("b") == entry_doubt::unusable));
+    // Most of the domain.
+    read({gone("c"), gone("d"), gone("e")});
+    for (const std::string id : {"b", "c", "d", "e"})
+        BOOST_TEST((doubt_of(id) == entry_doubt::last_resort));
+    // Another writer's row.
+    read_all();
+    endpoint_row forged = make_row("a");
+    forged.entry->port = 81;
+    read({forged});
+    BOOST_TEST((doubt_of("a") == entry_doubt::unusable));
+    BOOST_TEST(!this->table.endpoints().front().is_draining);
+    forged.version = ++this->version;
+    forged.entry->is_draining = true;
+    read({forged});
+    BOOST_TEST(this->table.endpoints().front().is_draining);
+    read_all();
+    BOOST_TEST(!this->table.endpoints().front().is_draining);
+}
+
 // Guards against a host that takes itself for informed while a read hangs.
 BOOST_FIXTURE_TEST_CASE(reads_that_hang_count_as_lacking, directory_fixture)
 {
--- a/test/shards/leaving_test.cpp
+++ b/test/shards/leaving_test.cpp
@@ -22,11 +22,11 @@
 /// Submits jobs for \p span and returns how many tasks \p endpoint started
 /// meanwhile.
 int starts_during(shard_fleet& fleet, const std::string& endpoint,
-                  milliseconds span)
+                  milliseconds span, const job_shape& shape = {})
 {
     constexpr milliseconds gap{50};
     const int before = fleet.endpoint(endpoint).starts();
-    submit_load(fleet, static_cast<int>(span / gap), gap);
+    submit_load(fleet, static_cast<int>(span / gap), gap, shape);
     return fleet.endpoint(endpoint).starts() - before;
 }
 
@@ -214,6 +214,72 @@
     check_no_violations(fleet);
 }
 
+// Guards against starts on an endpoint of which the owner reads only that its
+// row is gone: it left between two reads.
+BOOST_AUTO_TEST_CASE(row_is_removed_between_two_reads)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({});
+        fleet.run_for(warm_up + milliseconds(offset * 25));
+        fleet.set_draining("D1-e1");
+        fleet.at(milliseconds(5), [&fleet] { fleet.remove_endpoint("D1-e1"); });
+        starts_during(fleet, "D1-e1", milliseconds(4000));
+        check_no_violations(fleet);
+    }
+}
+
+// Guards against work that is given up, or started, at an endpoint whose row is
+// missing for a while although the store answers.
+BOOST_AUTO_TEST_CASE(endpoint_without_a_row_ends_its_runs)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    const std::string job =
+        fleet.submit("D1-h1", {.tasks = 8, .work = milliseconds(1500)});
+    fleet.run_for(milliseconds(200));
+    fleet.unlist_endpoint("D1-e1", milliseconds(2000));
+    // The owner reads every 500 ms.
+    fleet.run_for(milliseconds(600));
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(1300)) == 0);
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.starts_of(job) == 8);
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(1000)) > 0);
+    check_no_violations(fleet);
+}
+
+// Guards against a domain that refuses its jobs after a time without the store,
+// in which all entries have lapsed that come back later.
+BOOST_AUTO_TEST_CASE(lapsed_entries_are_used_as_the_last_resort)
+{
+    shard_fleet fleet({});
+    fleet.run_for(warm_up);
+    fleet.set_store_up(false);
+    fleet.run_for(milliseconds(4000));
+    for (const std::string& id : fleet.endpoint_names())
+        fleet.unlist_endpoint(id, milliseconds(2000));
+    fleet.set_store_up(true);
+    const int before = fleet.submitted();
+    submit_load(fleet, 20, milliseconds(100));
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST(fleet.answered(answer_kind::completed) ==
+               fleet.submitted() - before);
+    // Of several endpoints, only that of which nothing is known is spared.
+    fleet.run_for(milliseconds(6000));
+    fleet.set_store_up(false);
+    fleet.run_for(milliseconds(4000));
+    fleet.unlist_endpoint("D1-e1", milliseconds(4000));
+    fleet.set_store_up(true);
+    // The last read fails after up to a second; the next one comes up to a
+    // second later.
+    fleet.run_for(milliseconds(2200));
+    // Tasks that three endpoints can take.
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(700), {.tasks = 2}) ==
+               0);
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
