Logs tell the first reads of a process from a lost store

Both now say `first=`, and each table that is read again after failed reads or a lost history logs `table_read` with the time since its last good read was asked for (-1 if there is none).

`directory_reads/first_reads_are_told_from_later_ones` needs the new fields.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -231,7 +231,7 @@
     /// nothing before it.
     std::optional<support::instant> endpoints_as_of() const
     {
-        return this->endpoints_asked_at;
+        return this->state_of(directory_table::endpoints).read_as_of;
     }
     /// Returns the number of the last news of a leaving endpoint.
     std::int64_t last_leaving() const
@@ -311,6 +311,10 @@
         support::instant next_read;
         /// When the first read since the last good one was asked for.
         std::optional<support::instant> wanted_since = {};
+        /// When the last good read was asked for.
+        std::optional<support::instant> read_as_of = {};
+        /// A read has failed, or the history was lost, since then.
+        bool was_interrupted = false;
         /// When the read under way was asked for, or its first answer.
         support::instant asked_at = {};
         support::milliseconds backoff{0};
@@ -358,6 +362,8 @@
     /// more to come.
     std::optional<table_rows> join(table_rows rows, support::instant now);
     void apply(const table_rows& rows, support::instant now);
+    /// Logs that a table is read again after an interruption, or first.
+    void log_read(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
     /// Logs when the endpoints begin or cease to be followed.
     void log_following(support::instant now);
@@ -412,7 +418,6 @@
     /// The first read and the last one.
     std::optional<support::instant> endpoints_read_at;
     std::optional<support::instant> endpoints_last_read_at;
-    std::optional<support::instant> endpoints_asked_at;
     std::int64_t endpoints_read_version = 0;
     /// As logged last.
     bool was_following = false;
@@ -423,6 +428,8 @@
     bool owns = false;
     bool relays = false;
     bool available = false;
+    /// The store has answered this process before.
+    bool was_available = false;
     bool is_registered = false;
     bool is_writing = false;
     bool hosts_are_complete = false;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -121,10 +121,8 @@
     const bool follows = !this->lacks_endpoints(now);
     if (follows == std::exchange(this->was_following, follows))
         return;
-    const std::int64_t age_ms =
-        this->endpoints_asked_at
-            ? support::whole_ms(now - *this->endpoints_asked_at)
-            : -1;
+    const auto as_of = this->endpoints_as_of();
+    const std::int64_t age_ms = as_of ? support::whole_ms(now - *as_of) : -1;
     this->hooks.log(log_line(follows ? "endpoints_followed" : "endpoints_late",
                              support::log_level::warning)
                         .add("age_ms", age_ms)
@@ -221,9 +219,12 @@
     if (is_available == this->available)
         return;
     this->available = is_available;
+    const bool is_first =
+        is_available && !std::exchange(this->was_available, true);
     this->hooks.log(log_line(is_available ? "store_recovered" : "store_lost",
                              support::log_level::warning)
-                        .add("why", why));
+                        .add("why", why)
+                        .add("first", is_first));
 }
 
 milliseconds directory::next_backoff(milliseconds before)
@@ -272,6 +273,7 @@
     {
         this->set_available(false, name_of(rows.table));
         this->note_outage(now);
+        table.was_interrupted = true;
         table.backoff = this->next_backoff(table.backoff);
         table.next_read = now + table.backoff;
         return;
@@ -285,7 +287,9 @@
         this->hooks.log(log_line("history_lost")
                             .add("table", name_of(rows.table))
                             .add("after", table.after)
-                            .add("version", rows.version));
+                            .add("version", rows.version)
+                            .add("first", !table.read_as_of));
+        table.was_interrupted = true;
         table.wants_all = true;
         table.earlier.reset();
         if (has_decreased && rows.table == directory_table::endpoints)
@@ -341,6 +345,9 @@
     table.wants_all = false;
     table.after = rows.version;
     table.next_read = now;
+    this->log_read(rows, now);
+    const auto read_before = std::exchange(table.read_as_of, table.asked_at);
+    table.wanted_since.reset();
     if (rows.config)
         this->hooks.config_read(*rows.config);
     if (rows.table == directory_table::hosts)
@@ -348,13 +355,10 @@
     if (rows.table != directory_table::endpoints)
         return;
     this->endpoints_read_version = rows.version;
-    const bool had_gap = this->endpoints_asked_at &&
-                         table.asked_at - *this->endpoints_asked_at >=
-                             this->options.outage_memory;
+    const bool had_gap = read_before && table.asked_at - *read_before >=
+                                            this->options.outage_memory;
     if (had_gap)
         this->note_outage(now);
-    this->endpoints_asked_at = table.asked_at;
-    table.wanted_since.reset();
     this->apply_endpoints(rows, now);
     if (std::exchange(this->endpoint_read_is_stale, false))
         return;
@@ -364,6 +368,21 @@
                                           : this->options.standby_interval);
 }
 
+void directory::log_read(const table_rows& rows, instant now)
+{
+    table_state& table = this->state_of(rows.table);
+    const bool was_interrupted = std::exchange(table.was_interrupted, false);
+    if (table.read_as_of && !was_interrupted)
+        return;
+    const std::int64_t age_ms =
+        table.read_as_of ? support::whole_ms(now - *table.read_as_of) : -1;
+    this->hooks.log(log_line("table_read")
+                        .add("table", name_of(rows.table))
+                        .add("before_ms", age_ms)
+                        .add("version", rows.version)
+                        .add("whole", rows.is_whole));
+}
+
 void directory::log_malformed(const table_rows& rows)
 {
     std::set<std::string>& logged = this->state_of(rows.table).logged;
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -546,6 +546,41 @@
                    .endpoints.empty());
 }
 
+// Guards against logs in which a process that starts looks like one that has
+// lost the store or its history.
+BOOST_FIXTURE_TEST_CASE(first_reads_are_told_from_later_ones, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    const auto answer_with =
+        [&](read_status status, bool is_whole, std::int64_t row_version)
+    {
+        rows.status = status;
+        rows.is_whole = is_whole;
+        rows.version = row_version;
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(2000));
+    };
+    answer_with(read_status::history_lost, false, 5);
+    answer_with(read_status::read, true, 5);
+    BOOST_TEST(this->count_lines("event=store_recovered") == 1);
+    BOOST_TEST(this->count_lines("why=endpoints first=true") == 1);
+    BOOST_TEST(this->count_lines("after=0 version=5 first=true") == 1);
+    BOOST_TEST(this->count_lines("event=table_read table=endpoints "
+                                 "before_ms=-1 version=5 whole=true") == 1);
+    answer_with(read_status::read, false, 6);
+    BOOST_TEST(this->count_lines("event=table_read") == 1);
+    answer_with(read_status::unavailable, false, 0);
+    answer_with(read_status::history_lost, false, 7);
+    answer_with(read_status::read, true, 7);
+    BOOST_TEST(this->count_lines("event=store_recovered") == 2);
+    BOOST_TEST(this->count_lines("first=true") == 2);
+    BOOST_TEST(this->count_lines("after=6 version=7 first=false") == 1);
+    // Asked for 2 s before the read that failed.
+    BOOST_TEST(this->count_lines("event=table_read table=endpoints "
+                                 "before_ms=60") == 1);
+}
+
 // Guards against new work for an endpoint whose row is gone or odd while the
 // store answers, and against none at all when entries have lapsed with it.
 BOOST_FIXTURE_TEST_CASE(endpoints_in_doubt, directory_fixture)
