--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -155,9 +155,17 @@
     support::milliseconds owner_interval{500};
     /// The same for hosts that own no shard but may take one over.
     support::milliseconds standby_interval{2000};
+    /// A read of the endpoints that is due for this long without a good answer
+    /// is late: an owner's knowledge is then 1.5 s old, and an endpoint that
+    /// leaves may serve for two seconds.
+    support::milliseconds late_read{1000};
     /// How long an endpoint without an entry is kept, since entries also expire
     /// when the store fails.
     support::milliseconds missing_grace{2500};
+    /// How long after a failed read entries may be missing because the store
+    /// was away: they are back two seconds after its return, and are read
+    /// within another two.
+    support::milliseconds outage_memory{5000};
     /// A registration that stays this long is stable.
     support::milliseconds stable_registration{5000};
     /// Malformed rows of each table that are logged, each of them once.
@@ -166,10 +174,38 @@
     support::milliseconds dropped_lately{30000};
     /// Dropped endpoints that are remembered.
     std::size_t max_dropped = 4096;
+    /// How long peers are told of a leaving endpoint without an entry. It may
+    /// serve for many seconds after its entry was removed.
+    support::milliseconds leaving_memory{30000};
+    /// Leaving endpoints that are remembered.
+    std::size_t max_remembered_leaving = 4096;
     support::milliseconds first_backoff{100};
     support::milliseconds longest_backoff{1000};
 };
 
+/// What is doubtful of an endpoint whose row is missing or odd. Its runs go on,
+/// and its leases are extended, in any case.
+enum class entry_doubt
+{
+    none,
+    /// The entry may have lapsed because the store was away: new tasks go there
+    /// if no other endpoint can take them.
+    last_resort,
+    /// The row was removed, or is another writer's: no new tasks.
+    unusable,
+};
+
+std::string_view name_of(entry_doubt doubt);
+
+/// Leaving endpoints to tell a peer of.
+struct leaving_list
+{
+    std::vector<schema::leaving_endpoint> endpoints;
+    /// The number of the last news that was looked at; the next list continues
+    /// after it.
+    std::int64_t last = 0;
+};
+
 class directory
 {
 public:
@@ -186,18 +222,46 @@
     /// that leave.
     void set_relaying(bool relays);
     /// Returns whether the endpoints in the store are not followed at the
-    /// moment.
-    bool lacks_endpoints() const;
-    /// Returns the leaving endpoints of \p domain.
-    std::vector<schema::leaving_endpoint>
-    leaving(const std::string& domain) const;
-    /// A peer has read that an endpoint leaves.
-    void note_leaving(const schema::leaving_endpoint& endpoint);
+    /// moment, or reads of them are late.
+    bool lacks_endpoints(support::instant now) const;
+    /// Returns the version of the store up to which the endpoints were read; 0
+    /// if there is none that can be relied on.
+    std::int64_t endpoints_read_to() const
+    {
+        return this->endpoints_read_version;
+    }
+    /// Returns when the last good read of the endpoints was asked for, or
+    /// nothing before it.
+    std::optional<support::instant> endpoints_as_of() const
+    {
+        return this->state_of(directory_table::endpoints).read_as_of;
+    }
+    /// Returns the number of the last news of a leaving endpoint.
+    std::int64_t last_leaving() const
+    {
+        return this->last_news;
+    }
+    /// Returns the leaving endpoints of \p domain with rows after version
+    /// \p known whose news is numbered above \p after, in that order; also
+    /// those whose rows were removed lately, as they may still serve.
+    leaving_list leaving(const std::string& domain, std::int64_t known,
+                         std::int64_t after, support::instant now) const;
+    /// A peer has read that an endpoint leaves. Earlier rows of the endpoint,
+    /// also those that are read later, say nothing against it.
+    void note_leaving(const schema::leaving_endpoint& endpoint,
+                      support::instant now);
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
     void refresh_endpoints();
     /// Returns the endpoints that may be used now.
     std::vector<schema::endpoint_registration> endpoints() const;
+    /// Returns the endpoints of endpoints() that are in doubt, by id.
+    std::map<std::string, entry_doubt> doubts() const;
+    /// Increases whenever doubts() changes while endpoints() does not.
+    std::int64_t doubts_version() const
+    {
+        return this->doubt_changes;
+    }
     /// Returns the endpoints that were dropped lately, since their entries were
     /// missing. Some of them may be alive, and run tasks.
     std::vector<schema::endpoint_registration>
@@ -252,6 +316,14 @@
         std::optional<table_rows> earlier = {};
         bool is_reading = false;
         support::instant next_read;
+        /// When the first read since the last good one was asked for.
+        std::optional<support::instant> wanted_since = {};
+        /// When the last good read was asked for.
+        std::optional<support::instant> read_as_of = {};
+        /// A read has failed, or the history was lost, since then.
+        bool was_interrupted = false;
+        /// When the read under way was asked for, or its first answer.
+        support::instant asked_at = {};
         support::milliseconds backoff{0};
         /// A read of changes has succeeded since the last lost history.
         bool has_followed = true;
@@ -264,10 +336,23 @@
         /// The version of the last row that was used, or of its removal.
         std::int64_t version = 0;
         std::optional<support::instant> missing_since;
+        /// Not none if and only if missing_since is set.
+        entry_doubt doubt = entry_doubt::none;
+        /// The row was there when it was last read, but not usable.
+        bool is_odd = false;
         /// The last row that contradicted the entry; logged once.
         std::optional<schema::endpoint_registration> contradiction = {};
     };
 
+    struct leaving_news
+    {
+        schema::leaving_endpoint endpoint;
+        /// Of all news of this host, this is the one with that number.
+        std::int64_t number = 0;
+        /// When it was first read or heard, or its entry was dropped since.
+        support::instant as_of;
+    };
+
     struct dropped_endpoint
     {
         schema::endpoint_registration entry;
@@ -284,23 +369,36 @@
     /// more to come.
     std::optional<table_rows> join(table_rows rows, support::instant now);
     void apply(const table_rows& rows, support::instant now);
+    /// Logs that a table is read again after an interruption, or first.
+    void log_read(const table_rows& rows, support::instant now);
     void log_malformed(const table_rows& rows);
     /// Reads on at once after an answer that did not hold all changes, or reads
     /// all rows once these are fewer than the changes that were read.
     void follow_cut_answer(const table_rows& rows, support::instant now);
+    /// Logs when the endpoints begin or cease to be followed.
+    void log_following(support::instant now);
     void apply_hosts(const table_rows& rows, support::instant now);
     /// Reports the hosts whose rows \p rows shows as removed.
     void report_removed_hosts(const table_rows& rows);
     void apply_endpoints(const table_rows& rows, support::instant now);
-    /// Notes that a row names no usable endpoint: the last good entry stands
-    /// until it counts as missing.
-    void note_missing(const std::string& id, std::int64_t version,
+    /// Notes that a row names no usable endpoint: the last good entry stands in
+    /// doubt until it counts as missing. \p is_odd says that there is a row.
+    void note_missing(const std::string& id, std::int64_t version, bool is_odd,
                       support::instant now);
+    /// Notes that the store does not answer, or did not for a while.
+    void note_outage(support::instant now);
+    /// Takes the missing entries of domains that lack most of theirs as lapsed.
+    void doubt_losses_of_domains();
+    void set_doubt(known_endpoint& endpoint, entry_doubt doubt);
     /// Returns whether a later row or removal of the same endpoint than \p row
     /// was read before.
     bool is_outdated(const endpoint_row& row) const;
     /// Uses an entry unless it contradicts the one that is known.
     void apply_entry(const endpoint_row& row, support::instant now);
+    /// Notes that an endpoint leaves, unless a later row was noted of it.
+    /// Returns whether this is news.
+    bool remember_leaving(const schema::leaving_endpoint& endpoint,
+                          support::instant now);
     void drop_missing_endpoints(support::instant now);
     void write_registration(support::instant now);
     /// Writes the registration again: at once after a stable registration, then
@@ -315,14 +413,24 @@
     /// Dropped endpoints by id. Their versions keep reads of earlier rows from
     /// bringing them back.
     std::map<std::string, dropped_endpoint> dropped;
+    /// By id, the last row of each endpoint that says that it leaves, as read
+    /// or as told by a peer. A later row that says otherwise ends it.
+    std::map<std::string, leaving_news> news;
+    std::int64_t last_news = 0;
     /// The other hosts that were reported, and the versions of their rows.
     std::map<std::string, std::int64_t> known_hosts;
     /// No known endpoint is missing if this is false.
     bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
+    std::int64_t doubt_changes = 0;
+    /// When the store was last found away.
+    std::optional<support::instant> store_away_at;
     /// The first read and the last one.
     std::optional<support::instant> endpoints_read_at;
     std::optional<support::instant> endpoints_last_read_at;
+    std::int64_t endpoints_read_version = 0;
+    /// As logged last.
+    bool was_following = false;
     /// Since refresh_endpoints(), until a read that began later has ended.
     bool endpoints_are_stale = false;
     /// The read under way began before the last refresh_endpoints().
@@ -330,6 +438,8 @@
     bool owns = false;
     bool relays = false;
     bool available = false;
+    /// The store has answered this process before.
+    bool was_available = false;
     bool is_registered = false;
     bool is_writing = false;
     bool hosts_are_complete = false;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -38,6 +38,17 @@
     return {};
 }
 
+schema::leaving_endpoint leaving_of(const schema::endpoint_registration& entry,
+                                    std::int64_t version)
+{
+    schema::leaving_endpoint one;
+    one.id = entry.id;
+    one.domain = entry.domain;
+    one.born_ms = entry.born_ms;
+    one.version = version;
+    return one;
+}
+
 } // namespace
 
 std::string_view name_of(directory_table table)
@@ -54,6 +65,13 @@
     return names[static_cast<std::size_t>(status)];
 }
 
+std::string_view name_of(entry_doubt doubt)
+{
+    static constexpr std::array<std::string_view, 3> names = {
+        "none", "last_resort", "unusable"};
+    return names[static_cast<std::size_t>(doubt)];
+}
+
 directory::directory(directory_options opts, directory_hooks callbacks,
                      instant now)
     : options(std::move(opts)), hooks(std::move(callbacks)),
@@ -89,49 +107,110 @@
     this->relays = relays_now;
 }
 
-bool directory::lacks_endpoints() const
+bool directory::lacks_endpoints(instant now) const
 {
     const table_state& table = this->state_of(directory_table::endpoints);
+    const bool is_late = table.wanted_since &&
+                         now - *table.wanted_since >= this->options.late_read;
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
-           !table.has_followed || table.rows_behind > 0;
+           !table.has_followed || table.rows_behind > 0 || is_late;
 }
 
-std::vector<schema::leaving_endpoint>
-directory::leaving(const std::string& domain) const
+void directory::log_following(instant now)
 {
-    std::vector<schema::leaving_endpoint> found;
-    for (const auto& [id, known_one] : this->known)
-    {
-        const schema::endpoint_registration& entry = known_one.entry;
-        if (!entry.is_draining || entry.domain != domain ||
-            found.size() >= support::max_leaving)
-            continue;
-        schema::leaving_endpoint& one = found.emplace_back();
-        one.id = id;
-        one.domain = entry.domain;
-        one.born_ms = entry.born_ms;
-        one.version = known_one.version;
-    }
-    return found;
+    const bool follows = !this->lacks_endpoints(now);
+    if (follows == std::exchange(this->was_following, follows))
+        return;
+    const auto as_of = this->endpoints_as_of();
+    const std::int64_t age_ms = as_of ? support::whole_ms(now - *as_of) : -1;
+    this->hooks.log(log_line(follows ? "endpoints_followed" : "endpoints_late",
+                             support::log_level::warning)
+                        .add("age_ms", age_ms)
+                        .add("version", this->endpoints_read_version));
 }
 
-void directory::note_leaving(const schema::leaving_endpoint& endpoint)
+leaving_list directory::leaving(const std::string& domain,
+                                std::int64_t known_to, std::int64_t after,
+                                instant now) const
+{
+    leaving_list list{.endpoints = {}, .last = after};
+    if (after >= this->last_news)
+        return list;
+    std::vector<const leaving_news*> later;
+    for (const auto& [id, one] : this->news)
+    {
+        const bool may_serve = this->known.contains(id) ||
+                               now - one.as_of < this->options.leaving_memory;
+        if (may_serve && one.number > after && one.endpoint.domain == domain &&
+            one.endpoint.version > known_to)
+            later.push_back(&one);
+    }
+    std::sort(later.begin(), later.end(),
+              [](const leaving_news* one, const leaving_news* other)
+              { return one->number < other->number; });
+    const bool is_whole = later.size() <= support::max_leaving;
+    if (!is_whole)
+        later.resize(support::max_leaving);
+    for (const leaving_news* const one : later)
+        list.endpoints.push_back(one->endpoint);
+    list.last = is_whole ? this->last_news : later.back()->number;
+    return list;
+}
+
+bool directory::remember_leaving(const schema::leaving_endpoint& endpoint,
+                                 instant now)
+{
+    const auto found = this->news.find(endpoint.id);
+    if (found != this->news.end() &&
+        found->second.endpoint.version >= endpoint.version)
+        return false;
+    // Each report of an endpoint is a later row: no news for anybody.
+    if (found != this->news.end() &&
+        found->second.endpoint.born_ms == endpoint.born_ms)
+    {
+        found->second.endpoint.version = endpoint.version;
+        return false;
+    }
+    if (found == this->news.end() &&
+        this->news.size() >= this->options.max_remembered_leaving)
+        this->news.erase(std::min_element(
+            this->news.begin(), this->news.end(),
+            [](const auto& one, const auto& other)
+            { return one.second.number < other.second.number; }));
+    this->news[endpoint.id] = {
+        .endpoint = endpoint, .number = ++this->last_news, .as_of = now};
+    return true;
+}
+
+void directory::note_leaving(const schema::leaving_endpoint& endpoint,
+                             instant now)
 {
     const auto found = this->known.find(endpoint.id);
-    if (found == this->known.end())
-        return;
-    known_endpoint& known_one = found->second;
-    if (known_one.entry.born_ms != endpoint.born_ms ||
-        known_one.version >= endpoint.version || known_one.entry.is_draining)
+    const bool is_known = found != this->known.end();
+    // The version of a missing entry is that of the answer that lacked it,
+    // which may be later than a row that nobody here has read.
+    const bool is_outdated = is_known &&
+                             found->second.version >= endpoint.version &&
+                             !(found->second.missing_since &&
+                               found->second.entry.born_ms == endpoint.born_ms);
+    if (is_outdated || !this->remember_leaving(endpoint, now))
         return;
-    known_one.entry.is_draining = true;
-    known_one.version = endpoint.version;
-    ++this->endpoint_changes;
+    // An entry of another incarnation is outdated: its successor leaves.
+    const bool is_used = is_known && !found->second.entry.is_draining;
+    if (is_used)
+    {
+        found->second.entry.is_draining = true;
+        ++this->endpoint_changes;
+    }
+    if (is_known)
+        found->second.version =
+            std::max(found->second.version, endpoint.version);
     this->hooks.log(log_line("endpoint_leaves")
                         .add("endpoint", endpoint.id)
                         .add("born_ms", endpoint.born_ms)
                         .add("version", endpoint.version)
-                        .add("source", "peer"));
+                        .add("source", "peer")
+                        .add("outcome", is_used ? "applied" : "remembered"));
 }
 
 void directory::refresh_endpoints()
@@ -147,9 +226,12 @@
     if (is_available == this->available)
         return;
     this->available = is_available;
+    const bool is_first =
+        is_available && !std::exchange(this->was_available, true);
     this->hooks.log(log_line(is_available ? "store_recovered" : "store_lost",
                              support::log_level::warning)
-                        .add("why", why));
+                        .add("why", why)
+                        .add("first", is_first));
 }
 
 milliseconds directory::next_backoff(milliseconds before)
@@ -172,6 +254,10 @@
             continue;
         const auto which = static_cast<directory_table>(i);
         table.is_reading = true;
+        if (!table.wanted_since)
+            table.wanted_since = now;
+        if (!table.earlier)
+            table.asked_at = now;
         const bool waits = which != directory_table::endpoints &&
                            table.after > 0 && !table.wants_all;
         this->hooks.read(
@@ -182,6 +268,7 @@
              .wait = waits ? this->options.change_wait : milliseconds(0)});
     }
     this->drop_missing_endpoints(now);
+    this->log_following(now);
 }
 
 void directory::rows_read(const table_rows& rows, instant now)
@@ -192,6 +279,8 @@
     if (rows.status == read_status::unavailable)
     {
         this->set_available(false, name_of(rows.table));
+        this->note_outage(now);
+        table.was_interrupted = true;
         table.backoff = this->next_backoff(table.backoff);
         table.next_read = now + table.backoff;
         return;
@@ -205,9 +294,13 @@
         this->hooks.log(log_line("history_lost")
                             .add("table", name_of(rows.table))
                             .add("after", table.after)
-                            .add("version", rows.version));
+                            .add("version", rows.version)
+                            .add("first", !table.read_as_of));
+        table.was_interrupted = true;
         table.wants_all = true;
         table.earlier.reset();
+        if (has_decreased && rows.table == directory_table::endpoints)
+            this->endpoints_read_version = 0;
         // The first loss is not delayed, as changes are unknown meanwhile. A
         // store that shows rows whose changes it has forgotten loses each read
         // again, and the reads of all hosts would use up its rate.
@@ -259,12 +352,24 @@
     table.wants_all = false;
     table.after = rows.version;
     table.next_read = now;
+    const auto read_before = table.read_as_of;
+    if (!rows.is_cut)
+    {
+        this->log_read(rows, now);
+        table.read_as_of = table.asked_at;
+        table.wanted_since.reset();
+    }
     if (rows.config)
         this->hooks.config_read(*rows.config);
     if (rows.table == directory_table::hosts)
         this->apply_hosts(rows, now);
     if (rows.table != directory_table::endpoints)
         return;
+    this->endpoints_read_version = rows.version;
+    const bool had_gap = read_before && table.asked_at - *read_before >=
+                                            this->options.outage_memory;
+    if (had_gap)
+        this->note_outage(now);
     this->apply_endpoints(rows, now);
     if (rows.is_cut)
     {
@@ -297,6 +402,21 @@
             .add("known", static_cast<std::int64_t>(this->known.size())));
 }
 
+void directory::log_read(const table_rows& rows, instant now)
+{
+    table_state& table = this->state_of(rows.table);
+    const bool was_interrupted = std::exchange(table.was_interrupted, false);
+    if (table.read_as_of && !was_interrupted)
+        return;
+    const std::int64_t age_ms =
+        table.read_as_of ? support::whole_ms(now - *table.read_as_of) : -1;
+    this->hooks.log(log_line("table_read")
+                        .add("table", name_of(rows.table))
+                        .add("before_ms", age_ms)
+                        .add("version", rows.version)
+                        .add("whole", rows.is_whole));
+}
+
 void directory::log_malformed(const table_rows& rows)
 {
     std::set<std::string>& logged = this->state_of(rows.table).logged;
@@ -384,6 +504,9 @@
 {
     if (!this->endpoints_read_at)
         this->endpoints_read_at = now;
+    std::set<std::string> malformed;
+    for (const malformed_row& row : rows.malformed)
+        malformed.insert(row.key);
     std::set<std::string> present;
     for (const endpoint_row& row : rows.endpoints)
     {
@@ -395,13 +518,14 @@
         if (row.entry)
             this->apply_entry(row, now);
         else
-            this->note_missing(row.id, row.version, now);
+            this->note_missing(row.id, row.version, malformed.contains(row.id),
+                               now);
     }
-    if (!rows.is_whole)
-        return;
-    for (const auto& [id, endpoint] : this->known)
-        if (!present.contains(id) && rows.version >= endpoint.version)
-            this->note_missing(id, rows.version, now);
+    if (rows.is_whole)
+        for (const auto& [id, endpoint] : this->known)
+            if (!present.contains(id) && rows.version >= endpoint.version)
+                this->note_missing(id, rows.version, false, now);
+    this->doubt_losses_of_domains();
 }
 
 bool directory::is_outdated(const endpoint_row& row) const
@@ -430,34 +554,120 @@
                                     .add("born_ms", row.entry->born_ms)
                                     .add("address", row.entry->address));
             earlier->second.contradiction = *row.entry;
-            this->note_missing(row.id, row.version, now);
+            this->note_missing(row.id, row.version, true, now);
+            if (!row.entry->is_draining)
+                return;
+            // Whoever wrote it may know.
+            schema::endpoint_registration& entry = earlier->second.entry;
+            this->remember_leaving(leaving_of(entry, row.version), now);
+            if (!std::exchange(entry.is_draining, true))
+                ++this->endpoint_changes;
             return;
         }
     }
     this->dropped.erase(row.id);
+    schema::endpoint_registration entry = *row.entry;
+    std::int64_t version = row.version;
+    const auto told = this->news.find(row.id);
+    if (entry.is_draining)
+        this->remember_leaving(leaving_of(entry, row.version), now);
+    else if (told != this->news.end() &&
+             told->second.endpoint.version > row.version)
+    {
+        // A peer has read a later row than this one.
+        entry.is_draining = true;
+        version = told->second.endpoint.version;
+    }
+    else if (told != this->news.end())
+        this->news.erase(told);
     known_endpoint& endpoint = this->known[row.id];
-    endpoint.version = row.version;
+    endpoint.version = version;
     endpoint.missing_since.reset();
+    endpoint.is_odd = false;
+    this->set_doubt(endpoint, entry_doubt::none);
     endpoint.contradiction.reset();
-    if (endpoint.entry == *row.entry)
+    if (endpoint.entry == entry)
         return;
-    endpoint.entry = *row.entry;
+    endpoint.entry = std::move(entry);
     ++this->endpoint_changes;
 }
 
 void directory::note_missing(const std::string& id, std::int64_t version,
-                             instant now)
+                             bool is_odd, instant now)
 {
     const auto found = this->known.find(id);
     if (found == this->known.end())
         return;
-    found->second.version = version;
-    if (found->second.missing_since)
+    known_endpoint& endpoint = found->second;
+    endpoint.version = version;
+    endpoint.is_odd = endpoint.is_odd || is_odd;
+    const bool may_have_lapsed =
+        this->store_away_at &&
+        now - *this->store_away_at < this->options.outage_memory;
+    if (endpoint.is_odd)
+        this->set_doubt(endpoint, entry_doubt::unusable);
+    else if (!endpoint.missing_since)
+        this->set_doubt(endpoint, may_have_lapsed ? entry_doubt::last_resort
+                                                  : entry_doubt::unusable);
+    if (endpoint.missing_since)
         return;
-    found->second.missing_since = now;
+    endpoint.missing_since = now;
     this->may_miss_endpoints = true;
 }
 
+void directory::note_outage(instant now)
+{
+    this->store_away_at = now;
+    // It may have begun before this host noticed.
+    for (auto& [id, endpoint] : this->known)
+        if (endpoint.missing_since && !endpoint.is_odd)
+            this->set_doubt(endpoint, entry_doubt::last_resort);
+}
+
+void directory::doubt_losses_of_domains()
+{
+    if (!this->may_miss_endpoints)
+        return;
+    struct count
+    {
+        int all = 0;
+        int missing = 0;
+    };
+    // A single one is more likely to have left.
+    constexpr int least_missing = 2;
+    std::map<std::string, count> domains;
+    for (const auto& [id, endpoint] : this->known)
+    {
+        count& domain = domains[endpoint.entry.domain];
+        ++domain.all;
+        if (endpoint.missing_since && !endpoint.is_odd)
+            ++domain.missing;
+    }
+    for (auto& [id, endpoint] : this->known)
+    {
+        const count& domain = domains[endpoint.entry.domain];
+        const bool lacks_most =
+            domain.missing >= least_missing && domain.missing * 2 > domain.all;
+        if (endpoint.missing_since && !endpoint.is_odd && lacks_most)
+            this->set_doubt(endpoint, entry_doubt::last_resort);
+    }
+}
+
+void directory::set_doubt(known_endpoint& endpoint, entry_doubt doubt)
+{
+    if (std::exchange(endpoint.doubt, doubt) != doubt)
+        ++this->doubt_changes;
+}
+
+std::map<std::string, entry_doubt> directory::doubts() const
+{
+    std::map<std::string, entry_doubt> found;
+    for (const auto& [id, endpoint] : this->known)
+        if (endpoint.doubt != entry_doubt::none)
+            found[id] = endpoint.doubt;
+    return found;
+}
+
 void directory::drop_missing_endpoints(instant now)
 {
     // A missing entry means nothing while the store is unavailable.
@@ -478,6 +688,9 @@
             this->dropped[entry.first] = {.entry = endpoint.entry,
                                           .version = endpoint.version,
                                           .dropped_at = now};
+            const auto told = this->news.find(entry.first);
+            if (told != this->news.end())
+                told->second.as_of = now;
             return true;
         });
     if (gone > 0)
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -339,6 +339,7 @@
     this->view.connected(peer, now);
     this->answered_tokens.erase(peer.name);
     this->answered_by.erase(peer.name);
+    this->told_peers.erase(peer.name);
     this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
@@ -434,7 +435,8 @@
         if (shard_owner* const shard = this->find_shard(job.domain, job.shard))
             shard->note_elsewhere(peer, job, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
-        this->table.note_leaving(endpoint);
+        this->table.note_leaving(endpoint, now);
+    this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
     if (heartbeat.__isset.known_tokens)
         this->answered_by[peer] = heartbeat.known_tokens;
@@ -526,6 +528,7 @@
 {
     this->begin_event(now);
     this->table.rows_read(rows, now);
+    this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
     this->table.tick(now);
 }
@@ -540,9 +543,12 @@
 void entry_host::update_shard_endpoints(instant now)
 {
     const std::int64_t version = this->table.endpoints_version();
-    if (version == this->shard_endpoints_version)
+    const std::int64_t doubts = this->table.doubts_version();
+    if (version == this->shard_endpoints_version &&
+        doubts == this->shard_doubts_version)
         return;
     this->shard_endpoints_version = version;
+    this->shard_doubts_version = doubts;
     const std::vector<schema::endpoint_registration> listed =
         this->table.endpoints();
     const auto own =
@@ -557,7 +563,10 @@
         wanted_shards *= 2;
     this->view.raise_shard_count(wanted_shards, now);
     for (const auto& [number, shard] : this->shards)
+    {
+        shard->update_doubts(this->table.doubts());
         shard->update_endpoints(listed, now);
+    }
     this->deliver_local_results(now);
 }
 
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -3,6 +3,7 @@
 #include "chicorydrum/shard/directory.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -477,7 +478,7 @@
     for (int i = 0; i < 5; ++i)
         all.endpoints.push_back(row(i, 1 + i));
     BOOST_TEST(!read_of(all));
-    BOOST_TEST(!this->table.lacks_endpoints());
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
 
     this->run_for(milliseconds(2500));
     table_rows cut = all;
@@ -489,7 +490,7 @@
     BOOST_REQUIRE(second);
     BOOST_TEST(!second->wants_all);
     BOOST_TEST(second->after == 12);
-    BOOST_TEST(this->table.lacks_endpoints());
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
 
     // All rows are fewer than the changes that it has read since.
     cut.version = 15;
@@ -499,7 +500,7 @@
     BOOST_TEST(third->wants_all);
     all.version = 20;
     BOOST_TEST(!read_of(all));
-    BOOST_TEST(!this->table.lacks_endpoints());
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
 }
 
 // Guards against an endpoint that a peer has told of as leaving, and that older
@@ -524,7 +525,7 @@
     news.domain = "D1";
     news.born_ms = 1;
     news.version = 9;
-    this->table.note_leaving(news);
+    this->table.note_leaving(news, this->now);
     BOOST_TEST(this->table.endpoints().front().is_draining);
 
     rows.is_whole = false;
@@ -538,6 +539,283 @@
     BOOST_TEST(!this->table.endpoints().front().is_draining);
 }
 
+// Guards against news of a leaving endpoint that is lost since the endpoint is
+// not known, or is known in another incarnation.
+BOOST_FIXTURE_TEST_CASE(news_of_leaving_endpoints_wait_for_their_rows,
+                        directory_fixture)
+{
+    const auto read =
+        [this](const std::string& id, std::int64_t born, std::int64_t row)
+    {
+        table_rows rows;
+        rows.table = directory_table::endpoints;
+        rows.status = read_status::read;
+        rows.version = row;
+        rows.endpoints = {{.id = id, .entry = {}, .version = row}};
+        rows.endpoints[0].entry.emplace();
+        rows.endpoints[0].entry->id = id;
+        rows.endpoints[0].entry->born_ms = born;
+        this->table.rows_read(rows, this->now);
+    };
+    const auto tell =
+        [this](const std::string& id, std::int64_t born, std::int64_t row)
+    {
+        schema::leaving_endpoint told;
+        told.id = id;
+        told.born_ms = born;
+        told.version = row;
+        this->table.note_leaving(told, this->now);
+    };
+    const auto leaves = [this](const std::string& id)
+    {
+        for (const auto& entry : this->table.endpoints())
+            if (entry.id == id)
+                return entry.is_draining;
+        return false;
+    };
+    // Not known yet; the row is an earlier one.
+    tell("i-1", 7, 20);
+    read("i-1", 7, 10);
+    BOOST_TEST(leaves("i-1"));
+    // Known in an earlier incarnation.
+    read("i-2", 7, 11);
+    const auto before = this->table.endpoints_version();
+    tell("i-2", 8, 21);
+    BOOST_TEST(leaves("i-2"));
+    BOOST_TEST(this->table.endpoints_version() != before);
+    read("i-2", 8, 15);
+    BOOST_TEST(leaves("i-2"));
+    // Known by a later row.
+    read("i-3", 8, 30);
+    tell("i-3", 7, 22);
+    BOOST_TEST(!leaves("i-3"));
+    // Later rows say otherwise.
+    read("i-1", 8, 31);
+    BOOST_TEST(!leaves("i-1"));
+    read("i-2", 9, 32);
+    BOOST_TEST(!leaves("i-2"));
+}
+
+// Guards against leaving endpoints that a peer is never told of since there are
+// more of them than one heartbeat holds, and against telling it what it has
+// read.
+BOOST_FIXTURE_TEST_CASE(more_leaving_endpoints_than_a_heartbeat_holds,
+                        directory_fixture)
+{
+    constexpr std::size_t count = support::max_leaving * 5 / 2;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = static_cast<std::int64_t>(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        endpoint_row& row = rows.endpoints.emplace_back();
+        row.id = "i-" + std::to_string(i);
+        // Not in the order of the ids.
+        row.version = static_cast<std::int64_t>(count - i);
+        row.entry.emplace();
+        row.entry->id = row.id;
+        row.entry->domain = i % 5 == 0 ? "D2" : "D1";
+        row.entry->is_draining = true;
+    }
+    this->table.rows_read(rows, this->now);
+    std::set<std::string> told;
+    std::int64_t after = 0;
+    for (int lists = 0; lists < 4; ++lists)
+    {
+        const leaving_list list =
+            this->table.leaving("D1", 0, after, this->now);
+        BOOST_TEST(list.endpoints.size() <= support::max_leaving);
+        for (const schema::leaving_endpoint& one : list.endpoints)
+            BOOST_TEST(told.insert(one.id).second);
+        after = list.last;
+    }
+    BOOST_TEST(told.size() == support::max_leaving * 2);
+    BOOST_TEST(this->table.endpoints_read_to() == rows.version);
+    const std::int64_t known = rows.version - 9;
+    BOOST_TEST(
+        this->table.leaving("D1", known, 0, this->now).endpoints.size() == 7U);
+    BOOST_TEST(this->table.leaving("D1", rows.version, 0, this->now)
+                   .endpoints.empty());
+}
+
+// Guards against logs in which a process that starts looks like one that has
+// lost the store or its history.
+BOOST_FIXTURE_TEST_CASE(first_reads_are_told_from_later_ones, directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    const auto answer_with =
+        [&](read_status status, bool is_whole, std::int64_t row_version)
+    {
+        rows.status = status;
+        rows.is_whole = is_whole;
+        rows.version = row_version;
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(2000));
+    };
+    answer_with(read_status::history_lost, false, 5);
+    answer_with(read_status::read, true, 5);
+    BOOST_TEST(this->count_lines("event=store_recovered") == 1);
+    BOOST_TEST(this->count_lines("why=endpoints first=true") == 1);
+    BOOST_TEST(this->count_lines("after=0 version=5 first=true") == 1);
+    BOOST_TEST(this->count_lines("event=table_read table=endpoints "
+                                 "before_ms=-1 version=5 whole=true") == 1);
+    answer_with(read_status::read, false, 6);
+    BOOST_TEST(this->count_lines("event=table_read") == 1);
+    answer_with(read_status::unavailable, false, 0);
+    answer_with(read_status::history_lost, false, 7);
+    answer_with(read_status::read, true, 7);
+    BOOST_TEST(this->count_lines("event=store_recovered") == 2);
+    BOOST_TEST(this->count_lines("first=true") == 2);
+    BOOST_TEST(this->count_lines("after=6 version=7 first=false") == 1);
+    // Asked for 2 s before the read that failed.
+    BOOST_TEST(this->count_lines("event=table_read table=endpoints "
+                                 "before_ms=60") == 1);
+}
+
+// Guards against new work for an endpoint whose row is gone or odd while the
+// store answers, and against none at all when entries have lapsed with it.
+BOOST_FIXTURE_TEST_CASE(endpoints_in_doubt, directory_fixture)
+{
+    const auto make_row = [this](const std::string& id)
+    {
+        endpoint_row row{.id = id, .entry = {}, .version = ++this->version};
+        row.entry.emplace();
+        row.entry->id = id;
+        row.entry->domain = "D1";
+        row.entry->born_ms = 7;
+        row.entry->port = 80;
+        return row;
+    };
+    const auto read = [this](std::vector<endpoint_row> changed)
+    {
+        table_rows rows;
+        rows.table = directory_table::endpoints;
+        rows.status = read_status::read;
+        rows.version = ++this->version;
+        for (const endpoint_row& row : changed)
+            if (!row.entry && row.id == "odd")
+                rows.malformed.push_back({.key = row.id, .problem = "bytes"});
+        rows.endpoints = std::move(changed);
+        this->table.rows_read(rows, this->now);
+        this->run_for(milliseconds(25));
+    };
+    const auto gone = [this](const std::string& id)
+    {
+        return endpoint_row{.id = id, .entry = {}, .version = ++this->version};
+    };
+    const auto doubt_of = [this](const std::string& id)
+    {
+        const auto doubts = this->table.doubts();
+        const auto found = doubts.find(id);
+        return found == doubts.end() ? entry_doubt::none : found->second;
+    };
+    const auto read_all = [&]
+    {
+        read({make_row("a"), make_row("b"), make_row("c"), make_row("d"),
+              make_row("e"), make_row("odd")});
+    };
+    const auto lose_store = [this]
+    {
+        table_rows rows;
+        rows.table = directory_table::config;
+        this->table.rows_read(rows, this->now);
+    };
+    read_all();
+    BOOST_TEST(this->table.doubts().empty());
+    auto before = this->table.doubts_version();
+    read({gone("a"), gone("odd")});
+    BOOST_TEST(this->table.doubts_version() != before);
+    BOOST_TEST((doubt_of("a") == entry_doubt::unusable));
+    BOOST_TEST((doubt_of("odd") == entry_doubt::unusable));
+    BOOST_TEST(this->table.endpoints().size() == 6U);
+    // The outage may have begun before this host saw it.
+    lose_store();
+    BOOST_TEST((doubt_of("a") == entry_doubt::last_resort));
+    BOOST_TEST((doubt_of("odd") == entry_doubt::unusable));
+    before = this->table.doubts_version();
+    read_all();
+    BOOST_TEST(this->table.doubts().empty());
+    BOOST_TEST(this->table.doubts_version() != before);
+    read({gone("b")});
+    BOOST_TEST((doubt_of("b") == entry_doubt::last_resort));
+    // The outage is long over.
+    read_all();
+    this->run_for(milliseconds(10000));
+    read({gone("b")});
+    BOOST_TEST((doubt_of("b") == entry_doubt::unusable));
+    // Most of the domain.
+    read({gone("c"), gone("d"), gone("e")});
+    for (const std::string id : {"b", "c", "d", "e"})
+        BOOST_TEST((doubt_of(id) == entry_doubt::last_resort));
+    // Another writer's row.
+    read_all();
+    endpoint_row forged = make_row("a");
+    forged.entry->port = 81;
+    read({forged});
+    BOOST_TEST((doubt_of("a") == entry_doubt::unusable));
+    BOOST_TEST(!this->table.endpoints().front().is_draining);
+    forged.version = ++this->version;
+    forged.entry->is_draining = true;
+    read({forged});
+    BOOST_TEST(this->table.endpoints().front().is_draining);
+    read_all();
+    BOOST_TEST(!this->table.endpoints().front().is_draining);
+}
+
+// Guards against a host that takes itself for informed while a read hangs.
+BOOST_FIXTURE_TEST_CASE(reads_that_hang_count_as_lacking, directory_fixture)
+{
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
+    this->table.set_owner(true);
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 5;
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    const instant asked = *this->table.endpoints_as_of();
+    this->run_for(milliseconds(1400));
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(125));
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(2000));
+    BOOST_TEST((*this->table.endpoints_as_of() == asked));
+    BOOST_TEST(this->count_lines("event=endpoints_late age_ms=15") == 1);
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(!this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->count_lines("event=endpoints_followed") == 2);
+    BOOST_TEST(this->count_lines("event=endpoints_late") == 1);
+}
+
+// Guards against an endpoint that peers are not told of any more since its row
+// was removed, although it still serves.
+BOOST_FIXTURE_TEST_CASE(removed_endpoints_are_told_of_for_a_while,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 10;
+    rows.endpoints = {{.id = "i-1", .entry = {}, .version = 10}};
+    rows.endpoints[0].entry.emplace();
+    rows.endpoints[0].entry->id = "i-1";
+    rows.endpoints[0].entry->domain = "D1";
+    rows.endpoints[0].entry->is_draining = true;
+    this->table.rows_read(rows, this->now);
+    rows.version = 11;
+    rows.endpoints = {{.id = "i-1", .entry = {}, .version = 11}};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(5000));
+    BOOST_TEST(this->table.endpoints().empty());
+    BOOST_TEST(this->table.leaving("D1", 0, 0, this->now).endpoints.size() ==
+               1U);
+    this->run_for(milliseconds(30000));
+    BOOST_TEST(this->table.leaving("D1", 0, 0, this->now).endpoints.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
