Scenarios of leaving endpoints: hosts that start on old rows, a lost relay

Simulated first reads always had the history, even after the store had discarded it, so that no process ever started on rows as they were before. The adapter follows the changes since version 0 first, which the store refuses then; the simulated store now does so too.

`leaving/refused_hosts_start_anew_and_read_old_rows`: hosts that start while the store refuses them read old rows later and own the shard.

--- a/test/shards/leaving_test.cpp
+++ b/test/shards/leaving_test.cpp
@@ -200,7 +200,9 @@
     fleet.set_draining("D1-e1");
     // Covers the longest time between two reads.
     fleet.run_for(milliseconds(2100));
+    // Without the history, all reads are of whole tables.
     fleet.set_read_lag(lag);
+    fleet.discard_history();
     for (const std::string& host : fleet.host_names())
         if (host != other)
             fleet.kill(host);
@@ -208,12 +210,68 @@
     for (const std::string& host : fleet.host_names())
         if (host != other)
             fleet.start(host);
-    // The reads that follow show changes as long as the store keeps them.
-    fleet.discard_history();
+    fleet.run_for(milliseconds(1000));
+    // The others own the shard from then on.
+    fleet.kill(other);
     BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(4000)) == 0);
     check_no_violations(fleet);
 }
 
+// The same for hosts that start anew while the store refuses them, after which
+// it shows them rows as they were before.
+BOOST_AUTO_TEST_CASE(refused_hosts_start_anew_and_read_old_rows)
+{
+    constexpr milliseconds lag(8000);
+    shard_fleet fleet({});
+    fleet.run_for(warm_up + lag);
+    const std::string other = other_host(fleet, fleet.owner_of("D1"));
+    std::vector<int> refusals;
+    for (const std::string& host : fleet.host_names())
+    {
+        if (host == other)
+            continue;
+        refusals.push_back(fleet.partition({host}, {"store"}));
+        fleet.kill(host);
+    }
+    fleet.set_draining("D1-e1");
+    fleet.run_for(milliseconds(500));
+    for (const std::string& host : fleet.host_names())
+        if (host != other)
+            fleet.start(host);
+    fleet.run_for(milliseconds(4000));
+    fleet.discard_history();
+    fleet.set_read_lag(lag);
+    for (const int refusal : refusals)
+        fleet.heal(refusal);
+    fleet.run_for(milliseconds(100));
+    fleet.kill(other);
+    BOOST_TEST(starts_during(fleet, "D1-e1", milliseconds(3000)) == 0);
+    BOOST_TEST(fleet.answered(answer_kind::completed) > 0);
+    check_no_violations(fleet);
+}
+
+// Guards against a domain that hears of its leaving endpoints from one host of
+// another domain only, and loses that host at the moment at which one leaves.
+BOOST_AUTO_TEST_CASE(last_relay_of_another_domain_is_lost)
+{
+    for (int offset = 0; offset < 20; ++offset)
+    {
+        shard_fleet fleet({.domains = 2});
+        fleet.run_for(warm_up);
+        refuse_domain(fleet, "D1");
+        const std::string relay = fleet.owner_of("D2");
+        for (const std::string& host : fleet.host_names())
+            if (host.starts_with("D2-") && host != relay)
+                fleet.partition({host}, {"store"});
+        fleet.run_for(refusal_noticed + milliseconds(offset * 25));
+        fleet.kill(relay);
+        fleet.set_draining("D1-e1");
+        fleet.at(milliseconds(500), [&fleet, relay] { fleet.start(relay); });
+        starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+        check_no_violations(fleet);
+    }
+}
+
 // Guards against starts on an endpoint of which the owner reads only that its
 // row is gone: it left between two reads.
 BOOST_AUTO_TEST_CASE(row_is_removed_between_two_reads)
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -817,7 +817,8 @@
         rows.version = wanted.wants_all ? this->version_before(this->read_lag)
                                         : this->store_version;
         rows.is_whole = wanted.wants_all || wanted.after == 0;
-        if (!rows.is_whole && wanted.after < this->history_from)
+        // A first read follows the changes since version 0, as in the adapter.
+        if (!wanted.wants_all && wanted.after < this->history_from)
             rows.status = shard::read_status::history_lost;
         const row_table shown =
             wanted.wants_all ? this->rows_before(wanted.table, this->read_lag)
