Messages between hosts have an age: a lost host's job is not served

An owner took the arrival of a message for the time of its sending. Each message now carries its sender's clock and by how much that clock is ahead of the receiver's at most, known from the fastest message of the last second. The receiver bounds the age by its own clock; clocks need not agree. A peer counts as heard when its message was sent, for callers' hosts, for owners and for lost owners of other domains, and a job whose host does not count as live after that is answered as interrupted (submission_late). So runs of a lost host end 575 ms after its last message was sent, whatever the link does. No round trip is added. Messages of earlier versions count as sent on arrival; the fields are optional.

Price: 26 bytes a message by the binary protocol (computed, not measured).

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -224,15 +224,28 @@
   5: i64 nonce
 }
 
-/// Exactly one member is set.
-union shard_message {
-  1: shard_handshake hello
-  2: shard_heartbeat beat
-  3: job_submitted submitted
-  4: job_withdrawn withdrawn
-  5: job_ended ended
-  6: job_not_owned not_owned
-  7: config_shared config
-  8: job_cancelled cancelled
-  9: cancellation_recorded recorded
+/// Lets the receiver bound a message's age by its own clock. Clocks of different
+/// hosts have nothing in common but their rate.
+struct message_times {
+  /// The sender's clock when it sent the message.
+  1: i64 sent_us
+  /// At most this much is the sender's clock ahead of the receiver's: the
+  /// sender's clock at the arrival of a message less the sent_us in it. Unset
+  /// until a message of the receiver's process has arrived.
+  2: optional i64 ahead_us
+}
+
+/// Exactly one of the members but times is set.
+struct shard_message {
+  1: optional shard_handshake hello
+  2: optional shard_heartbeat beat
+  3: optional job_submitted submitted
+  4: optional job_withdrawn withdrawn
+  5: optional job_ended ended
+  6: optional job_not_owned not_owned
+  7: optional config_shared config
+  8: optional job_cancelled cancelled
+  9: optional cancellation_recorded recorded
+  /// Unset by hosts of earlier versions.
+  10: optional message_times times
 }
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -8,6 +8,7 @@
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
+#include "chicorydrum/shard/link_clock.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
 #include "chicorydrum/support/line_limit.hpp"
@@ -174,6 +175,7 @@
 private:
     void handle_heartbeat(const std::string& peer,
                           const schema::shard_heartbeat& heartbeat,
+                          std::optional<support::instant> sent,
                           support::instant now);
     void handle_config(const schema::config_shared& shared,
                        support::instant now);
@@ -183,6 +185,19 @@
                             const schema::job_submitted& job,
                             support::instant now);
     void decline(const std::string& peer, const schema::job_submitted& job);
+    /// Sends \p message with its times.
+    void send(const std::string& peer, schema::shard_message message);
+    /// Returns when a message of \p peer was sent, or earlier; nothing if that
+    /// is not known.
+    std::optional<support::instant>
+    sent_at(const std::string& peer, const schema::shard_message& message,
+            support::instant now);
+    /// Passes a job of \p peer to its shard, if the peer is live that sent it
+    /// at \p sent or later.
+    void accept_submission(const std::string& peer,
+                           const schema::job_submitted& job,
+                           std::optional<support::instant> sent,
+                           support::instant now);
     /// Tells the owner of a job's home shard that the job is cancelled.
     void tell_cancellation(const std::string& owner,
                            const schema::job_cancelled& job);
@@ -272,6 +287,14 @@
     bool links_have_changed = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
+    struct peer_clock
+    {
+        /// Of the peer's process.
+        std::int64_t nonce = 0;
+        link_clock clock;
+    };
+    /// Kept while a peer dials again.
+    std::map<std::string, peer_clock> clocks;
     order_id last_order = 0;
     /// By owner and shard: the token that was answered with this host's jobs.
     std::map<std::string, std::map<int, fencing_token>> answered_tokens;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -127,9 +127,11 @@
     void connected(const host_identity& peer, support::instant now);
     void disconnected(const std::string& peer, support::instant now);
     /// Records the peer's state, tokens and shard count. Returns whether it
-    /// shows more than other loads: most heartbeats do not.
+    /// shows more than other loads: most heartbeats do not. \p sent is the
+    /// earliest time at which it may have been sent, if that is known.
     bool handle_heartbeat(const std::string& peer,
                           const schema::shard_heartbeat& heartbeat,
+                          std::optional<support::instant> sent,
                           support::instant now);
     /// The table lists a host of the own domain.
     void host_listed(const std::string& host);
@@ -164,8 +166,9 @@
     void reset_silence_timers(support::instant now);
     /// Defers all decisions on silence, as this process has stalled.
     void stalled(support::instant now);
-    /// Any message shows that \p peer is live.
-    void message_received(const std::string& peer, support::instant now);
+    /// Any message shows that \p peer was live when it was sent, \p sent or
+    /// later.
+    void message_received(const std::string& peer, support::instant sent);
 
     /// Removes dead hosts. Must be called before any query.
     void tick(support::instant now);
@@ -247,6 +250,7 @@
         host_identity identity;
         bool is_connected = false;
         support::instant connected_at;
+        /// When the newest message that has arrived was sent, or earlier.
         support::instant last_received;
         support::instant disconnected_at;
         /// It was not live any more when its link was closed.
--- a/shard/include/chicorydrum/shard/owner_sightings.hpp
+++ b/shard/include/chicorydrum/shard/owner_sightings.hpp
@@ -44,10 +44,10 @@
     /// Domain \p domain has hosts: it may have owners that were lost before
     /// this process heard them.
     void domain_listed(const std::string& domain);
-    /// A heartbeat of the owner of \p name, which divides its domain into
-    /// \p shards, has arrived.
+    /// The owner of \p name, which divides its domain into \p shards, has sent
+    /// a heartbeat at \p sent or later.
     void heard(const shard_name& name, fencing_token token, int shards,
-               support::instant now);
+               support::instant sent);
     /// Returns the lost owner whose last lease lapses last, or nothing if
     /// copies that arrive now have no active runs in other domains.
     std::optional<lost_owner> find_lost(support::instant now) const;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -3,6 +3,8 @@
 /// in entry_host_ownership.cpp.
 #include "chicorydrum/shard/entry_host.hpp"
 
+#include "owned_job.hpp"
+
 #include <algorithm>
 
 namespace chicorydrum::shard
@@ -70,7 +72,7 @@
                   }
                   schema::shard_message message;
                   message.__set_withdrawn(job);
-                  this->hooks.send(owner, message);
+                  this->send(owner, message);
               },
               .log = this->hooks.log}),
       cancellations(cancellations_of(this->options),
@@ -98,6 +100,7 @@
                  [this](const std::string& host)
              {
                  this->view.host_unlisted(host);
+                 this->clocks.erase(host);
                  this->hooks.host_removed(host);
              },
              .registered = [this](std::int64_t version)
@@ -238,7 +241,7 @@
     }
     schema::shard_message message;
     message.__set_cancelled(job);
-    this->hooks.send(owner, message);
+    this->send(owner, message);
 }
 
 std::optional<schema::cancellation_recorded>
@@ -269,7 +272,7 @@
             return;
         if (this->view.domain_of(peer) != this->options.self.domain)
             continue;
-        this->hooks.send(peer, message);
+        this->send(peer, message);
         ++told;
     }
 }
@@ -336,6 +339,9 @@
                         .add("peer", peer.name)
                         .add("domain", peer.domain));
     this->links_have_changed = true;
+    peer_clock& known = this->clocks[peer.name];
+    if (known.nonce != peer.nonce)
+        known = {.nonce = peer.nonce, .clock = {}};
     this->view.connected(peer, now);
     this->answered_tokens.erase(peer.name);
     this->answered_by.erase(peer.name);
@@ -367,18 +373,13 @@
         this->hooks.close_link(peer);
         return;
     }
-    this->view.message_received(peer, now);
+    const std::optional<instant> sent = this->sent_at(peer, message, now);
+    // The first messages of a process count as the opening of its link does.
+    this->view.message_received(peer, sent.value_or(now));
     if (message.__isset.beat)
-        this->handle_heartbeat(peer, message.beat, now);
+        this->handle_heartbeat(peer, message.beat, sent, now);
     else if (message.__isset.submitted)
-    {
-        shard_owner* const shard =
-            this->find_shard(message.submitted.domain, message.submitted.shard);
-        if (shard != nullptr)
-            shard->submit(peer, message.submitted, now);
-        else
-            this->decline(peer, message.submitted);
-    }
+        this->accept_submission(peer, message.submitted, sent, now);
     else if (message.__isset.withdrawn)
     {
         if (shard_owner* const shard = this->find_shard(
@@ -394,7 +395,7 @@
         {
             schema::shard_message reply;
             reply.__set_recorded(*record);
-            this->hooks.send(peer, reply);
+            this->send(peer, reply);
         }
         else
             this->cancellations.keep(message.cancelled.id, now);
@@ -408,6 +409,52 @@
     this->deliver_local_results(now);
 }
 
+std::optional<instant> entry_host::sent_at(const std::string& peer,
+                                           const schema::shard_message& message,
+                                           instant now)
+{
+    // A host of an earlier version.
+    if (!message.__isset.times)
+        return now;
+    this->clocks[peer].clock.message_arrived(message.times, now);
+    const auto age = longest_age(message.times, now);
+    return age ? std::optional(now - *age) : std::nullopt;
+}
+
+void entry_host::accept_submission(const std::string& peer,
+                                   const schema::job_submitted& job,
+                                   std::optional<instant> sent, instant now)
+{
+    shard_owner* const shard = this->find_shard(job.domain, job.shard);
+    if (shard == nullptr)
+    {
+        this->decline(peer, job);
+        return;
+    }
+    // The host may be lost since it sent the job, which could run beside its
+    // copy.
+    if (sent && this->view.keeps_jobs_of(peer))
+    {
+        shard->submit(peer, job, now);
+        return;
+    }
+    this->hooks.log(
+        log_line("submission_late", support::log_level::warning)
+            .add("job", job.work.id)
+            .add("host", peer)
+            .add("age_ms", sent ? support::whole_ms(now - *sent) : -1));
+    this->report_end(peer, waiting_call(job, peer, now)
+                               .result_of(job.work.id,
+                                          schema::job_result::interrupted,
+                                          "submission_late"));
+}
+
+void entry_host::send(const std::string& peer, schema::shard_message message)
+{
+    message.__set_times(this->clocks[peer].clock.times_at(this->current_time));
+    this->hooks.send(peer, message);
+}
+
 void entry_host::decline(const std::string& peer,
                          const schema::job_submitted& job)
 {
@@ -417,14 +464,15 @@
     refusal.shard = job.shard;
     schema::shard_message message;
     message.__set_not_owned(refusal);
-    this->hooks.send(peer, message);
+    this->send(peer, message);
 }
 
 void entry_host::handle_heartbeat(const std::string& peer,
                                   const schema::shard_heartbeat& heartbeat,
-                                  instant now)
+                                  std::optional<instant> sent, instant now)
 {
-    const bool is_news = this->view.handle_heartbeat(peer, heartbeat, now);
+    const bool is_news =
+        this->view.handle_heartbeat(peer, heartbeat, sent, now);
     if (heartbeat.config_version < this->active_config.version())
         this->share_config(peer);
     if (heartbeat.__isset.open_jobs)
@@ -476,7 +524,7 @@
     shared.document = this->active_config.document();
     schema::shard_message message;
     message.__set_config(shared);
-    this->hooks.send(peer, message);
+    this->send(peer, message);
 }
 
 void entry_host::deliver_submission(const std::string& owner,
@@ -491,7 +539,7 @@
     }
     schema::shard_message message;
     message.__set_submitted(job);
-    this->hooks.send(owner, message);
+    this->send(owner, message);
 }
 
 void entry_host::report_end(const std::string& host,
@@ -504,7 +552,7 @@
     }
     schema::shard_message message;
     message.__set_ended(end);
-    this->hooks.send(host, message);
+    this->send(host, message);
 }
 
 void entry_host::deliver_local_results(instant now)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -222,7 +222,7 @@
     const auto answered = this->answered_tokens.find(owner);
     if (answered != this->answered_tokens.end())
         message.beat.__set_known_tokens(answered->second);
-    this->hooks.send(owner, message);
+    this->send(owner, message);
 }
 
 void entry_host::end_answered_adoptions()
@@ -435,12 +435,12 @@
         const std::string domain = this->view.domain_of(peer);
         if (!lacking.contains(domain) || !this->view.lacks_endpoints(peer))
         {
-            this->hooks.send(peer, usual);
+            this->send(peer, usual);
             continue;
         }
         schema::shard_message with_leaving = usual;
         with_leaving.beat.leaving = this->table.leaving(domain);
-        this->hooks.send(peer, with_leaving);
+        this->send(peer, with_leaving);
     }
     if (local_is_due)
         this->next_local_heartbeat =
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -86,7 +86,7 @@
 
 bool host_view::handle_heartbeat(const std::string& peer,
                                  const schema::shard_heartbeat& heartbeat,
-                                 instant now)
+                                 std::optional<instant> sent, instant now)
 {
     const auto found = this->peers.find(peer);
     if (found == this->peers.end())
@@ -95,15 +95,16 @@
     const bool is_news =
         !found->second.has_heartbeat ||
         !has_same_owners(found->second.last_heartbeat, heartbeat);
-    found->second.last_received = now;
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
     const std::string& domain = found->second.identity.domain;
     if (domain != this->options.self.domain)
     {
         for (const schema::ownership& claim : heartbeat.owned)
-            this->sightings.heard({.domain = domain, .shard = claim.shard},
-                                  claim.token, heartbeat.shard_count, now);
+            if (sent)
+                this->sightings.heard({.domain = domain, .shard = claim.shard},
+                                      claim.token, heartbeat.shard_count,
+                                      *sent);
         return is_news;
     }
     if (!is_news)
@@ -205,11 +206,12 @@
     this->silence_counts_from = now + this->options.stall_grace;
 }
 
-void host_view::message_received(const std::string& peer, instant now)
+void host_view::message_received(const std::string& peer, instant sent)
 {
     const auto found = this->peers.find(peer);
     if (found != this->peers.end())
-        found->second.last_received = now;
+        found->second.last_received =
+            std::max(found->second.last_received, sent);
 }
 
 claim_basis host_view::ownerless(int shard, const shard_owners& current,
--- a/shard/lib/owner_sightings.cpp
+++ b/shard/lib/owner_sightings.cpp
@@ -18,15 +18,15 @@
 }
 
 void owner_sightings::heard(const shard_name& name, fencing_token token,
-                            int shards, instant now)
+                            int shards, instant sent)
 {
     int& count = this->shard_counts[name.domain];
     count = std::max(count, shards);
     sighting& last = this->owners[name];
-    const bool has_lapsed = now - last.at >= this->options.lapse;
+    const bool has_lapsed = sent - last.at >= this->options.lapse;
     if (token < last.token && !has_lapsed)
         return;
-    last = {.token = token, .at = now};
+    last = {.token = token, .at = std::max(last.at, sent)};
 }
 
 std::optional<lost_owner> owner_sightings::find_lost(instant now) const
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -71,6 +71,15 @@
         .outcome();
 }
 
+result<void> check_times(const schema::message_times& times)
+{
+    return range_check()
+        .integer("sent_us", times.sent_us, 0, max_exact_integer)
+        .integer("ahead_us", times.ahead_us, -max_exact_integer,
+                 max_exact_integer)
+        .outcome();
+}
+
 result<void> check_heartbeat(const schema::shard_heartbeat& heartbeat)
 {
     range_check checked;
@@ -254,6 +263,8 @@
 
 result<void> check(const schema::shard_message& message)
 {
+    if (const auto checked = check_times(message.times); !checked)
+        return checked;
     if (message.__isset.hello)
         return check_handshake(message.hello);
     if (message.__isset.beat)
--- a/test/shards/submissions_test.cpp
+++ b/test/shards/submissions_test.cpp
@@ -523,6 +523,85 @@
     check_no_violations(fleet);
 }
 
+// Guards against a submission that was held up in its link and counts as a sign
+// that its host lives: the runs of a lost host end 575 ms after its last
+// message was sent (silence 500, tick 25, stop 50), whenever that arrives.
+BOOST_AUTO_TEST_CASE(held_up_submission_prolongs_no_life)
+{
+    constexpr milliseconds longest_life{575};
+    for (const bool crosses_domains : {false, true})
+        for (int offset = 50; offset <= 950; offset += 25)
+            BOOST_TEST_CONTEXT("crosses " << crosses_domains << " offset "
+                                          << offset)
+            {
+                shard_fleet fleet({.domains = crosses_domains ? 2 : 1,
+                                   .endpoints_per_domain = 2});
+                fleet.run_for(warm_up);
+                const std::string home_owner = fleet.owner_of("D1");
+                const std::string entry = other_host(fleet, home_owner);
+                const std::string owner =
+                    crosses_domains ? fleet.owner_of("D2") : home_owner;
+                if (crosses_domains)
+                    fill_domain(fleet, "D1");
+                fleet.partition_one_way({entry}, {owner});
+                const std::string job =
+                    fleet.submit(entry, {.tasks = 2,
+                                         .work = milliseconds(1200),
+                                         .timeout = milliseconds(4000)});
+                fleet.run_for(milliseconds(10));
+                const std::string target =
+                    "event=job_forwarded job=" + job +
+                    " route=quote domain=" + (crosses_domains ? "D2" : "D1");
+                BOOST_TEST(fleet.has_logged(target));
+                fleet.lose_caller(job);
+                fleet.pause(entry, milliseconds(5000));
+                fleet.run_for(milliseconds(offset));
+                fleet.heal();
+                if (milliseconds(offset) < longest_life)
+                    fleet.run_for(longest_life - milliseconds(offset));
+                else
+                    fleet.run_for(milliseconds(100));
+                if (milliseconds(offset) >= longest_life)
+                    BOOST_TEST(fleet.starts_of(job) == 0);
+                const std::string served = crosses_domains ? "D2" : "D1";
+                for (const char* const number : {"-e1", "-e2"})
+                    BOOST_TEST(
+                        fleet.endpoint(served + number).running_count() == 0);
+                fleet.run_for(milliseconds(9000));
+                check_no_violations(fleet);
+            }
+}
+
+// Guards against submissions of unknown age, which are not served, when a link
+// is dialled again.
+BOOST_AUTO_TEST_CASE(new_links_know_the_ages_of_submissions)
+{
+    for (const bool crosses_domains : {false, true})
+        for (int offset = 1; offset <= 20; ++offset)
+            BOOST_TEST_CONTEXT("crosses " << crosses_domains << " offset "
+                                          << offset)
+            {
+                shard_fleet fleet({.domains = 2, .endpoints_per_domain = 2});
+                fleet.run_for(warm_up);
+                const std::string entry =
+                    other_host(fleet, fleet.owner_of("D1"));
+                if (crosses_domains)
+                    fill_domain(fleet, "D1");
+                const std::string job =
+                    fleet.submit(entry, {.tasks = 2,
+                                         .work = milliseconds(1200),
+                                         .timeout = milliseconds(4000)});
+                fleet.run_for(milliseconds(offset));
+                fleet.reset_links(entry);
+                fleet.run_for(milliseconds(4000));
+                BOOST_TEST(!fleet.has_logged("event=submission_late"));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.caller(job).attempts == 1);
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
