Held jobs wait for a successor that knows its predecessor's runs

Callers could see a job run twice: an entry host is silent, its owner is lost before it has acted, and a successor that cannot reach the endpoint is heard in the other domains, which place the copy there while the lost owner's last lease runs on.

The claim of a successor ended the hold of jobs in other domains before it knew anything. Claims now say whether their owner adopts: runs of earlier owners may be active that its own new jobs would wait for, or it has not assigned to jobs. Until a successor does not adopt, the predecessor's window stands, and one that is lost before has its own. Hosts are told at once when a shard's adoption ends. A young process waits for an owner that does not adopt. The field is optional.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -87,6 +87,9 @@
   5: i64 capacity_millicores
   /// The owner asks a much stronger host to claim the shard.
   6: bool is_offered
+  /// Runs of earlier owners may be active that this owner does not know, or has
+  /// not assigned to jobs. Unset by hosts of earlier versions.
+  7: optional bool is_adopting
 }
 
 /// The owner of a shard of the sender's domain, of which the sender has heard
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -240,6 +240,10 @@
     /// Offers a shard of this host to a much stronger host of the domain.
     void offer_shard(support::instant now);
     void send_heartbeats(support::instant now, bool to_all);
+    /// Returns whether a shard of this host, for the first time since its
+    /// claim, is not adopting any more: jobs may wait elsewhere until that is
+    /// heard.
+    bool has_settled_shard();
     /// Tells \p owner what this host has open there. Must follow all
     /// submissions to it.
     void send_open_jobs(const std::string& owner);
@@ -287,6 +291,8 @@
     bool links_have_changed = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
+    /// By shard: the last token under which it was not adopting.
+    std::map<int, fencing_token> settled_tokens;
     struct peer_clock
     {
         /// Of the peer's process.
--- a/shard/include/chicorydrum/shard/owner_sightings.hpp
+++ b/shard/include/chicorydrum/shard/owner_sightings.hpp
@@ -44,29 +44,27 @@
     /// Domain \p domain has hosts: it may have owners that were lost before
     /// this process heard them.
     void domain_listed(const std::string& domain);
-    /// The owner of \p name, which divides its domain into \p shards, has sent
-    /// a heartbeat at \p sent or later.
-    void heard(const shard_name& name, fencing_token token, int shards,
-               support::instant sent);
+    /// The owner of shard \p claim of \p domain, which it divides into
+    /// \p shards, has sent a heartbeat at \p sent or later.
+    void heard(const std::string& domain, const schema::ownership& claim,
+               int shards, support::instant sent);
     /// Returns the lost owner whose last lease lapses last, or nothing if
     /// copies that arrive now have no active runs in other domains.
     std::optional<lost_owner> find_lost(support::instant now) const;
 
 private:
-    struct sighting
-    {
-        fencing_token token = 0;
-        support::instant at;
-    };
+    /// When the owners of a shard were last heard, by their tokens. Invariant:
+    /// none has a predecessor here whose runs it knows.
+    using shard_sightings = std::map<fencing_token, support::instant>;
 
     sighting_options options;
     support::instant started;
     std::set<std::string> domains;
     /// The highest number of shards that an owner of each domain has named.
     std::map<std::string, int> shard_counts;
-    /// Of the owner with the highest token: it has listed its predecessor's
-    /// runs.
-    std::map<shard_name, sighting> owners;
+    std::map<shard_name, shard_sightings> owners;
+    /// By shard: the highest token whose owner knows its predecessors' runs.
+    std::map<shard_name, fencing_token> settled;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -149,6 +149,11 @@
         this->adoption_has_ended = true;
     }
 
+    /// Returns whether runs of earlier owners may be active that this one does
+    /// not know, as far as its own new jobs wait for them, or that it has not
+    /// assigned to jobs.
+    bool is_adopting(support::instant now) const;
+
     /// Handles deadlines, leases and requests that are due.
     void tick(support::instant now);
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -78,7 +78,21 @@
     this->intake.tick(now);
     this->cancellations.tick(now);
     this->deliver_local_results(now);
-    this->send_heartbeats(now, false);
+    this->send_heartbeats(now, this->has_settled_shard());
+}
+
+bool entry_host::has_settled_shard()
+{
+    bool has_settled = false;
+    for (const auto& [number, shard] : this->shards)
+    {
+        fencing_token& known = this->settled_tokens[number];
+        if (known == shard->token() || shard->is_adopting(this->current_time))
+            continue;
+        known = shard->token();
+        has_settled = true;
+    }
+    return has_settled;
 }
 
 void entry_host::note_tick_gap(support::decision_clock::duration gap,
@@ -371,6 +385,7 @@
         owned.push_back(shard->load());
         owned.back().is_offered =
             this->offered == number || this->is_handing_over;
+        owned.back().__set_is_adopting(shard->is_adopting(this->current_time));
     }
     return owned;
 }
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -102,8 +102,7 @@
     {
         for (const schema::ownership& claim : heartbeat.owned)
             if (sent)
-                this->sightings.heard({.domain = domain, .shard = claim.shard},
-                                      claim.token, heartbeat.shard_count,
+                this->sightings.heard(domain, claim, heartbeat.shard_count,
                                       *sent);
         return is_news;
     }
--- a/shard/lib/owner_sightings.cpp
+++ b/shard/lib/owner_sightings.cpp
@@ -17,16 +17,28 @@
     this->domains.insert(domain);
 }
 
-void owner_sightings::heard(const shard_name& name, fencing_token token,
-                            int shards, instant sent)
+void owner_sightings::heard(const std::string& domain,
+                            const schema::ownership& claim, int shards,
+                            instant sent)
 {
-    int& count = this->shard_counts[name.domain];
+    int& count = this->shard_counts[domain];
     count = std::max(count, shards);
-    sighting& last = this->owners[name];
-    const bool has_lapsed = sent - last.at >= this->options.lapse;
-    if (token < last.token && !has_lapsed)
+    const shard_name name{.domain = domain, .shard = claim.shard};
+    shard_sightings& known = this->owners[name];
+    std::erase_if(known, [this, sent](const auto& owner)
+                  { return sent - owner.second >= this->options.lapse; });
+    fencing_token& floor = this->settled[name];
+    // A domain that starts anew may count from lower tokens.
+    if (known.empty())
+        floor = 0;
+    if (claim.token < floor)
         return;
-    last = {.token = token, .at = std::max(last.at, sent)};
+    instant& last = known[claim.token];
+    last = std::max(last, sent);
+    if (claim.is_adopting)
+        return;
+    floor = claim.token;
+    known.erase(known.begin(), known.find(claim.token));
 }
 
 std::optional<lost_owner> owner_sightings::find_lost(instant now) const
@@ -38,11 +50,12 @@
         if (now < lost.lapses_at && is_later)
             latest = lost;
     };
-    for (const auto& [name, last] : this->owners)
-        if (now - last.at > this->options.recent)
-            consider({.name = name,
-                      .heard_at = last.at,
-                      .lapses_at = last.at + this->options.lapse});
+    for (const auto& [name, known] : this->owners)
+        for (const auto& [token, last] : known)
+            if (now - last > this->options.recent)
+                consider({.name = name,
+                          .heard_at = last,
+                          .lapses_at = last + this->options.lapse});
     const instant known_from = this->started + this->options.lapse;
     if (now >= known_from)
         return latest;
@@ -54,7 +67,8 @@
         for (int shard = 0; shard < shards; ++shard)
         {
             const shard_name name{.domain = domain, .shard = shard};
-            if (!this->owners.contains(name))
+            const auto floor = this->settled.find(name);
+            if (floor == this->settled.end() || floor->second == 0)
                 consider({.name = name,
                           .heard_at = std::nullopt,
                           .lapses_at = known_from});
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -117,6 +117,20 @@
                         });
 }
 
+bool shard_owner::is_adopting(instant now) const
+{
+    const auto has_unassigned = [](const auto& entry)
+    {
+        const auto& runs = entry.second->lease.runs();
+        return std::any_of(runs.begin(), runs.end(),
+                           [](const auto& run) { return !run.second.need; });
+    };
+    // A claim is announced before its endpoints are added.
+    return now <= this->owned_since || !this->knows_runs_of_predecessors(now) ||
+           std::any_of(this->endpoints.begin(), this->endpoints.end(),
+                       has_unassigned);
+}
+
 instant shard_owner::predecessors_lapse() const
 {
     return this->owned_since + lapse_bound(this->options.lease);
--- a/shard/unittests/owner_sightings_test.cpp
+++ b/shard/unittests/owner_sightings_test.cpp
@@ -18,6 +18,17 @@
 const instant later = start + milliseconds(5000);
 const shard_name first{.domain = "D2", .shard = 0};
 const shard_name second{.domain = "D2", .shard = 1};
+/// Returns a claim of the first or second shard.
+schema::ownership claim(int shard, fencing_token token,
+                        bool is_adopting = false)
+{
+    schema::ownership made;
+    made.shard = shard;
+    made.token = token;
+    made.__set_is_adopting(is_adopting);
+    return made;
+}
+
 const sighting_options limits{.recent = milliseconds(600),
                               .lapse = milliseconds(1500)};
 
@@ -28,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(owner_counts_as_lost_within_its_window_only)
 {
     owner_sightings owners(limits, start);
-    owners.heard(first, 7, 1, later);
+    owners.heard("D2", claim(0, 7), 1, later);
     BOOST_TEST(!owners.find_lost(later + milliseconds(600)).has_value());
     const auto lost = owners.find_lost(later + milliseconds(601));
     BOOST_REQUIRE(lost.has_value());
@@ -43,8 +54,8 @@
 BOOST_AUTO_TEST_CASE(each_shard_counts_for_itself)
 {
     owner_sightings owners(limits, start);
-    owners.heard(first, 7, 2, later);
-    owners.heard(second, 7, 2, later + milliseconds(500));
+    owners.heard("D2", claim(0, 7), 2, later);
+    owners.heard("D2", claim(1, 7), 2, later + milliseconds(500));
     BOOST_TEST((owners.find_lost(later + milliseconds(700))->name == first));
     const instant both_lost = later + milliseconds(1200);
     BOOST_TEST((owners.find_lost(both_lost)->name == second));
@@ -54,16 +65,44 @@
 BOOST_AUTO_TEST_CASE(lower_tokens_do_not_count)
 {
     owner_sightings owners(limits, start);
-    owners.heard(first, 7, 1, later);
-    owners.heard(first, 8, 1, later + milliseconds(700));
+    owners.heard("D2", claim(0, 7), 1, later);
+    owners.heard("D2", claim(0, 8), 1, later + milliseconds(700));
     BOOST_TEST(!owners.find_lost(later + milliseconds(700)).has_value());
-    owners.heard(first, 7, 1, later + milliseconds(1400));
+    owners.heard("D2", claim(0, 7), 1, later + milliseconds(1400));
     BOOST_TEST(owners.find_lost(later + milliseconds(1400)).has_value());
     // The successor's leases have lapsed: the domain may count anew.
-    owners.heard(first, 1, 1, later + milliseconds(2300));
+    owners.heard("D2", claim(0, 1), 1, later + milliseconds(2300));
     BOOST_TEST(!owners.find_lost(later + milliseconds(2400)).has_value());
 }
 
+// Guards against a successor that hides the runs of the lost owner before it
+// knows them.
+BOOST_AUTO_TEST_CASE(adopting_successor_does_not_stand_for_its_predecessor)
+{
+    owner_sightings owners(limits, start);
+    owners.heard("D2", claim(0, 7), 1, later);
+    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700));
+    const auto lost = owners.find_lost(later + milliseconds(700));
+    BOOST_REQUIRE(lost.has_value());
+    BOOST_TEST((lost->heard_at == later));
+    owners.heard("D2", claim(0, 8), 1, later + milliseconds(800));
+    BOOST_TEST(!owners.find_lost(later + milliseconds(800)).has_value());
+}
+
+// Guards against a window that never ends, or is forgotten, if the successor is
+// lost before it knows its predecessor's runs.
+BOOST_AUTO_TEST_CASE(lost_successor_has_its_own_window)
+{
+    owner_sightings owners(limits, start);
+    owners.heard("D2", claim(0, 7), 1, later);
+    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700));
+    const instant end = later + milliseconds(700 + 1500);
+    BOOST_TEST(
+        (owners.find_lost(later + milliseconds(1400))->lapses_at == end));
+    BOOST_TEST(owners.find_lost(end - milliseconds(1)).has_value());
+    BOOST_TEST(!owners.find_lost(end).has_value());
+}
+
 // A domain is lost while this process starts, which has never heard it.
 BOOST_AUTO_TEST_CASE(new_process_waits_for_domains_that_it_has_not_heard)
 {
@@ -74,9 +113,11 @@
     BOOST_REQUIRE(owners.find_lost(soon).has_value());
     BOOST_TEST(
         (owners.find_lost(soon)->lapses_at == start + milliseconds(1500)));
-    owners.heard(first, 7, 2, soon);
+    owners.heard("D2", claim(0, 7), 2, soon);
+    BOOST_TEST((owners.find_lost(soon)->name == second));
+    owners.heard("D2", claim(1, 7, true), 2, soon);
     BOOST_TEST((owners.find_lost(soon)->name == second));
-    owners.heard(second, 7, 2, soon);
+    owners.heard("D2", claim(1, 7), 2, soon);
     BOOST_TEST(!owners.find_lost(soon).has_value());
     BOOST_TEST(!owner_sightings(limits, start)
                     .find_lost(start + milliseconds(1500))
--- a/test/shards/lost_owner_test.cpp
+++ b/test/shards/lost_owner_test.cpp
@@ -65,6 +65,9 @@
                                        caller.answered - caller.sent));
         seen.held += fleet.has_logged("event=job_held job=" + job + " ");
     }
+    BOOST_TEST_MESSAGE("held " << seen.held << " of " << seen.jobs
+                               << ", longest " << seen.longest.count()
+                               << " ms");
     check_no_violations(fleet);
     return seen;
 }
@@ -72,9 +75,6 @@
 /// Checks that \p seen are jobs of at most one window.
 void check_one_window(const observed_load& seen)
 {
-    BOOST_TEST_MESSAGE("held " << seen.held << " of " << seen.jobs
-                               << ", longest " << seen.longest.count()
-                               << " ms");
     BOOST_TEST(seen.held > 0);
     BOOST_TEST(seen.held <= (held_to - held_from) / gap + 1);
     BOOST_TEST(
@@ -187,6 +187,48 @@
             }
 }
 
+// Guards against a successor that is heard and knows nothing yet: it cannot
+// list the endpoint where the lost owner's last lease runs on, and the copy is
+// in another domain.
+BOOST_AUTO_TEST_CASE(successor_that_does_not_reach_an_endpoint)
+{
+    for (const bool is_silent : {false, true})
+        for (int phase = 0; phase < 300; phase += 25)
+            for (int offset = 350; offset <= 525; offset += 25)
+                BOOST_TEST_CONTEXT("silent " << is_silent << " phase " << phase
+                                             << " offset " << offset)
+                {
+                    shard_fleet fleet({.domains = 2,
+                                       .hosts_per_domain = 4,
+                                       .endpoints_per_domain = 2});
+                    fleet.run_for(warm_up);
+                    const std::string owner = fleet.owner_of("D1");
+                    const std::string entry = other_host(fleet, owner);
+                    std::set<std::string> others = hosts_of(fleet, "D1");
+                    others.erase(owner);
+                    others.erase(entry);
+                    fleet.send_copies_to("D2-h1");
+                    const std::string job =
+                        fleet.submit(entry, {.tasks = 1,
+                                             .work = milliseconds(3000),
+                                             .timeout = milliseconds(9000)});
+                    fleet.run_for(milliseconds(100 + phase));
+                    BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 1);
+                    fleet.partition(others, {"D1-e1"});
+                    fleet.lose_caller(job);
+                    fleet.pause(entry, milliseconds(9000));
+                    fleet.run_for(milliseconds(offset));
+                    if (is_silent)
+                        fleet.lose_power(owner);
+                    else
+                        fleet.kill(owner);
+                    fleet.run_for(milliseconds(9000));
+                    BOOST_TEST(
+                        (fleet.caller(job).answer == answer_kind::completed));
+                    check_no_violations(fleet);
+                }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
