--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -84,7 +84,21 @@
     const bool begins_to_lack =
         !std::exchange(this->lacked_endpoints, lacks_endpoints) &&
         lacks_endpoints;
-    this->send_heartbeats(now, begins_to_lack);
+    this->send_heartbeats(now, begins_to_lack || this->has_settled_shard());
+}
+
+bool entry_host::has_settled_shard()
+{
+    bool has_settled = false;
+    for (const auto& [number, shard] : this->shards)
+    {
+        fencing_token& known = this->settled_tokens[number];
+        if (known == shard->token() || shard->is_adopting(this->current_time))
+            continue;
+        known = shard->token();
+        has_settled = true;
+    }
+    return has_settled;
 }
 
 void entry_host::note_tick_gap(support::decision_clock::duration gap,
@@ -238,7 +252,7 @@
     const auto answered = this->answered_tokens.find(owner);
     if (answered != this->answered_tokens.end())
         message.beat.__set_known_tokens(answered->second);
-    this->hooks.send(owner, message);
+    this->send(owner, message);
 }
 
 void entry_host::end_answered_adoptions()
@@ -398,6 +412,7 @@
         owned.push_back(shard->load());
         owned.back().is_offered =
             this->offered == number || this->is_handing_over;
+        owned.back().__set_is_adopting(shard->is_adopting(this->current_time));
     }
     return owned;
 }
@@ -461,12 +476,12 @@
         std::vector<schema::leaving_endpoint> news = this->news_for(peer, now);
         if (news.empty())
         {
-            this->hooks.send(peer, usual);
+            this->send(peer, usual);
             continue;
         }
         schema::shard_message with_leaving = usual;
         with_leaving.beat.leaving = std::move(news);
-        this->hooks.send(peer, with_leaving);
+        this->send(peer, with_leaving);
     }
     if (local_is_due)
         this->next_local_heartbeat =
@@ -507,7 +522,7 @@
         schema::shard_message message = this->make_heartbeat(
             this->view.domain_of(peer) == this->options.self.domain);
         message.beat.leaving = std::move(news);
-        this->hooks.send(peer, message);
+        this->send(peer, message);
     }
 }
 
