Divisions: new owners learn which jobs run in other shards

What callers could see: a domain is divided into more shards while a job runs, which stays in the shard that it was sent to. A copy of it went to the shard that its id names now, and its tasks were started a second time (shards.restart.copy_after_a_division).

Cause: the home of a job changes with the division, and the new home's owner was told only of jobs that it had refused.

The entry hosts know both counts. In their answers to a new owner they now name all open jobs whose home it has become and that another shard has. A host answers after it has heard of the claim, and so of the division; one that has not heard of it has not answered, and is waited for. Runs of a host that is lost or silent may be on endpoints of the other half, which the owner can't list: an owner of a divided shard waits for the lapse of earlier leases then. A call that another owner was sent, and that meets its own copy, makes the copy wait as well. When the job ends, its home learns the result (`outcome` of a withdrawal, optional), which copies then get in place of another run.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -171,6 +171,8 @@
   2: string id
   3: string domain
   4: i32 shard
+  /// How the job has ended in another shard: completed or failed, else unset.
+  5: optional job_result outcome
 }
 
 struct job_ended {
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -213,6 +213,12 @@
     bool is_live(const std::string& host) const;
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
+    /// Returns whether a peer that had not announced its stop was found lost
+    /// since \p time.
+    bool has_lost_peer_since(support::instant time) const
+    {
+        return this->peer_lost_at && *this->peer_lost_at >= time;
+    }
     /// Returns whether this host has just lost all its peers, not only because
     /// they have stopped as planned, or those of its domain by silence.
     bool is_isolated() const;
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -60,9 +60,12 @@
     bool is_open(const std::string& id) const;
     /// Returns the ids of the jobs that wait for a result of \p host.
     std::vector<std::string> jobs_at(const std::string& host) const;
-    /// Returns the open jobs that \p shard has refused and another shard has.
+    /// Returns the open jobs that another shard has and \p shard has refused,
+    /// or would be sent if they came now, when this host's domain has \p
+    /// shard_count shards.
     std::vector<schema::job_elsewhere>
-    jobs_elsewhere(const shard_name& shard, support::instant now) const;
+    jobs_elsewhere(const shard_name& shard, int shard_count,
+                   support::instant now) const;
     /// Returns the hosts that may have a job of this host.
     std::set<std::string> holders() const;
 
@@ -126,9 +129,10 @@
                     support::instant now);
     /// Withdraws a job from all owners that may have it.
     void withdraw(call_id call, const open_job& job);
-    /// Withdraws a job that has ended, and tells its home shard, if that has
-    /// refused it, that it runs nowhere any more.
-    void withdraw_ended(call_id call, const open_job& job);
+    /// Withdraws a job that has ended, and tells its home shards, if another
+    /// one had it, that it runs nowhere any more, and with which result.
+    void withdraw_ended(call_id call, const open_job& job,
+                        std::optional<schema::job_result> outcome);
     /// Withdraws a job wherever it may be, and answers its caller.
     void finish(call_id call, answer_kind kind,
                 support::milliseconds retry_after, const std::string& reason);
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -149,6 +150,10 @@
         this->adoption_has_ended = true;
     }
 
+    /// Returns since when no host may have been lost if this owner is to rely
+    /// on their answers: its jobs may run on endpoints of another half, which
+    /// this owner can't list. None if the shard was not divided lately.
+    std::optional<support::instant> needs_all_hosts_since() const;
     /// Every host whose jobs are kept has named those that run in other shards
     /// and whose copies arrive here.
     void end_inquiry(support::instant now);
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -225,8 +225,8 @@
     {
         if (claim.host != owner)
             continue;
-        const auto found =
-            this->intake.jobs_elsewhere(name, this->current_time);
+        const auto found = this->intake.jobs_elsewhere(
+            name, this->view.shard_count(), this->current_time);
         elsewhere.insert(elsewhere.end(), found.begin(), found.end());
     }
     message.beat.__set_elsewhere(std::move(elsewhere));
@@ -258,7 +258,12 @@
         };
         if (std::all_of(peers.begin(), peers.end(), has_answered))
             shard->end_adoption();
-        if (std::all_of(kept.begin(), kept.end(), has_answered))
+        const auto all_since = shard->needs_all_hosts_since();
+        const bool has_lost_any =
+            all_since && this->view.has_lost_peer_since(*all_since);
+        const std::vector<std::string>& asked = all_since ? peers : kept;
+        if (!has_lost_any &&
+            std::all_of(asked.begin(), asked.end(), has_answered))
             shard->end_inquiry(this->current_time);
     }
 }
@@ -318,7 +323,7 @@
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
     for (const schema::job_elsewhere& job : this->intake.jobs_elsewhere(
-             {.domain = opts.domain, .shard = number}, now))
+             {.domain = opts.domain, .shard = number}, opts.shards, now))
         claimed.note_elsewhere(this->options.self.name, job, now);
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -21,6 +21,16 @@
 /// Load that is added to the rank of a shard of another domain.
 constexpr double remote_penalty = 1.0;
 
+/// Returns the result that copies of a job get whose caller got \p kind.
+std::optional<schema::job_result> result_of(answer_kind kind)
+{
+    if (kind == answer_kind::completed)
+        return schema::job_result::completed;
+    if (kind == answer_kind::failed)
+        return schema::job_result::failed;
+    return std::nullopt;
+}
+
 } // namespace
 
 job_intake::job_intake(intake_options opts, intake_hooks callbacks)
@@ -165,7 +175,7 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     // Withdrawn first, so that no task runs when the answer arrives.
-    this->withdraw_ended(call, job);
+    this->withdraw_ended(call, job, result_of(kind));
     this->hooks.log(log_line("job_answered")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -183,7 +193,7 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     this->hooks.log(log_line("caller_left").add("job", job.work.id));
-    this->withdraw_ended(call, job);
+    this->withdraw_ended(call, job, std::nullopt);
 }
 
 void job_intake::withdraw(call_id call, const open_job& job)
@@ -199,21 +209,32 @@
         this->hooks.withdraw(host, message);
 }
 
-void job_intake::withdraw_ended(call_id call, const open_job& job)
+void job_intake::withdraw_ended(call_id call, const open_job& job,
+                                std::optional<schema::job_result> outcome)
 {
     this->withdraw(call, job);
-    if (job.refused_by.empty())
-        return;
-    const shard_name& home = job.refused_by.front();
-    const auto owner = this->owners.find(home);
-    if (owner == this->owners.end())
-        return;
-    schema::job_withdrawn message;
-    message.call = static_cast<std::int64_t>(call);
-    message.id = job.work.id;
-    message.domain = home.domain;
-    message.shard = home.shard;
-    this->hooks.withdraw(owner->second.host, message);
+    // Those that know that another shard may have the job.
+    std::set<shard_name> homes;
+    if (!job.refused_by.empty())
+        homes.insert(job.refused_by.front());
+    const shard_name home{.domain = this->options.domain,
+                          .shard = shard_of(job.work.id, this->shards)};
+    if (job.shard && *job.shard != home)
+        homes.insert(home);
+    for (const shard_name& name : homes)
+    {
+        const auto owner = this->owners.find(name);
+        if (owner == this->owners.end())
+            continue;
+        schema::job_withdrawn message;
+        message.call = static_cast<std::int64_t>(call);
+        message.id = job.work.id;
+        message.domain = name.domain;
+        message.shard = name.shard;
+        if (outcome)
+            message.__set_outcome(*outcome);
+        this->hooks.withdraw(owner->second.host, message);
+    }
 }
 
 bool job_intake::is_open(const std::string& id) const
@@ -233,14 +254,21 @@
 }
 
 std::vector<schema::job_elsewhere>
-job_intake::jobs_elsewhere(const shard_name& shard, instant now) const
+job_intake::jobs_elsewhere(const shard_name& shard, int shard_count,
+                           instant now) const
 {
     std::vector<schema::job_elsewhere> found;
     for (const auto& [call, job] : this->jobs)
     {
-        if (!job.shard || *job.shard == shard ||
-            std::find(job.refused_by.begin(), job.refused_by.end(), shard) ==
-                job.refused_by.end())
+        if (!job.shard || *job.shard == shard)
+            continue;
+        const bool has_refused =
+            std::find(job.refused_by.begin(), job.refused_by.end(), shard) !=
+            job.refused_by.end();
+        // The home of a job that was sent before a division may be another now.
+        const bool is_home = shard.domain == this->options.domain &&
+                             shard.shard == shard_of(job.work.id, shard_count);
+        if (!has_refused && !is_home)
             continue;
         schema::job_elsewhere& named = found.emplace_back();
         named.call = static_cast<std::int64_t>(call);
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -76,6 +76,17 @@
     this->useful_until = std::min(this->useful_until, this->deadline);
 }
 
+void owned_job::expect_runs_of_others(const schema::job_submitted& submitted,
+                                      support::instant now)
+{
+    this->may_run = true;
+    this->received = now;
+    if (submitted.__isset.first_shards)
+        this->first_shards =
+            std::min(this->first_shards.value_or(submitted.first_shards),
+                     submitted.first_shards);
+}
+
 owned_task* owned_job::find_task(const task_key& key)
 {
     const auto group = static_cast<std::size_t>(key.group);
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -58,6 +58,11 @@
     owned_job(const schema::job_submitted& submitted, std::string host,
               support::instant now);
 
+    /// Another owner was sent the job before, as \p submitted tells that
+    /// arrives now.
+    void expect_runs_of_others(const schema::job_submitted& submitted,
+                               support::instant now);
+
     const std::string& id() const
     {
         return this->work.id;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -120,6 +120,13 @@
     {
         // A caller sends a copy only after it has lost the earlier call.
         waiting_call& newest = active->second->caller;
+        if (!caller.is_same_call(newest) && job.may_run)
+        {
+            // The known call came as new, before the one that another owner
+            // was sent.
+            active->second->expect_runs_of_others(job, now);
+            this->request_all_lists(now);
+        }
         if (caller.is_same_call(newest) || caller.arrived >= newest.arrived)
             std::swap(newest, caller);
         if (!caller.is_same_call(newest))
@@ -241,7 +248,10 @@
 void shard_owner::withdraw(const std::string& host,
                            const schema::job_withdrawn& job, instant now)
 {
-    this->refused.call_ended(job.id, {.host = host, .call = job.call}, now);
+    const caller_call call{.host = host, .call = job.call};
+    if (job.__isset.outcome && this->refused.call_of(job.id) == call)
+        this->results.add(job.id, job.outcome, now);
+    this->refused.call_ended(job.id, call, now);
     const auto found = this->jobs.find(job.id);
     if (found == this->jobs.end())
         return;
@@ -320,6 +330,13 @@
                          now + support::microseconds(job.time_left_us), now);
 }
 
+std::optional<instant> shard_owner::needs_all_hosts_since() const
+{
+    if (!this->options.was_divided)
+        return std::nullopt;
+    return this->owned_since - lapse_bound(this->options.lease);
+}
+
 void shard_owner::end_inquiry(instant now)
 {
     if (std::exchange(this->inquiry_has_ended, true))
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -50,6 +50,8 @@
     std::vector<std::int32_t> submissions;
     names submitted_to;
     names withdrawn_from;
+    /// The last result that a withdrawal told.
+    std::optional<schema::job_result> last_outcome;
     std::vector<answer_kind> answers;
     job_intake intake{
         {.domain = "D1"},
@@ -62,8 +64,12 @@
              this->submissions.push_back(job.submission);
          },
          .withdraw =
-             [this](const std::string& owner, const schema::job_withdrawn&)
-         { this->withdrawn_from.push_back(owner); },
+             [this](const std::string& owner, const schema::job_withdrawn& job)
+         {
+             this->withdrawn_from.push_back(owner);
+             if (job.__isset.outcome)
+                 this->last_outcome = job.outcome;
+         },
          .log =
              [](const support::log_line&) {
              }}};
@@ -160,6 +166,27 @@
     BOOST_TEST((this->answers.back() == answer_kind::cancelled));
 }
 
+// The domain is divided while a job runs in the shard that it was sent to.
+// Copies go to another shard now, which must know of the job and of its end.
+BOOST_FIXTURE_TEST_CASE(new_home_of_a_job_learns_of_it, intake_fixture)
+{
+    const int parts = 4;
+    const shard_name part{.domain = "D1", .shard = shard_of("job", parts)};
+    const shard_name other{.domain = "D1", .shard = part.shard ^ 1};
+    BOOST_REQUIRE((part != home));
+    this->intake.set_owners({{home, {.host = "first", .token = 2}},
+                             {part, {.host = "second", .token = 3}}},
+                            parts, start);
+    const auto named = this->intake.jobs_elsewhere(part, parts, start);
+    BOOST_REQUIRE(named.size() == 1U);
+    BOOST_TEST(named.front().id == "job");
+    BOOST_TEST(named.front().call == 1);
+    BOOST_TEST(this->intake.jobs_elsewhere(other, parts, start).empty());
+    this->end("first", schema::job_result::completed, this->submissions.back());
+    BOOST_TEST((this->withdrawn_from == names{"second"}));
+    BOOST_TEST((this->last_outcome == schema::job_result::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -166,6 +166,15 @@
         .outcome();
 }
 
+result<void> check_withdrawal(const schema::job_withdrawn& job)
+{
+    const bool is_end = job.outcome == schema::job_result::completed ||
+                        job.outcome == schema::job_result::failed;
+    return range_check()
+        .require(!job.__isset.outcome || is_end, "outcome", "an end")
+        .outcome();
+}
+
 result<void> check_cancellation(const schema::job_cancelled& job)
 {
     return range_check()
@@ -275,6 +284,8 @@
         return check_submission(message.submitted);
     if (message.__isset.ended)
         return check_end(message.ended);
+    if (message.__isset.withdrawn)
+        return check_withdrawal(message.withdrawn);
     if (message.__isset.cancelled)
         return check_cancellation(message.cancelled);
     if (message.__isset.recorded)
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -79,6 +79,14 @@
     }
     void submit(const std::string& id, int tasks = 1,
                 milliseconds time_left = milliseconds(5000))
+    {
+        this->owner.submit("D1-h1", submission_of(id, tasks, time_left),
+                           this->now);
+    }
+
+    static schema::job_submitted
+    submission_of(const std::string& id, int tasks = 1,
+                  milliseconds time_left = milliseconds(5000))
     {
         schema::job_submitted job;
         job.call = 1;
@@ -95,7 +103,7 @@
         job.terms.max_attempts = 3;
         job.time_left_us =
             support::duration_cast<support::microseconds>(time_left).count();
-        this->owner.submit("D1-h1", job, this->now);
+        return job;
     }
 
     void wait(milliseconds span)
@@ -786,6 +794,31 @@
     BOOST_TEST(script.starts.empty());
 }
 
+// A copy reaches a new owner before the call whose job an owner of the
+// undivided domain has started, maybe on an endpoint that this owner can't
+// list. The copy must wait like that call.
+BOOST_AUTO_TEST_CASE(copy_that_precedes_a_job_of_an_earlier_owner)
+{
+    scripted_owner script;
+    script.set_endpoints({entry_of("D1-e1")});
+    script.submit("job1");
+    schema::job_submitted earlier = scripted_owner::submission_of("job1");
+    earlier.call = 2;
+    earlier.may_run = true;
+    earlier.__set_first_shards(2);
+    script.wait(milliseconds(50));
+    script.owner.submit("D1-h2", earlier, script.now);
+    const support::instant received = script.now;
+    script.answer_list(script.last_list("D1-e1"), 1);
+    while (script.starts.empty() && script.now < received + milliseconds(3000))
+    {
+        script.wait(milliseconds(25));
+        script.answer_list(script.last_list("D1-e1"), 1);
+    }
+    BOOST_TEST(script.starts.size() == 1U);
+    BOOST_TEST(support::whole_ms(script.now - received) >= 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/test/shards/new_owner_test.cpp
+++ b/test/shards/new_owner_test.cpp
@@ -173,6 +173,47 @@
             }
 }
 
+// A copy arrives before, while or after its domain is divided, and the entry
+// host of its first call may be late. They must not run beside each other.
+BOOST_AUTO_TEST_CASE(copy_at_any_time_around_a_division)
+{
+    for (const int number : {1, 2, 3, 4})
+        for (const int stall : {0, 250, 390, 450})
+            for (int offset = 0; offset <= 1500; offset += 50)
+                BOOST_TEST_CONTEXT("job " << number << " stall " << stall
+                                          << " offset " << offset)
+                {
+                    shard_fleet fleet({.endpoints_per_domain = 2,
+                                       .endpoints_per_shard = 2,
+                                       .powers = {1, 0.9, 0.5}});
+                    fleet.run_for(warm_up);
+                    std::string job;
+                    for (int i = 0; i < number; ++i)
+                    {
+                        job = fleet.submit("D1-h3",
+                                           {.tasks = 1,
+                                            .work = milliseconds(3000),
+                                            .timeout = milliseconds(9000)});
+                        if (i + 1 < number)
+                            fleet.disconnect_caller(job);
+                    }
+                    fleet.run_for(milliseconds(100));
+                    for (const int added : {3, 4, 5, 6})
+                        fleet.add_endpoint("D1", added);
+                    fleet.send_copies_to("D1-h2");
+                    fleet.lose_caller(job, std::nullopt, milliseconds(offset));
+                    // The new halves are claimed a little later.
+                    fleet.run_for(milliseconds(330));
+                    if (stall > 0)
+                        fleet.pause("D1-h3", milliseconds(stall));
+                    fleet.run_for(milliseconds(12000));
+                    BOOST_TEST(fleet.shards_of("D1") == 2);
+                    BOOST_TEST(
+                        (fleet.caller(job).answer == answer_kind::completed));
+                    check_no_violations(fleet);
+                }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/transport/unittests/odd_frames_test.cpp
+++ b/transport/unittests/odd_frames_test.cpp
@@ -363,6 +363,25 @@
                      }}});
 }
 
+// Guards against results that no withdrawn job can have.
+BOOST_AUTO_TEST_CASE(odd_withdrawals_are_rejected)
+{
+    using message = schema::shard_message;
+    message withdrawal;
+    withdrawal.__set_withdrawn({});
+    check_rejected(withdrawal,
+                   {{"not run",
+                     [](message& m)
+                     {
+                         m.withdrawn.__set_outcome(schema::job_result::not_run);
+                     }},
+                    {"outcome 9", [](message& m)
+                     {
+                         m.withdrawn.__set_outcome(
+                             static_cast<schema::job_result>(9));
+                     }}});
+}
+
 // Guards against outcomes that no answer exists for.
 BOOST_AUTO_TEST_CASE(odd_ends_are_rejected)
 {
