New owners hear of refused jobs that were just withdrawn

What callers could see: two runs of a task, if a refused job that ran in another shard was withdrawn, its stops did not arrive, and a copy met a new owner of the home shard before the leases had lapsed.

Cause: an owner remembers such a job for 1,000 ms after its withdrawal; its successor was told of open jobs only.

Entry hosts keep the jobs that they withdraw for this time, up to as many as they may have open, and name them in their answers with what is left of it; also those whose home a division has changed.

--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -8,6 +8,7 @@
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/support/log.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -54,15 +55,16 @@
                 support::milliseconds timeout, support::milliseconds waited,
                 support::instant now);
     /// Withdraws the job of a caller that disconnected.
-    void caller_left(call_id call);
+    void caller_left(call_id call, support::instant now);
     /// Cancels a job that waits here. Returns false if there is none.
-    bool cancel(const std::string& id);
+    bool cancel(const std::string& id, support::instant now);
     bool is_open(const std::string& id) const;
     /// Returns the ids of the jobs that wait for a result of \p host.
     std::vector<std::string> jobs_at(const std::string& host) const;
-    /// Returns the open jobs that another shard has and \p shard has refused,
-    /// or would be sent if they came now, when this host's domain has \p
-    /// shard_count shards.
+    /// Returns the jobs that another shard has and \p shard has refused, or
+    /// would be sent if they came now, when this host's domain has
+    /// \p shard_count shards. Jobs that were withdrawn lately count as well,
+    /// until their runs have ended.
     std::vector<schema::job_elsewhere>
     jobs_elsewhere(const shard_name& shard, int shard_count,
                    support::instant now) const;
@@ -81,7 +83,7 @@
     void resubmit_to(const std::string& host, support::instant now);
     void tick(support::instant now);
     /// Gives every waiting caller its final answer and withdraws its job.
-    void end_all(const std::string& reason);
+    void end_all(const std::string& reason, support::instant now);
 
     std::size_t open_jobs() const
     {
@@ -117,6 +119,23 @@
         std::vector<shard_name> refused_by = {};
     };
 
+    /// A job that was withdrawn while runs of it could be active.
+    struct withdrawn_job
+    {
+        call_id call = 0;
+        std::string id;
+        shard_name shard;
+        std::vector<shard_name> refused_by;
+        support::instant at;
+    };
+
+    /// Returns whether copies of job \p id, which shard \p current has, arrive
+    /// at \p shard.
+    bool has_copies_at(const shard_name& shard, int shard_count,
+                       const std::string& id, const shard_name& current,
+                       const std::vector<shard_name>& refused_by) const;
+    void keep_withdrawn(call_id call, const open_job& job,
+                        support::instant now);
     /// Returns the job's home shard, which receives all copies of the job;
     /// after a refusal the least loaded shard that has not refused it, of this
     /// domain if one is left.
@@ -135,13 +154,16 @@
                         std::optional<schema::job_result> outcome);
     /// Withdraws a job wherever it may be, and answers its caller.
     void finish(call_id call, answer_kind kind,
-                support::milliseconds retry_after, const std::string& reason);
+                support::milliseconds retry_after, const std::string& reason,
+                support::instant now);
 
     intake_options options;
     intake_hooks hooks;
     shard_owners owners;
     int shards = 1;
     std::map<call_id, open_job> jobs;
+    /// Oldest first.
+    std::deque<withdrawn_job> withdrawn;
 };
 
 } // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/refused_jobs.hpp
+++ b/shard/include/chicorydrum/shard/refused_jobs.hpp
@@ -14,6 +14,11 @@
 namespace chicorydrum::shard
 {
 
+/// The runs of a withdrawn job end within this time: a stop takes 50 ms, a
+/// lease that nobody extends lapses after 919 ms. Callers that were refused
+/// come back after 1,000 ms at the earliest.
+constexpr support::milliseconds withdrawal_time{1000};
+
 /// A call as its entry host numbers it.
 struct caller_call
 {
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -207,7 +207,7 @@
     else if (query.cancels && support::is_job_id(match->rest))
     {
         // Its caller is answered when the owners have recorded it.
-        const bool was_open = this->intake.cancel(match->rest);
+        const bool was_open = this->intake.cancel(match->rest, now);
         this->cancellations.begin(query.call, match->rest, was_open, now);
         this->deliver_local_results(now);
         return;
@@ -275,7 +275,7 @@
 void entry_host::caller_left(call_id call, instant now)
 {
     this->begin_event(now);
-    this->intake.caller_left(call);
+    this->intake.caller_left(call, now);
 }
 
 // Endpoints.
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -54,7 +54,7 @@
     this->hooks.log(
         log_line("stop_forced")
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
-    this->intake.end_all("host_stops");
+    this->intake.end_all("host_stops", now);
     this->cancellations.end_all("host_stops");
 }
 
@@ -124,7 +124,7 @@
     this->intake.tick(now);
     // The owners have ended this host's jobs, as its callers counted as lost.
     if (gap >= this->options.view.caller_silence_timeout)
-        this->intake.end_all("paused");
+        this->intake.end_all("paused", now);
 }
 
 shard_owner* entry_host::find_shard(const std::string& domain, int number)
@@ -195,7 +195,7 @@
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
     // Peers take this host's callers for lost, and callers that are lost send
     // copies elsewhere. New jobs of callers that reach this host are served.
-    this->intake.end_all("isolated");
+    this->intake.end_all("isolated", this->current_time);
 }
 
 void entry_host::answer_new_owners()
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/shard/job_intake.hpp"
 
+#include "chicorydrum/shard/refused_jobs.hpp"
+
 #include <algorithm>
 #include <vector>
 
@@ -51,7 +53,7 @@
     if (this->jobs.size() > this->options.max_open_jobs)
     {
         this->finish(call, answer_kind::not_run, default_retry_after,
-                     "too_many_jobs");
+                     "too_many_jobs", now);
         return;
     }
     this->send(call, job, now);
@@ -167,7 +169,8 @@
 }
 
 void job_intake::finish(call_id call, answer_kind kind,
-                        milliseconds retry_after, const std::string& reason)
+                        milliseconds retry_after, const std::string& reason,
+                        instant now)
 {
     const auto found = this->jobs.find(call);
     if (found == this->jobs.end())
@@ -176,6 +179,11 @@
     this->jobs.erase(found);
     // Withdrawn first, so that no task runs when the answer arrives.
     this->withdraw_ended(call, job, result_of(kind));
+    const bool may_run = kind != answer_kind::completed &&
+                         kind != answer_kind::failed &&
+                         kind != answer_kind::not_run;
+    if (may_run)
+        this->keep_withdrawn(call, job, now);
     this->hooks.log(log_line("job_answered")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -185,7 +193,7 @@
         {.call = call, .kind = kind, .retry_after = retry_after});
 }
 
-void job_intake::caller_left(call_id call)
+void job_intake::caller_left(call_id call, instant now)
 {
     const auto found = this->jobs.find(call);
     if (found == this->jobs.end())
@@ -194,6 +202,7 @@
     this->jobs.erase(found);
     this->hooks.log(log_line("caller_left").add("job", job.work.id));
     this->withdraw_ended(call, job, std::nullopt);
+    this->keep_withdrawn(call, job, now);
 }
 
 void job_intake::withdraw(call_id call, const open_job& job)
@@ -258,28 +267,58 @@
                            instant now) const
 {
     std::vector<schema::job_elsewhere> found;
-    for (const auto& [call, job] : this->jobs)
+    const auto add = [&found, &shard](call_id call, const std::string& id,
+                                      support::decision_clock::duration left)
     {
-        if (!job.shard || *job.shard == shard)
-            continue;
-        const bool has_refused =
-            std::find(job.refused_by.begin(), job.refused_by.end(), shard) !=
-            job.refused_by.end();
-        // The home of a job that was sent before a division may be another now.
-        const bool is_home = shard.domain == this->options.domain &&
-                             shard.shard == shard_of(job.work.id, shard_count);
-        if (!has_refused && !is_home)
-            continue;
         schema::job_elsewhere& named = found.emplace_back();
         named.call = static_cast<std::int64_t>(call);
-        named.id = job.work.id;
+        named.id = id;
         named.domain = shard.domain;
         named.shard = shard.shard;
-        named.time_left_us = (job.deadline - now).count();
-    }
+        named.time_left_us =
+            support::duration_cast<support::microseconds>(left).count();
+    };
+    // Those that came later are named last, as the receiver keeps the last call
+    // of a job.
+    for (const withdrawn_job& job : this->withdrawn)
+        if (now < job.at + withdrawal_time &&
+            this->has_copies_at(shard, shard_count, job.id, job.shard,
+                                job.refused_by))
+            add(job.call, job.id, job.at + withdrawal_time - now);
+    for (const auto& [call, job] : this->jobs)
+        if (job.shard && this->has_copies_at(shard, shard_count, job.work.id,
+                                             *job.shard, job.refused_by))
+            add(call, job.work.id, job.deadline - now);
     return found;
 }
 
+bool job_intake::has_copies_at(const shard_name& shard, int shard_count,
+                               const std::string& id, const shard_name& current,
+                               const std::vector<shard_name>& refused_by) const
+{
+    if (current == shard)
+        return false;
+    // The home of a job that was sent before a division may be another now.
+    const bool is_home = shard.domain == this->options.domain &&
+                         shard.shard == shard_of(id, shard_count);
+    return is_home || std::find(refused_by.begin(), refused_by.end(), shard) !=
+                          refused_by.end();
+}
+
+void job_intake::keep_withdrawn(call_id call, const open_job& job, instant now)
+{
+    while (!this->withdrawn.empty() &&
+           (now >= this->withdrawn.front().at + withdrawal_time ||
+            this->withdrawn.size() >= this->options.max_open_jobs))
+        this->withdrawn.pop_front();
+    if (job.shard && !job.sent_to.empty())
+        this->withdrawn.push_back({.call = call,
+                                   .id = job.work.id,
+                                   .shard = *job.shard,
+                                   .refused_by = job.refused_by,
+                                   .at = now});
+}
+
 std::set<std::string> job_intake::holders() const
 {
     std::set<std::string> hosts;
@@ -289,14 +328,14 @@
     return hosts;
 }
 
-bool job_intake::cancel(const std::string& id)
+bool job_intake::cancel(const std::string& id, instant now)
 {
     std::vector<call_id> calls;
     for (const auto& [call, job] : this->jobs)
         if (job.work.id == id)
             calls.push_back(call);
     for (const call_id call : calls)
-        this->finish(call, answer_kind::cancelled, {}, "cancelled");
+        this->finish(call, answer_kind::cancelled, {}, "cancelled", now);
     return !calls.empty();
 }
 
@@ -312,7 +351,7 @@
     {
         // It may come from the home shard while another shard, maybe of the
         // same host, has the job.
-        this->finish(call, answer_kind::cancelled, {}, end.reason);
+        this->finish(call, answer_kind::cancelled, {}, end.reason, now);
         return;
     }
     const auto holder = job.holders.find(host);
@@ -326,10 +365,10 @@
     switch (end.outcome)
     {
     case schema::job_result::completed:
-        this->finish(call, answer_kind::completed, {}, end.reason);
+        this->finish(call, answer_kind::completed, {}, end.reason, now);
         return;
     case schema::job_result::failed:
-        this->finish(call, answer_kind::failed, {}, end.reason);
+        this->finish(call, answer_kind::failed, {}, end.reason, now);
         return;
     case schema::job_result::cancelled_by_caller:
         return;
@@ -338,7 +377,7 @@
             return;
         this->finish(
             call, job.may_run ? answer_kind::interrupted : answer_kind::not_run,
-            std::max(retry_after, default_retry_after), end.reason);
+            std::max(retry_after, default_retry_after), end.reason, now);
         return;
     case schema::job_result::interrupted:
         if (!is_current)
@@ -346,7 +385,7 @@
         this->finish(call,
                      now >= job.deadline ? answer_kind::timed_out
                                          : answer_kind::interrupted,
-                     {}, end.reason);
+                     {}, end.reason, now);
         return;
     }
 }
@@ -410,14 +449,14 @@
     {
         if (ended.was_sent)
             this->finish(ended.call, answer_kind::timed_out, {},
-                         "deadline_passed");
+                         "deadline_passed", now);
         else
             this->finish(ended.call, answer_kind::not_run, default_retry_after,
-                         "no_owner");
+                         "no_owner", now);
     }
 }
 
-void job_intake::end_all(const std::string& reason)
+void job_intake::end_all(const std::string& reason, instant now)
 {
     std::vector<call_id> calls;
     for (const auto& [call, job] : this->jobs)
@@ -426,9 +465,9 @@
     {
         if (this->jobs.at(call).sent_to.empty())
             this->finish(call, answer_kind::not_run, default_retry_after,
-                         reason);
+                         reason, now);
         else
-            this->finish(call, answer_kind::interrupted, {}, reason);
+            this->finish(call, answer_kind::interrupted, {}, reason, now);
     }
 }
 
--- a/shard/lib/refused_jobs.cpp
+++ b/shard/lib/refused_jobs.cpp
@@ -11,10 +11,6 @@
 
 using support::instant;
 
-/// The runs of a withdrawn job end within this time: a stop takes 50 ms, a
-/// lease that nobody extends lapses after 919 ms. Callers that were refused
-/// come back after 1,000 ms at the earliest.
-constexpr support::milliseconds withdrawal_time{1000};
 /// The same from when an entry host counts as lost, after at most 525 ms, even
 /// if an owner falls silent before it has ended the host's jobs. Callers send
 /// copies after 1,300 ms.
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -100,7 +100,7 @@
 {
     this->move_to("second", 2);
     BOOST_TEST((this->submitted_to == names{"first", "second"}));
-    this->intake.caller_left(1);
+    this->intake.caller_left(1, start);
     BOOST_TEST((this->withdrawn_from == names{"first", "second"}));
 }
 
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -18,9 +18,9 @@
 constexpr std::size_t max_name_length = 200;
 constexpr std::int64_t max_port = 65535;
 constexpr std::size_t max_owned_shards = 1024;
-/// A host has 2,000 open jobs at most, each with up to four shards where its
-/// copies may arrive.
-constexpr std::size_t max_jobs_elsewhere = 8000;
+/// A host has 2,000 open jobs at most and names as many withdrawn ones, each
+/// with up to four shards where its copies may arrive.
+constexpr std::size_t max_jobs_elsewhere = 16000;
 constexpr const char* plain = "a plain name";
 constexpr std::int64_t max_span_us = max_span_ms * 1000;
 
--- a/test/shards/new_owner_test.cpp
+++ b/test/shards/new_owner_test.cpp
@@ -14,6 +14,10 @@
 using shard::answer_kind;
 using support::milliseconds;
 
+/// The first reading of the endpoints counts as a division for 5 s, in which
+/// new owners are more careful.
+constexpr milliseconds long_after_start(8000);
+
 const job_shape one_long_task{
     .tasks = 1, .work = milliseconds(1500), .timeout = milliseconds(6000)};
 
@@ -147,7 +151,7 @@
                                    .endpoints_per_domain = 4,
                                    .endpoints_per_shard = 2,
                                    .powers = {1, 0.9, 0.1, 0.1}});
-                fleet.run_for(warm_up);
+                fleet.run_for(long_after_start);
                 // By their ids, job1 and job3 belong to shard 0 and job2 to
                 // shard 1.
                 const std::string filler = fleet.submit("D1-h3", filling);
@@ -214,6 +218,54 @@
                 }
 }
 
+// A refused job that runs elsewhere is withdrawn, and its stops do not arrive;
+// the owner that has refused it is lost. Its successor must not start a copy
+// before the runs' leases have lapsed.
+BOOST_AUTO_TEST_CASE(copy_of_a_refused_job_that_was_withdrawn)
+{
+    const job_shape filling{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(9000),
+                            .timeout = milliseconds(20000)};
+    const job_shape refused{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(2500),
+                            .timeout = milliseconds(5000)};
+    for (const int killed_after : {0, 100, 300})
+        for (int offset = 200; offset <= 1000; offset += 50)
+            BOOST_TEST_CONTEXT("killed after " << killed_after << " offset "
+                                               << offset)
+            {
+                shard_fleet fleet({.hosts_per_domain = 4,
+                                   .endpoints_per_domain = 4,
+                                   .endpoints_per_shard = 2,
+                                   .powers = {1, 0.9, 0.1, 0.1}});
+                fleet.run_for(long_after_start);
+                // By their ids, job1 and job3 belong to shard 0 and job2 to
+                // shard 1.
+                const std::string filler = fleet.submit("D1-h3", filling);
+                fleet.submit("D1-h3", {.tasks = 1, .work = milliseconds(10)});
+                fleet.run_for(milliseconds(50));
+                const std::string job = fleet.submit("D1-h3", refused);
+                fleet.run_for(milliseconds(50));
+                BOOST_TEST(fleet.starts_of(job) == 2);
+                fleet.disconnect_caller(filler);
+                fleet.run_for(milliseconds(150));
+                for (const char* const endpoint : {"D1-e1", "D1-e4"})
+                    fleet.partition({"D1-h1", "D1-h2", "D1-h3", "D1-h4"},
+                                    {endpoint});
+                fleet.send_copies_to("D1-h4");
+                fleet.lose_caller(job, milliseconds(0), milliseconds(offset));
+                fleet.run_for(milliseconds(killed_after));
+                for (const char* const host : {"D1-h1", "D1-h2"})
+                    if (fleet.host(host)->owned_shards().contains(0))
+                        fleet.kill(host);
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(fleet.caller(job).attempts > 1);
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
