--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -88,6 +88,9 @@
     /// shorter, as the owner may fall silent next and leave the runs to its
     /// successor, and a host that is merely late loses no more than its jobs.
     support::milliseconds caller_silence_timeout{500};
+    /// After this silence every owner has ended the jobs of a host. Owners
+    /// differ by their ticks and by what they know of the ages of messages.
+    support::milliseconds all_jobs_ended_timeout{700};
     /// How long silence is not acted on after a stall of this process, so that
     /// the messages that have arrived meanwhile are read first.
     support::milliseconds stall_grace{50};
@@ -219,6 +222,14 @@
     }
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
+    /// Returns the peers whose jobs some owner may keep.
+    std::vector<std::string> peers_with_jobs() const;
+    /// Returns whether a peer that had not announced its stop was found lost
+    /// since \p time.
+    bool has_lost_peer_since(support::instant time) const
+    {
+        return this->peer_lost_at && *this->peer_lost_at >= time;
+    }
     /// Returns whether this host has just lost all its peers, not only because
     /// they have stopped as planned, or those of its domain by silence.
     bool is_isolated() const;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -3,7 +3,6 @@
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -54,7 +53,7 @@
     this->hooks.log(
         log_line("stop_forced")
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
-    this->intake.end_all("host_stops");
+    this->intake.end_all("host_stops", now);
     this->cancellations.end_all("host_stops");
 }
 
@@ -143,7 +142,7 @@
     this->intake.tick(now);
     // The owners have ended this host's jobs, as its callers counted as lost.
     if (gap >= this->options.view.caller_silence_timeout)
-        this->intake.end_all("paused");
+        this->intake.end_all("paused", now);
 }
 
 shard_owner* entry_host::find_shard(const std::string& domain, int number)
@@ -214,7 +213,7 @@
             .add("open_jobs", static_cast<std::int64_t>(this->open_jobs())));
     // Peers take this host's callers for lost, and callers that are lost send
     // copies elsewhere. New jobs of callers that reach this host are served.
-    this->intake.end_all("isolated");
+    this->intake.end_all("isolated", this->current_time);
 }
 
 void entry_host::answer_new_owners()
@@ -244,8 +243,8 @@
     {
         if (claim.host != owner)
             continue;
-        const auto found =
-            this->intake.jobs_elsewhere(name, this->current_time);
+        const auto found = this->intake.jobs_elsewhere(
+            name, this->view.shard_count(), this->current_time);
         elsewhere.insert(elsewhere.end(), found.begin(), found.end());
     }
     message.beat.__set_elsewhere(std::move(elsewhere));
@@ -258,11 +257,7 @@
 void entry_host::end_answered_adoptions()
 {
     const std::vector<std::string> peers = this->view.live_peers();
-    // Owners end the jobs of the others, which have fallen silent.
-    std::vector<std::string> kept;
-    std::copy_if(peers.begin(), peers.end(), std::back_inserter(kept),
-                 [this](const std::string& peer)
-                 { return this->view.keeps_jobs_of(peer); });
+    const std::vector<std::string> kept = this->view.peers_with_jobs();
     for (const auto& [number, shard] : this->shards)
     {
         const auto has_answered =
@@ -277,7 +272,12 @@
         };
         if (std::all_of(peers.begin(), peers.end(), has_answered))
             shard->end_adoption();
-        if (std::all_of(kept.begin(), kept.end(), has_answered))
+        const auto all_since = shard->needs_all_hosts_since();
+        const bool has_lost_any =
+            all_since && this->view.has_lost_peer_since(*all_since);
+        const std::vector<std::string>& asked = all_since ? peers : kept;
+        if (!has_lost_any &&
+            std::all_of(asked.begin(), asked.end(), has_answered))
             shard->end_inquiry(this->current_time);
     }
 }
@@ -339,7 +339,7 @@
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
     for (const schema::job_elsewhere& job : this->intake.jobs_elsewhere(
-             {.domain = opts.domain, .shard = number}, now))
+             {.domain = opts.domain, .shard = number}, opts.shards, now))
         claimed.note_elsewhere(this->options.self.name, job, now);
     claimed.update_doubts(this->table.doubts());
     claimed.list_leftovers(this->table.lately_dropped(now), now);
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -320,6 +320,16 @@
                             this->options.caller_silence_timeout);
 }
 
+std::vector<std::string> host_view::peers_with_jobs() const
+{
+    std::vector<std::string> found;
+    for (const auto& [name, peer] : this->peers)
+        if ((peer.is_connected || this->is_live(peer)) &&
+            !this->is_silent(peer, this->options.all_jobs_ended_timeout))
+            found.push_back(name);
+    return found;
+}
+
 bool host_view::has_left(const peer_state& peer)
 {
     return !peer.is_connected && !peer.was_silent &&
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -1,5 +1,7 @@
 #include "chicorydrum/shard/job_intake.hpp"
 
+#include "chicorydrum/shard/refused_jobs.hpp"
+
 #include <algorithm>
 #include <vector>
 
@@ -21,6 +23,16 @@
 /// Load that is added to the rank of a shard of another domain.
 constexpr double remote_penalty = 1.0;
 
+/// Returns the result that copies of a job get whose caller got \p kind.
+std::optional<schema::job_result> result_of(answer_kind kind)
+{
+    if (kind == answer_kind::completed)
+        return schema::job_result::completed;
+    if (kind == answer_kind::failed)
+        return schema::job_result::failed;
+    return std::nullopt;
+}
+
 } // namespace
 
 job_intake::job_intake(intake_options opts, intake_hooks callbacks)
@@ -41,7 +53,7 @@
     if (this->jobs.size() > this->options.max_open_jobs)
     {
         this->finish(call, answer_kind::not_run, default_retry_after,
-                     "too_many_jobs");
+                     "too_many_jobs", now);
         return;
     }
     this->send(call, job, now);
@@ -157,7 +169,8 @@
 }
 
 void job_intake::finish(call_id call, answer_kind kind,
-                        milliseconds retry_after, const std::string& reason)
+                        milliseconds retry_after, const std::string& reason,
+                        instant now)
 {
     const auto found = this->jobs.find(call);
     if (found == this->jobs.end())
@@ -165,7 +178,12 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     // Withdrawn first, so that no task runs when the answer arrives.
-    this->withdraw_ended(call, job);
+    this->withdraw_ended(call, job, result_of(kind));
+    const bool may_run = kind != answer_kind::completed &&
+                         kind != answer_kind::failed &&
+                         kind != answer_kind::not_run;
+    if (may_run)
+        this->keep_withdrawn(call, job, now);
     this->hooks.log(log_line("job_answered")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
@@ -175,7 +193,7 @@
         {.call = call, .kind = kind, .retry_after = retry_after});
 }
 
-void job_intake::caller_left(call_id call)
+void job_intake::caller_left(call_id call, instant now)
 {
     const auto found = this->jobs.find(call);
     if (found == this->jobs.end())
@@ -183,7 +201,8 @@
     const open_job job = std::move(found->second);
     this->jobs.erase(found);
     this->hooks.log(log_line("caller_left").add("job", job.work.id));
-    this->withdraw_ended(call, job);
+    this->withdraw_ended(call, job, std::nullopt);
+    this->keep_withdrawn(call, job, now);
 }
 
 void job_intake::withdraw(call_id call, const open_job& job)
@@ -199,21 +218,32 @@
         this->hooks.withdraw(host, message);
 }
 
-void job_intake::withdraw_ended(call_id call, const open_job& job)
+void job_intake::withdraw_ended(call_id call, const open_job& job,
+                                std::optional<schema::job_result> outcome)
 {
     this->withdraw(call, job);
-    if (job.refused_by.empty())
-        return;
-    const shard_name& home = job.refused_by.front();
-    const auto owner = this->owners.find(home);
-    if (owner == this->owners.end())
-        return;
-    schema::job_withdrawn message;
-    message.call = static_cast<std::int64_t>(call);
-    message.id = job.work.id;
-    message.domain = home.domain;
-    message.shard = home.shard;
-    this->hooks.withdraw(owner->second.host, message);
+    // Those that know that another shard may have the job.
+    std::set<shard_name> homes;
+    if (!job.refused_by.empty())
+        homes.insert(job.refused_by.front());
+    const shard_name home{.domain = this->options.domain,
+                          .shard = shard_of(job.work.id, this->shards)};
+    if (job.shard && *job.shard != home)
+        homes.insert(home);
+    for (const shard_name& name : homes)
+    {
+        const auto owner = this->owners.find(name);
+        if (owner == this->owners.end())
+            continue;
+        schema::job_withdrawn message;
+        message.call = static_cast<std::int64_t>(call);
+        message.id = job.work.id;
+        message.domain = name.domain;
+        message.shard = name.shard;
+        if (outcome)
+            message.__set_outcome(*outcome);
+        this->hooks.withdraw(owner->second.host, message);
+    }
 }
 
 bool job_intake::is_open(const std::string& id) const
@@ -233,25 +263,62 @@
 }
 
 std::vector<schema::job_elsewhere>
-job_intake::jobs_elsewhere(const shard_name& shard, instant now) const
+job_intake::jobs_elsewhere(const shard_name& shard, int shard_count,
+                           instant now) const
 {
     std::vector<schema::job_elsewhere> found;
-    for (const auto& [call, job] : this->jobs)
+    const auto add = [&found, &shard](call_id call, const std::string& id,
+                                      support::decision_clock::duration left)
     {
-        if (!job.shard || *job.shard == shard ||
-            std::find(job.refused_by.begin(), job.refused_by.end(), shard) ==
-                job.refused_by.end())
-            continue;
         schema::job_elsewhere& named = found.emplace_back();
         named.call = static_cast<std::int64_t>(call);
-        named.id = job.work.id;
+        named.id = id;
         named.domain = shard.domain;
         named.shard = shard.shard;
-        named.time_left_us = (job.deadline - now).count();
-    }
+        named.time_left_us =
+            support::duration_cast<support::microseconds>(left).count();
+    };
+    // Those that came later are named last, as the receiver keeps the last call
+    // of a job.
+    for (const withdrawn_job& job : this->withdrawn)
+        if (now < job.at + withdrawal_time &&
+            this->has_copies_at(shard, shard_count, job.id, job.shard,
+                                job.refused_by))
+            add(job.call, job.id, job.at + withdrawal_time - now);
+    for (const auto& [call, job] : this->jobs)
+        if (job.shard && this->has_copies_at(shard, shard_count, job.work.id,
+                                             *job.shard, job.refused_by))
+            add(call, job.work.id, job.deadline - now);
     return found;
 }
 
+bool job_intake::has_copies_at(const shard_name& shard, int shard_count,
+                               const std::string& id, const shard_name& current,
+                               const std::vector<shard_name>& refused_by) const
+{
+    if (current == shard)
+        return false;
+    // The home of a job that was sent before a division may be another now.
+    const bool is_home = shard.domain == this->options.domain &&
+                         shard.shard == shard_of(id, shard_count);
+    return is_home || std::find(refused_by.begin(), refused_by.end(), shard) !=
+                          refused_by.end();
+}
+
+void job_intake::keep_withdrawn(call_id call, const open_job& job, instant now)
+{
+    while (!this->withdrawn.empty() &&
+           (now >= this->withdrawn.front().at + withdrawal_time ||
+            this->withdrawn.size() >= this->options.max_open_jobs))
+        this->withdrawn.pop_front();
+    if (job.shard && !job.sent_to.empty())
+        this->withdrawn.push_back({.call = call,
+                                   .id = job.work.id,
+                                   .shard = *job.shard,
+                                   .refused_by = job.refused_by,
+                                   .at = now});
+}
+
 std::set<std::string> job_intake::holders() const
 {
     std::set<std::string> hosts;
@@ -261,14 +328,14 @@
     return hosts;
 }
 
-bool job_intake::cancel(const std::string& id)
+bool job_intake::cancel(const std::string& id, instant now)
 {
     std::vector<call_id> calls;
     for (const auto& [call, job] : this->jobs)
         if (job.work.id == id)
             calls.push_back(call);
     for (const call_id call : calls)
-        this->finish(call, answer_kind::cancelled, {}, "cancelled");
+        this->finish(call, answer_kind::cancelled, {}, "cancelled", now);
     return !calls.empty();
 }
 
@@ -284,7 +351,7 @@
     {
         // It may come from the home shard while another shard, maybe of the
         // same host, has the job.
-        this->finish(call, answer_kind::cancelled, {}, end.reason);
+        this->finish(call, answer_kind::cancelled, {}, end.reason, now);
         return;
     }
     const auto holder = job.holders.find(host);
@@ -298,10 +365,10 @@
     switch (end.outcome)
     {
     case schema::job_result::completed:
-        this->finish(call, answer_kind::completed, {}, end.reason);
+        this->finish(call, answer_kind::completed, {}, end.reason, now);
         return;
     case schema::job_result::failed:
-        this->finish(call, answer_kind::failed, {}, end.reason);
+        this->finish(call, answer_kind::failed, {}, end.reason, now);
         return;
     case schema::job_result::cancelled_by_caller:
         return;
@@ -310,7 +377,7 @@
             return;
         this->finish(
             call, job.may_run ? answer_kind::interrupted : answer_kind::not_run,
-            std::max(retry_after, default_retry_after), end.reason);
+            std::max(retry_after, default_retry_after), end.reason, now);
         return;
     case schema::job_result::interrupted:
         if (!is_current)
@@ -318,7 +385,7 @@
         this->finish(call,
                      now >= job.deadline ? answer_kind::timed_out
                                          : answer_kind::interrupted,
-                     {}, end.reason);
+                     {}, end.reason, now);
         return;
     }
 }
@@ -382,14 +449,14 @@
     {
         if (ended.was_sent)
             this->finish(ended.call, answer_kind::timed_out, {},
-                         "deadline_passed");
+                         "deadline_passed", now);
         else
             this->finish(ended.call, answer_kind::not_run, default_retry_after,
-                         "no_owner");
+                         "no_owner", now);
     }
 }
 
-void job_intake::end_all(const std::string& reason)
+void job_intake::end_all(const std::string& reason, instant now)
 {
     std::vector<call_id> calls;
     for (const auto& [call, job] : this->jobs)
@@ -398,9 +465,9 @@
     {
         if (this->jobs.at(call).sent_to.empty())
             this->finish(call, answer_kind::not_run, default_retry_after,
-                         reason);
+                         reason, now);
         else
-            this->finish(call, answer_kind::interrupted, {}, reason);
+            this->finish(call, answer_kind::interrupted, {}, reason, now);
     }
 }
 
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -18,9 +18,9 @@
 constexpr std::size_t max_name_length = 200;
 constexpr std::int64_t max_port = 65535;
 constexpr std::size_t max_owned_shards = 1024;
-/// A host has 2,000 open jobs at most, each with up to four shards where its
-/// copies may arrive.
-constexpr std::size_t max_jobs_elsewhere = 8000;
+/// A host has 2,000 open jobs at most and names as many withdrawn ones, each
+/// with up to four shards where its copies may arrive.
+constexpr std::size_t max_jobs_elsewhere = 16000;
 constexpr const char* plain = "a plain name";
 constexpr std::int64_t max_span_us = max_span_ms * 1000;
 
@@ -177,6 +177,15 @@
         .outcome();
 }
 
+result<void> check_withdrawal(const schema::job_withdrawn& job)
+{
+    const bool is_end = job.outcome == schema::job_result::completed ||
+                        job.outcome == schema::job_result::failed;
+    return range_check()
+        .require(!job.__isset.outcome || is_end, "outcome", "an end")
+        .outcome();
+}
+
 result<void> check_cancellation(const schema::job_cancelled& job)
 {
     return range_check()
@@ -288,6 +297,8 @@
         return check_submission(message.submitted);
     if (message.__isset.ended)
         return check_end(message.ended);
+    if (message.__isset.withdrawn)
+        return check_withdrawal(message.withdrawn);
     if (message.__isset.cancelled)
         return check_cancellation(message.cancelled);
     if (message.__isset.recorded)
