The age of what is known of the endpoints counts from the request

A read that succeeds shows the rows as they were when it was asked for. An owner whose reads took 0.9 s each counted as informed although it could learn of a leaving endpoint 2.3 s later (by calculation), since the next read came an interval after the answer, and only reads without an answer counted as late. The interval is now measured from the request, and the age from the request of the last good read: above the interval and a second (1.5 s for an owner, 3 s without a shard) a host says that it lacks the endpoints and is told of those that leave.

`directory_reads/slow_reads_count_as_lacking` is new. `first_reads_are_told_from_later_ones` compares the exact age.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -152,9 +152,9 @@
     support::milliseconds owner_interval{500};
     /// The same for hosts that own no shard but may take one over.
     support::milliseconds standby_interval{2000};
-    /// A read of the endpoints that is due for this long without a good answer
-    /// is late: an owner's knowledge is then 1.5 s old, and an endpoint that
-    /// leaves may serve for two seconds.
+    /// What is known of the endpoints is old if the last good read was asked
+    /// for this much longer ago than the interval between reads: 1.5 s for an
+    /// owner, as an endpoint that leaves may serve for two seconds.
     support::milliseconds late_read{1000};
     /// How long an endpoint without an entry is kept, since entries also expire
     /// when the store fails.
@@ -214,10 +214,10 @@
                                support::instant now);
     void tick(support::instant now);
 
-    void set_owner(bool owns);
+    void set_owner(bool owns, support::instant now);
     /// Reads the endpoints as often as an owner does, to tell others of those
     /// that leave.
-    void set_relaying(bool relays);
+    void set_relaying(bool relays, support::instant now);
     /// Returns whether the endpoints in the store are not followed at the
     /// moment, or reads of them are late.
     bool lacks_endpoints(support::instant now) const;
@@ -309,8 +309,6 @@
         std::optional<table_rows> earlier = {};
         bool is_reading = false;
         support::instant next_read;
-        /// When the first read since the last good one was asked for.
-        std::optional<support::instant> wanted_since = {};
         /// When the last good read was asked for.
         std::optional<support::instant> read_as_of = {};
         /// A read has failed, or the history was lost, since then.
@@ -354,6 +352,7 @@
         support::instant dropped_at;
     };
 
+    void set_interval(support::instant now);
     table_state& state_of(directory_table table);
     const table_state& state_of(directory_table table) const;
     void set_available(bool is_available, std::string_view why);
@@ -427,6 +426,8 @@
     bool endpoint_read_is_stale = false;
     bool owns = false;
     bool relays = false;
+    /// Since when it does either, and so reads the endpoints more often.
+    std::optional<support::instant> often_since;
     bool available = false;
     /// The store has answered this process before.
     bool was_available = false;
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -92,26 +92,40 @@
     return this->tables[static_cast<std::size_t>(table)];
 }
 
-void directory::set_owner(bool owns_now)
+void directory::set_owner(bool owns_now, instant now)
 {
     if (owns_now && !this->owns)
         this->state_of(directory_table::endpoints).next_read = instant();
     this->owns = owns_now;
+    this->set_interval(now);
 }
 
-void directory::set_relaying(bool relays_now)
+void directory::set_relaying(bool relays_now, instant now)
 {
     table_state& table = this->state_of(directory_table::endpoints);
     if (relays_now && !this->relays && table.backoff.count() == 0)
         table.next_read = instant();
     this->relays = relays_now;
+    this->set_interval(now);
+}
+
+void directory::set_interval(instant now)
+{
+    if (!this->owns && !this->relays)
+        this->often_since.reset();
+    else if (!this->often_since)
+        this->often_since = now;
 }
 
 bool directory::lacks_endpoints(instant now) const
 {
     const table_state& table = this->state_of(directory_table::endpoints);
-    const bool is_late = table.wanted_since &&
-                         now - *table.wanted_since >= this->options.late_read;
+    const instant as_of = std::max(table.read_as_of.value_or(instant()),
+                                   this->often_since.value_or(instant()));
+    const milliseconds interval = this->often_since
+                                      ? this->options.owner_interval
+                                      : this->options.standby_interval;
+    const bool is_late = now - as_of >= interval + this->options.late_read;
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
            !table.has_followed || is_late;
 }
@@ -247,8 +261,6 @@
             continue;
         const auto which = static_cast<directory_table>(i);
         table.is_reading = true;
-        if (!table.wanted_since)
-            table.wanted_since = now;
         if (!table.earlier)
             table.asked_at = now;
         const bool waits = which != directory_table::endpoints &&
@@ -347,7 +359,6 @@
     table.next_read = now;
     this->log_read(rows, now);
     const auto read_before = std::exchange(table.read_as_of, table.asked_at);
-    table.wanted_since.reset();
     if (rows.config)
         this->hooks.config_read(*rows.config);
     if (rows.table == directory_table::hosts)
@@ -363,9 +374,11 @@
     if (std::exchange(this->endpoint_read_is_stale, false))
         return;
     this->endpoints_are_stale = false;
+    // From when it was asked for: a slow answer is old when it comes.
     table.next_read =
-        now + (this->owns || this->relays ? this->options.owner_interval
-                                          : this->options.standby_interval);
+        std::max(now, table.asked_at + (this->owns || this->relays
+                                            ? this->options.owner_interval
+                                            : this->options.standby_interval));
 }
 
 void directory::log_read(const table_rows& rows, instant now)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -65,7 +65,8 @@
     if (gap < this->options.pause_limit)
         this->note_tick_gap(gap, now);
     this->last_tick = now;
-    this->table.set_relaying(!this->view.domains_without_endpoints().empty());
+    this->table.set_relaying(!this->view.domains_without_endpoints().empty(),
+                             now);
     this->table.tick(now);
     this->update_shard_endpoints(now);
     this->begin_handover_if_due(now);
@@ -301,7 +302,7 @@
     shard_owner& claimed = *new_shard;
     this->shards[number] = std::move(new_shard);
     this->update_owned();
-    this->table.set_owner(true);
+    this->table.set_owner(true, now);
     this->table.refresh_endpoints();
     this->send_heartbeats(now, true);
     claimed.update_doubts(this->table.doubts());
@@ -358,7 +359,7 @@
     if (this->offered == number)
         this->offered.reset();
     this->update_owned();
-    this->table.set_owner(!this->shards.empty());
+    this->table.set_owner(!this->shards.empty(), now);
     this->send_heartbeats(now, true);
 }
 
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -546,6 +546,30 @@
                    .endpoints.empty());
 }
 
+// Guards against a host that takes itself for informed since all its reads
+// succeed, although they are answered late.
+BOOST_FIXTURE_TEST_CASE(slow_reads_count_as_lacking, directory_fixture)
+{
+    this->table.set_owner(true, this->now);
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.version = 5;
+    for (int round = 0; round < 5; ++round)
+    {
+        this->run_for(milliseconds(600));
+        this->table.rows_read(rows, this->now);
+        BOOST_TEST(!this->table.lacks_endpoints(this->now));
+        // The next read is asked for 500 ms later, and not answered in time.
+        const instant as_of = *this->table.endpoints_as_of();
+        while (this->now + milliseconds(25) < as_of + milliseconds(1500))
+            this->run_for(milliseconds(25));
+        BOOST_TEST(!this->table.lacks_endpoints(this->now));
+        this->run_for(milliseconds(25));
+        BOOST_TEST(this->table.lacks_endpoints(this->now));
+    }
+}
+
 // Guards against logs in which a process that starts looks like one that has
 // lost the store or its history.
 BOOST_FIXTURE_TEST_CASE(first_reads_are_told_from_later_ones, directory_fixture)
@@ -570,15 +594,17 @@
                                  "before_ms=-1 version=5 whole=true") == 1);
     answer_with(read_status::read, false, 6);
     BOOST_TEST(this->count_lines("event=table_read") == 1);
+    const instant as_of = *this->table.endpoints_as_of();
     answer_with(read_status::unavailable, false, 0);
     answer_with(read_status::history_lost, false, 7);
+    const std::string age =
+        std::to_string(support::whole_ms(this->now - as_of));
     answer_with(read_status::read, true, 7);
     BOOST_TEST(this->count_lines("event=store_recovered") == 2);
     BOOST_TEST(this->count_lines("first=true") == 2);
     BOOST_TEST(this->count_lines("after=6 version=7 first=false") == 1);
-    // Asked for 2 s before the read that failed.
-    BOOST_TEST(this->count_lines("event=table_read table=endpoints "
-                                 "before_ms=60") == 1);
+    BOOST_TEST(this->count_lines("event=table_read table=endpoints before_ms=" +
+                                 age + " version=7 whole=true") == 1);
 }
 
 // Guards against new work for an endpoint whose row is gone or odd while the
@@ -675,7 +701,7 @@
 BOOST_FIXTURE_TEST_CASE(reads_that_hang_count_as_lacking, directory_fixture)
 {
     BOOST_TEST(this->table.lacks_endpoints(this->now));
-    this->table.set_owner(true);
+    this->table.set_owner(true, this->now);
     table_rows rows;
     rows.table = directory_table::endpoints;
     rows.status = read_status::read;
@@ -690,6 +716,12 @@
     this->run_for(milliseconds(2000));
     BOOST_TEST((*this->table.endpoints_as_of() == asked));
     BOOST_TEST(this->count_lines("event=endpoints_late age_ms=15") == 1);
+    // The answer shows what was there when it was asked for.
+    this->reads.clear();
+    this->table.rows_read(rows, this->now);
+    BOOST_TEST(this->table.lacks_endpoints(this->now));
+    this->run_for(milliseconds(25));
+    BOOST_TEST(this->reads.size() == 1U);
     this->table.rows_read(rows, this->now);
     BOOST_TEST(!this->table.lacks_endpoints(this->now));
     this->run_for(milliseconds(25));
--- a/test/shards/leaving_test.cpp
+++ b/test/shards/leaving_test.cpp
@@ -169,6 +169,23 @@
     }
 }
 
+// Guards against an owner whose reads all succeed, but so slowly that it learns
+// too late of what happens between two of them.
+BOOST_AUTO_TEST_CASE(owner_reads_slowly)
+{
+    for (const int delay_ms : {300, 600, 900})
+        for (int offset = 0; offset < 80; ++offset)
+        {
+            shard_fleet fleet({.hosts_per_domain = 2});
+            fleet.run_for(warm_up);
+            fleet.set_read_delay(fleet.owner_of("D1"), milliseconds(delay_ms));
+            fleet.run_for(milliseconds(3000 + offset * 50));
+            fleet.set_draining("D1-e1");
+            starts_during(fleet, "D1-e1", small_drain_time + milliseconds(500));
+            check_no_violations(fleet);
+        }
+}
+
 // Guards against a host that takes itself for informed after one good read
 // between two refusals.
 BOOST_AUTO_TEST_CASE(refusal_ends_and_begins_again)
