New owners hear of cancelled jobs before they start new ones

What callers could see: a cancelled job started again at a new owner if its request was repeated while all hosts that keep the cancellation were late.

Cause: the keepers told new owners at their next tick, and nothing made an owner wait for them. It now waits for the answers of all hosts anyway; the keepers tell what is cancelled before they answer.

Test: cancellation/keepers_of_a_cancelled_job_are_late.

--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -172,6 +172,8 @@
     this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
     this->cancellations.set_owners(this->view.owners(),
                                    this->view.shard_count());
+    // New owners hear of cancelled jobs before the answer that ends their wait.
+    this->cancellations.tick(now);
     this->deliver_local_results(now);
     this->answer_new_owners();
     this->end_answered_adoptions();
--- a/test/shards/cancellation_test.cpp
+++ b/test/shards/cancellation_test.cpp
@@ -109,6 +109,38 @@
     }
 }
 
+// The same while the hosts that keep the cancellation are late, and the request
+// arrives at the successor before they have told it.
+BOOST_AUTO_TEST_CASE(keepers_of_a_cancelled_job_are_late)
+{
+    for (const int stall : {0, 200, 300, 390})
+        for (int offset = 200; offset <= 700; offset += 50)
+            BOOST_TEST_CONTEXT("stall " << stall << " offset " << offset)
+            {
+                shard_fleet fleet({.domains = 1,
+                                   .hosts_per_domain = 6,
+                                   .powers = {1, 0.1, 0.1, 0.9, 0.1, 0.1}});
+                fleet.run_for(milliseconds(8000));
+                BOOST_TEST(fleet.owner_of("D1") == "D1-h1");
+                const std::string job = fleet.submit("D1-h6", long_job);
+                fleet.run_for(milliseconds(200));
+                fleet.cancel(job, "D1-h6");
+                fleet.run_for(stop_bound);
+                const auto starts = fleet.starts_of(job);
+                fleet.kill("D1-h1");
+                fleet.run_for(milliseconds(200));
+                if (stall > 0)
+                    for (const char* const keeper : {"D1-h2", "D1-h3", "D1-h6"})
+                        fleet.pause(keeper, milliseconds(stall));
+                fleet.run_for(milliseconds(offset - 200));
+                fleet.repeat(job, "D1-h5");
+                fleet.run_for(milliseconds(2000));
+                BOOST_TEST(fleet.owner_of("D1") == "D1-h4");
+                BOOST_TEST(fleet.starts_of(job) == starts);
+                check_no_violations(fleet);
+            }
+}
+
 // A job is cancelled while its host cannot reach the owner, and so before the
 // owner has heard of the job.
 BOOST_AUTO_TEST_CASE(cancellation_overtakes_the_job)
