New jobs also wait while the owner of another shard of the domain is lost

Callers could see a job run twice: its home shard has refused it and another shard of the domain runs it; its entry host is silent, and that shard's owner is lost before it has acted. No successor reaches the endpoints, and the home shard starts the caller's copy while the last lease runs on.

The home shard remembers what it has refused only until 730 ms after the host counts as lost, which takes for granted that the other shard's runs have ended by then. The sightings of owners now cover the other shards of the own domain as well; a shard's own predecessors are known by its lists, as before.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -207,11 +207,12 @@
     /// Returns whether \p peer does not follow the endpoints in the store.
     bool lacks_endpoints(const std::string& peer) const;
     bool is_live(const std::string& host) const;
-    /// Returns an owner of another domain that may have left runs of jobs whose
-    /// copies arrive here, if any.
-    std::optional<lost_owner> find_lost_owner(support::instant now) const
+    /// Returns an owner of another shard than \p own that may have left runs of
+    /// jobs whose copies arrive there, if any.
+    std::optional<lost_owner> find_lost_owner(const shard_name& own,
+                                              support::instant now) const
     {
-        return this->sightings.find_lost(now);
+        return this->sightings.find_lost(own, now);
     }
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
--- a/shard/include/chicorydrum/shard/owner_sightings.hpp
+++ b/shard/include/chicorydrum/shard/owner_sightings.hpp
@@ -1,7 +1,7 @@
 /// \file
-/// When the owners of other domains were last heard. An owner that is lost
-/// leaves runs behind until its last lease has lapsed, and copies of their jobs
-/// may arrive here.
+/// When the owners of other shards, in all domains, were last heard. An owner
+/// that is lost leaves runs behind until its last lease has lapsed, and copies
+/// of their jobs may arrive here.
 #pragma once
 
 #include "chicorydrum/shard/messages.hpp"
@@ -26,7 +26,7 @@
     support::milliseconds lapse{1500};
 };
 
-/// An owner of another domain whose runs may be active without it.
+/// An owner whose runs may be active without it.
 struct lost_owner
 {
     shard_name name;
@@ -41,16 +41,18 @@
 public:
     owner_sightings(sighting_options opts, support::instant now);
 
-    /// Domain \p domain has hosts: it may have owners that were lost before
-    /// this process heard them.
+    /// Another domain, \p domain, has hosts: it may have owners that were lost
+    /// before this process heard them.
     void domain_listed(const std::string& domain);
     /// The owner of shard \p claim of \p domain, which it divides into
     /// \p shards, has sent a heartbeat at \p sent or later.
     void heard(const std::string& domain, const schema::ownership& claim,
                int shards, support::instant sent);
     /// Returns the lost owner whose last lease lapses last, or nothing if
-    /// copies that arrive now have no active runs in other domains.
-    std::optional<lost_owner> find_lost(support::instant now) const;
+    /// copies that arrive now at the owner of \p own have no active runs in
+    /// other shards.
+    std::optional<lost_owner> find_lost(const shard_name& own,
+                                        support::instant now) const;
 
 private:
     /// When the owners of a shard were last heard, by their tokens. Invariant:
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -44,7 +44,7 @@
     std::function<bool()> endpoints_are_complete;
     /// Returns whether this process has read the platform's endpoints.
     std::function<bool()> has_read_endpoints;
-    /// Returns an owner of another domain that was lost and may have left runs
+    /// Returns an owner of another shard that was lost and may have left runs
     /// of jobs that are new here, if any.
     std::function<std::optional<lost_owner>()> find_lost_owner;
     /// An endpoint refuses this owner's fencing token; \p had_accepted if it
@@ -260,7 +260,7 @@
     /// has started of it.
     bool knows_runs_of_others(const owned_job& job, support::instant now) const;
     /// Holds \p job back if it may be a copy whose runs a lost owner of another
-    /// domain has left.
+    /// shard has left.
     void hold_if_owner_is_lost(owned_job& job, support::instant now);
     /// Returns whether \p job is held back.
     bool is_held(const owned_job& job, support::instant now) const;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -272,8 +272,13 @@
         { return this->table.endpoints_are_complete(this->current_time); },
         .has_read_endpoints = [this]
         { return this->table.has_read_endpoints(); },
-        .find_lost_owner = [this]
-        { return this->view.find_lost_owner(this->current_time); },
+        .find_lost_owner =
+            [this, number]
+        {
+            return this->view.find_lost_owner(
+                {.domain = this->options.self.domain, .shard = number},
+                this->current_time);
+        },
         .fenced =
             [this, number](const std::string& endpoint, bool had_accepted)
         {
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -98,16 +98,11 @@
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
     const std::string& domain = found->second.identity.domain;
-    if (domain != this->options.self.domain)
-    {
-        for (const schema::ownership& claim : heartbeat.owned)
-            if (sent)
-                this->sightings.heard(domain, claim, heartbeat.shard_count,
-                                      *sent);
+    for (const schema::ownership& claim : heartbeat.owned)
+        if (sent)
+            this->sightings.heard(domain, claim, heartbeat.shard_count, *sent);
+    if (!is_news || domain != this->options.self.domain)
         return is_news;
-    }
-    if (!is_news)
-        return false;
     this->raise_shard_count(heartbeat.shard_count, now);
     for (const schema::ownership& owned_there : heartbeat.owned)
         this->record_token(owned_there.shard, owned_there.token);
@@ -253,6 +248,9 @@
         this->peers, [this](const auto& entry)
         { return !entry.second.is_connected && !this->is_live(entry.second); });
     this->update_liveness();
+    for (const schema::ownership& claim : this->owned)
+        this->sightings.heard(this->options.self.domain, claim, this->shards,
+                              now);
     const shard_owners& current = this->owners();
     for (int shard = 0; shard < this->shards; ++shard)
     {
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -103,7 +103,7 @@
     /// The domain's number of shards when another owner may first have started
     /// tasks of it, if known.
     std::optional<int> first_shards;
-    /// When the last leases of owners of other domains have lapsed that were
+    /// When the last leases of owners of other shards have lapsed that were
     /// lost when the job arrived; unset if none was.
     std::optional<support::instant> held_until;
     /// When the job reached this owner, and when its first entry host.
--- a/shard/lib/owner_sightings.cpp
+++ b/shard/lib/owner_sightings.cpp
@@ -41,7 +41,8 @@
     known.erase(known.begin(), known.find(claim.token));
 }
 
-std::optional<lost_owner> owner_sightings::find_lost(instant now) const
+std::optional<lost_owner> owner_sightings::find_lost(const shard_name& own,
+                                                     instant now) const
 {
     std::optional<lost_owner> latest;
     const auto consider = [&latest, now](const lost_owner& lost)
@@ -52,7 +53,7 @@
     };
     for (const auto& [name, known] : this->owners)
         for (const auto& [token, last] : known)
-            if (now - last > this->options.recent)
+            if (name != own && now - last > this->options.recent)
                 consider({.name = name,
                           .heard_at = last,
                           .lapses_at = last + this->options.lapse});
--- a/test/shards/lost_owner_test.cpp
+++ b/test/shards/lost_owner_test.cpp
@@ -44,14 +44,15 @@
     milliseconds longest{0};
 };
 
-/// Submits short jobs to a host of D2 for \p span and checks that all complete.
-observed_load submit_to_d2(shard_fleet& fleet, milliseconds span)
+/// Submits short jobs to \p host for \p span and checks that all complete.
+observed_load submit_to(shard_fleet& fleet, const std::string& host,
+                        milliseconds span)
 {
     std::vector<std::string> jobs;
     const auto end = fleet.now() + span;
     while (fleet.now() < end)
     {
-        jobs.push_back(fleet.submit("D2-h1", short_job));
+        jobs.push_back(fleet.submit(host, short_job));
         fleet.run_for(gap);
     }
     fleet.run_for(milliseconds(3000));
@@ -99,7 +100,7 @@
                         fleet.lose_power(host);
                     else
                         fleet.kill(host);
-                check_one_window(submit_to_d2(fleet, milliseconds(3000)));
+                check_one_window(submit_to(fleet, "D2-h1", milliseconds(3000)));
             }
 }
 
@@ -109,7 +110,7 @@
     shard_fleet fleet({.domains = 2});
     fleet.run_for(warm_up);
     fleet.partition(hosts_of(fleet, "D1"), hosts_of(fleet, "D2"));
-    check_one_window(submit_to_d2(fleet, milliseconds(3000)));
+    check_one_window(submit_to(fleet, "D2-h1", milliseconds(3000)));
 }
 
 // Guards against windows that add up when several domains are lost.
@@ -120,7 +121,7 @@
     for (const char* const domain : {"D1", "D3", "D4"})
         for (const std::string& host : hosts_of(fleet, domain))
             fleet.kill(host);
-    check_one_window(submit_to_d2(fleet, milliseconds(3000)));
+    check_one_window(submit_to(fleet, "D2-h1", milliseconds(3000)));
 }
 
 // Guards against jobs that wait in all domains whenever one owner is killed or
@@ -130,9 +131,9 @@
     shard_fleet fleet({.domains = 2});
     fleet.run_for(warm_up);
     fleet.kill(fleet.owner_of("D1"));
-    BOOST_TEST(submit_to_d2(fleet, milliseconds(3000)).held == 0);
+    BOOST_TEST(submit_to(fleet, "D2-h1", milliseconds(3000)).held == 0);
     fleet.stop_gracefully(fleet.owner_of("D1"));
-    BOOST_TEST(submit_to_d2(fleet, milliseconds(3000)).held == 0);
+    BOOST_TEST(submit_to(fleet, "D2-h1", milliseconds(3000)).held == 0);
 }
 
 // Guards against jobs that wait although the successor of a silent owner is
@@ -145,7 +146,8 @@
             shard_fleet fleet({.domains = 2});
             fleet.run_for(warm_up + milliseconds(offset));
             fleet.lose_power(fleet.owner_of("D1"));
-            const observed_load seen = submit_to_d2(fleet, milliseconds(3000));
+            const observed_load seen =
+                submit_to(fleet, "D2-h1", milliseconds(3000));
             // The last heartbeat to D2 may be older by its interval.
             BOOST_TEST((seen.longest <= milliseconds(700) - held_from +
                                             heartbeat_interval + 2 * tick +
@@ -153,6 +155,29 @@
         }
 }
 
+// Guards against jobs of the other shards of a domain that wait for longer than
+// the succession of a silent owner takes: 700 ms, and 101 ms until its
+// successor has listed the endpoints (51 ms and two ticks).
+BOOST_AUTO_TEST_CASE(other_shards_of_the_domain_wait_for_the_successor)
+{
+    constexpr milliseconds settled{700 + 101};
+    for (int offset = 0; offset < 300; offset += 50)
+        BOOST_TEST_CONTEXT("offset " << offset)
+        {
+            shard_fleet fleet({.hosts_per_domain = 4,
+                               .endpoints_per_domain = 4,
+                               .endpoints_per_shard = 2,
+                               .powers = {1, 0.9, 0.1, 0.1}});
+            fleet.run_for(warm_up + milliseconds(offset));
+            for (const char* const host : {"D1-h1", "D1-h2"})
+                if (fleet.host(host)->owned_shards().contains(1))
+                    fleet.lose_power(host);
+            const observed_load seen =
+                submit_to(fleet, "D1-h3", milliseconds(3000));
+            BOOST_TEST(seen.held <= (settled - held_from) / gap + 1);
+        }
+}
+
 // The hosts of a domain that start anew have not heard a domain that is lost
 // meanwhile, while runs of its lost hosts' jobs go on.
 BOOST_AUTO_TEST_CASE(copy_at_hosts_that_start_anew)
@@ -229,6 +254,62 @@
                 }
 }
 
+// Guards against a copy at its home shard while the job runs in another shard
+// of the domain, whose owner is lost and whose successor does not reach its
+// endpoints.
+BOOST_AUTO_TEST_CASE(owner_of_another_shard_of_the_domain)
+{
+    const job_shape filling{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(9000),
+                            .timeout = milliseconds(20000)};
+    const job_shape offered{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(3000),
+                            .timeout = milliseconds(9000)};
+    for (int phase = 0; phase < 300; phase += 25)
+        for (int offset = 350; offset <= 525; offset += 25)
+            BOOST_TEST_CONTEXT("phase " << phase << " offset " << offset)
+            {
+                shard_fleet fleet({.hosts_per_domain = 4,
+                                   .endpoints_per_domain = 4,
+                                   .endpoints_per_shard = 2,
+                                   .powers = {1, 0.9, 0.1, 0.1}});
+                // Leases are extended 600 ms after the job's start, shortly
+                // before its host counts as lost.
+                fleet.run_for(warm_up - milliseconds(50));
+                // By their ids, job1 and job3 belong to shard 0.
+                const std::string filler = fleet.submit("D1-h4", filling);
+                fleet.submit("D1-h4", {.tasks = 1, .work = milliseconds(10)});
+                fleet.run_for(milliseconds(50));
+                const std::string job = fleet.submit("D1-h3", offered);
+                fleet.run_for(milliseconds(100 + phase));
+                BOOST_TEST(fleet.has_logged("event=job_forwarded job=" + job +
+                                            " route=quote domain=D1 shard=1"));
+                BOOST_TEST(fleet.starts_of(job) == 2);
+                std::string owner;
+                for (const char* const host : {"D1-h1", "D1-h2"})
+                    if (fleet.host(host)->owned_shards().contains(1))
+                        owner = host;
+                std::set<std::string> others = hosts_of(fleet, "D1");
+                others.erase(owner);
+                std::set<std::string> running;
+                for (const std::string& name : fleet.endpoint_names())
+                    if (shard::shard_of(name, 2) == 1)
+                        running.insert(name);
+                fleet.send_copies_to("D1-h4");
+                fleet.disconnect_caller(filler);
+                fleet.partition(others, running);
+                fleet.lose_caller(job);
+                fleet.pause("D1-h3", milliseconds(9000));
+                fleet.run_for(milliseconds(offset));
+                fleet.kill(owner);
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(fleet.caller(job).attempts > 1);
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
