Soak of the users' whole installation with real processes

Endpoints join, leave, are replaced and restart all the time; hosts are restarted one by one while all of them are lost twice, alone and in chains; the store refuses some hosts (503, silence, resets), is away while entries lapse, lags and forgets.

A start on a leaving endpoint is judged by the host that ordered it, known by the address that it dials: a violation if that host, its links and the store were undisturbed for contact_ms and the row was accepted over drain_ms ago. Other sessions keep their check.

Rows can be removed from the stand-in store now (tombstones in the feed, none in whole reads). Sessions take up to 499 ports, so blocks have 500.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorydrum/support/base64.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
@@ -35,6 +36,9 @@
 /// The longest drain time of the sites: an endpoint that leaves must get no new
 /// work after it.
 constexpr milliseconds drain_limit{3000};
+/// Delays of this process are kept as long as the disturbances that excuse a
+/// host.
+constexpr milliseconds contact_span{4000};
 
 /// Parses JOB.0.GROUP.INDEX; job ids here have no dots.
 shard::task_key task_of(const std::string& name)
@@ -76,12 +80,21 @@
 {
     json found = json::array();
     for (const auto& [key, row] : rows)
-        if (row.version > after)
+    {
+        const bool is_shown = row.version > after && !row.is_removed;
+        if (is_shown)
             found.push_back({{"table", table},
                              {"part", row.part},
                              {"key", row.part.empty() ? key : row.key},
                              {"value", row.value},
                              {"ver", row.version}});
+        else if (row.version > after && after > 0)
+            found.push_back({{"table", table},
+                             {"part", ""},
+                             {"key", key},
+                             {"tombstone", true},
+                             {"ver", row.version}});
+    }
     return found;
 }
 
@@ -140,8 +153,12 @@
         this->journal.open(path + "/session.log");
     this->queue.run_until(support::instant(support::seconds(1)));
     this->store_calm_since = this->queue.now();
-    const int ports_per_domain = this->shape.hosts_per_domain * ports_per_host +
-                                 2 * this->shape.endpoints_per_domain;
+    // The links of hosts that may lose their power have addresses of their own.
+    const int ports_per_endpoint = this->shape.loses_power ? 1 : 2;
+    const int ports_per_domain =
+        this->shape.hosts_per_domain * ports_per_host +
+        ports_per_endpoint * (this->shape.endpoints_per_domain +
+                              this->shape.later_endpoints_per_domain);
     const int base = process_test::find_free_ports(1 + this->shape.domains *
                                                            ports_per_domain);
     this->store =
@@ -167,8 +184,10 @@
         {
             this->add_endpoint("i-" + std::to_string(this->endpoints.size()),
                                domain_name, port);
-            port += 2;
+            port += ports_per_endpoint;
         }
+        this->next_endpoint_port[domain_name] = port;
+        port += ports_per_endpoint * this->shape.later_endpoints_per_domain;
         for (int i = 0; i < this->shape.hosts_per_domain; ++i)
         {
             this->add_host("h" + std::to_string(this->hosts.size()),
@@ -182,9 +201,16 @@
             const support::instant now = transport::event_loop::now();
             constexpr milliseconds noted_delay{25};
             if (now - this->last_pump > noted_delay)
-                this->note(
-                    "session late by ms " +
-                    std::to_string(support::whole_ms(now - this->last_pump)));
+            {
+                const milliseconds delay(
+                    support::whole_ms(now - this->last_pump));
+                this->note("session late by ms " +
+                           std::to_string(delay.count()));
+                const bool was_long_ago = now - this->late_at > contact_span;
+                this->late_by =
+                    was_long_ago ? delay : std::max(this->late_by, delay);
+                this->late_at = now;
+            }
             this->last_pump = now;
             this->advance_time();
             std::vector<tcp_proxy*> all;
@@ -205,7 +231,8 @@
     wanted.entry.id = id;
     wanted.entry.pool = "workers";
     wanted.entry.address = "127.0.0.1";
-    wanted.entry.port = port + 1;
+    const int proxy_port = this->shape.loses_power ? port : port + 1;
+    wanted.entry.port = proxy_port;
     wanted.entry.domain = domain;
     wanted.entry.capacity.millicores = 16000;
     wanted.entry.capacity.memory_mb = 65536;
@@ -253,13 +280,14 @@
             }});
     const int links =
         this->shape.loses_power ? this->shape.hosts_per_domain : 1;
+    const int first_host =
+        (std::stoi(domain.substr(1)) - 1) * this->shape.hosts_per_domain;
     for (int i = 0; i < links; ++i)
     {
-        const std::size_t host =
-            this->hosts.size() + static_cast<std::size_t>(i);
+        const auto host = static_cast<std::size_t>(first_host + i);
         server.proxies.push_back(
             &this->add_proxy({.address = this->address_of(host),
-                              .port = port + 1,
+                              .port = proxy_port,
                               .server_port = port}));
         this->links_of[host].push_back(server.proxies.back());
     }
@@ -282,10 +310,7 @@
                                              .server_port = this->store_port});
     if (this->shape.loses_power)
         this->add_power_links(*created);
-    static constexpr std::array powers = {0.5, 0.5, 0.3, 0.09};
-    const double power = this->shape.loses_power
-                             ? powers[this->hosts.size() % powers.size()]
-                             : 0.25;
+    const std::vector<double>& shares = this->shape.processor_shares;
     std::ofstream(this->work_directory + "/" + name + ".yaml")
         << "name: " << name << "\ndomain: " << domain
         << "\naddress: 127.0.0.1\nlisteners:\n  callers: 127.0.0.1:" << port
@@ -293,7 +318,8 @@
         << "\n  peer_port: " << port + 2 << "\n  metrics_port: " << port + 3
         << "\nstore: " << address << ":" << proxy_port
         << "\nlimits:\n  link_rate: " << this->shape.link_rate
-        << "\n  processor_share: " << power << "\n";
+        << "\n  processor_share: " << shares[this->hosts.size() % shares.size()]
+        << "\n";
     this->start_host(*created);
     this->hosts.push_back(std::move(created));
 }
@@ -312,6 +338,11 @@
     {
         if (one->endpoint->entry().id != id || !one->draining_since)
             continue;
+        if (this->shape.checks_contact)
+        {
+            this->check_leaving(*one, task);
+            continue;
+        }
         const support::instant known =
             std::max(*one->draining_since, this->store_calm_since);
         if (this->store_is_up && !this->lagging &&
@@ -346,6 +377,7 @@
 void fault_session::start_host(entry_process& host)
 {
     host.is_stopping = false;
+    this->disturb(host, milliseconds(0));
     host.child.reset();
     host.child = std::make_unique<process_test::child_process>(
         std::vector<std::string>{
@@ -383,6 +415,12 @@
                                 .version = ++this->store_version};
 }
 
+void fault_session::remove_row(const std::string& table, const std::string& key)
+{
+    this->tables[table][key] = {
+        .value = {}, .version = ++this->store_version, .is_removed = true};
+}
+
 void fault_session::put_config()
 {
     this->config_version += 1 + this->pick(3);
@@ -403,7 +441,9 @@
 void fault_session::serve_store(transport::exchange_id id,
                                 const transport::http_request& request)
 {
-    if (!this->store_is_up)
+    const entry_process* const caller = this->host_at(request.host);
+    const bool is_busy = caller != nullptr && caller->is_store_busy;
+    if (!this->store_is_up || is_busy)
     {
         this->store->respond(id, json_response(503, json::object()));
         return;
@@ -417,8 +457,8 @@
         const std::string key = changed["key"];
         const auto& rows = this->tables[table];
         const auto found = rows.find(key);
-        const std::int64_t version =
-            found == rows.end() ? 0 : found->second.version;
+        const bool is_there = found != rows.end() && !found->second.is_removed;
+        const std::int64_t version = is_there ? found->second.version : 0;
         if (version != expected["ver"])
         {
             this->store->respond(
@@ -523,7 +563,9 @@
         this->note("start " + name_of(order.task) + " run " +
                    std::to_string(order.run) + " token " +
                    std::to_string(order.token) + " at " +
-                   where.endpoint->entry().id);
+                   where.endpoint->entry().id + " by " + request.host);
+        if (this->shape.checks_contact)
+            this->starting_host = this->host_at(request.host);
         where.endpoint->start(order, reply);
         return;
     }
@@ -544,7 +586,7 @@
 {
     const std::string job = "j" + std::to_string(this->seed) + "x" +
                             std::to_string(this->callers.size());
-    this->callers[job] = {.tasks = 1 + this->pick(3),
+    this->callers[job] = {.tasks = 1 + this->pick(this->shape.most_tasks),
                           .work_ms =
                               30 + this->pick(this->shape.longest_work_ms - 30),
                           .patience_ms = this->shape.caller_patience_ms};
@@ -704,7 +746,11 @@
     for (const auto& one : this->proxies)
         one->set_fault(link_fault::none);
     for (const auto& one : this->endpoints)
+    {
         one->endpoint->set_fault(shards::endpoint_fault::none);
+        if (one->has_exited)
+            this->exit_endpoint(*one);
+    }
     for (std::size_t i = 0; i < this->hosts.size(); ++i)
         this->restore_power(i);
     for (const auto& host : this->hosts)
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -32,21 +32,40 @@
     int endpoints_per_domain = 4;
     /// Mbit/s; decides how many endpoints a shard has.
     double link_rate = 1000;
+    int most_tasks = 3;
     int longest_work_ms = 330;
     int caller_timeout_ms = 2500;
     /// How long callers wait before they close the connection.
     int caller_patience_ms = 3500;
     /// What each task needs of an endpoint's 16,000.
     int task_millicores = 6800;
-    /// Every link of a host is its own, so that it can lose its power; hosts of
-    /// a domain have different processor shares.
+    /// Of the hosts, in turn.
+    std::vector<double> processor_shares = {0.25};
+    /// Every link of a host is its own, so that it can lose its power.
     bool loses_power = false;
+    /// Endpoints that may join a domain in the session.
+    int later_endpoints_per_domain = 0;
+    /// Starts on leaving endpoints are checked by the host that ordered them,
+    /// and not by the store alone.
+    bool checks_contact = false;
 };
 
 /// Four domains of two shards each.
 session_shape installation_shape();
 /// Two domains of two shards each, whose hosts may lose their power.
 session_shape power_shape();
+/// The users' installation: four domains of seven unequal hosts and several
+/// shards.
+session_shape whole_shape();
+
+/// How the store refuses a host that it does not serve.
+enum class store_refusal
+{
+    silent,
+    /// Each call is answered with 503.
+    busy,
+    reset,
+};
 
 class fault_session
 {
@@ -64,6 +83,10 @@
     /// all at once, beside cuts between hosts, stalls, floods, and endpoints
     /// that restart or are late; returns the violated guarantees.
     std::vector<std::string> run_power();
+    /// Runs a session in which endpoints come and go all the time while hosts
+    /// are restarted one by one, lost alone, in chains and all at once, and the
+    /// store is in trouble; returns the violated guarantees.
+    std::vector<std::string> run_whole();
     /// Runs a session without faults in which another writer leaves odd rows in
     /// all tables; returns the violated guarantees.
     std::vector<std::string> run_odd_entries();
@@ -86,6 +109,12 @@
         tcp_proxy* callers_proxy = nullptr;
         bool is_stopping = false;
         bool is_dark = false;
+        /// The store answers its calls with 503.
+        bool is_store_busy = false;
+        /// The end of the last disturbance of its process or its links.
+        support::instant calm_since;
+        /// The store does not serve it until then.
+        support::instant refused_until;
     };
     struct endpoint_server
     {
@@ -95,6 +124,11 @@
         /// domain.
         std::vector<tcp_proxy*> proxies;
         std::optional<support::instant> draining_since;
+        /// The end of the last fault of its links.
+        support::instant calm_since;
+        /// Its row has lapsed while the store was away.
+        bool has_lapsed = false;
+        bool has_exited = false;
     };
     struct caller_state
     {
@@ -116,6 +150,12 @@
                       int port);
     void add_host(const std::string& name, const std::string& domain, int port);
     void note_start(const std::string& endpoint, const shard::task_key& task);
+    /// Notes that \p host is disturbed for \p span.
+    void disturb(entry_process& host, support::milliseconds span);
+    /// Reports a start on a leaving endpoint if the host that ordered it was in
+    /// touch.
+    void check_leaving(const endpoint_server& where,
+                       const shard::task_key& task);
     std::size_t pick_host()
     {
         return static_cast<std::size_t>(
@@ -128,6 +168,8 @@
     /// The address from which a host's links are seen to come, and to which it
     /// sends: one for each host that may lose its power.
     std::string address_of(std::size_t host) const;
+    /// Null if no host that may lose its power has it.
+    entry_process* host_at(const std::string& address) const;
     void add_power_links(entry_process& host);
     /// Shows \p rows to the host that reads them at \p reader: with the
     /// addresses of its own links.
@@ -159,6 +201,23 @@
     void plan_standstill(support::milliseconds when);
     void plan_store_trouble(support::milliseconds when);
     void plan_leaving(support::milliseconds when);
+    /// The store does not serve \p host for a time, and may serve others.
+    void plan_refusal(entry_process& host, store_refusal kind,
+                      support::milliseconds when, support::milliseconds span);
+    void plan_refusals(support::milliseconds when);
+    void plan_absence(support::milliseconds when);
+    void plan_outage(support::milliseconds when);
+    void plan_isolation(support::milliseconds when);
+    void plan_rolling_restart(support::milliseconds when);
+    void finish_renewal(entry_process& host);
+    /// Plans one of what endpoints do all the time, and then the next.
+    void change_endpoints(support::instant end);
+    void join(const std::string& domain);
+    void leave(endpoint_server& server, support::milliseconds served_on);
+    void restart_endpoint(endpoint_server& server);
+    void exit_endpoint(endpoint_server& server);
+    /// Those of \p domain that take work.
+    std::vector<endpoint_server*> endpoints_of(const std::string& domain) const;
     /// Sets whether the store is disturbed for all hosts.
     void set_store(bool is_up, bool lags);
     /// Kills \p host if it runs, and starts it after \p span.
@@ -177,6 +236,7 @@
                         const transport::http_request& request);
     void put_row(const std::string& table, const std::string& key,
                  const std::string& value);
+    void remove_row(const std::string& table, const std::string& key);
     void put_config();
     static std::string
     endpoint_document(const schema::endpoint_registration& entry);
@@ -224,6 +284,7 @@
         std::string part = {};
         /// The row's key if it is in another part than the empty one.
         std::string key = {};
+        bool is_removed = false;
     };
     std::map<std::string, std::map<std::string, stored_row>> tables;
     /// What whole reads show while the store lags.
@@ -248,6 +309,13 @@
     std::vector<std::unique_ptr<entry_process>> hosts;
     std::vector<std::unique_ptr<endpoint_server>> endpoints;
     std::map<std::string, caller_state> callers;
+    /// The host that sent the start under way.
+    entry_process* starting_host = nullptr;
+    /// By domain, the port of the next endpoint.
+    std::map<std::string, int> next_endpoint_port;
+    /// The worst delay of this process lately.
+    support::instant late_at;
+    support::milliseconds late_by{0};
     int open_calls = 0;
     int completed = 0;
     std::map<shard::task_key, std::set<std::string>> running_at;
--- a/test/faults/installation.cpp
+++ b/test/faults/installation.cpp
@@ -107,21 +107,40 @@
         const milliseconds refused_for(3000 + this->pick(6000));
         for (const auto& one : this->hosts)
         {
-            tcp_proxy& proxy = *one->store_proxy;
             const bool is_refused =
                 domain.empty() ? this->pick(2) == 0 : one->domain == domain;
             if (!is_refused)
                 continue;
-            this->queue.after(when, [&proxy]
-                              { proxy.set_fault(link_fault::silent); });
-            this->queue.after(when + refused_for,
-                              [&proxy] { proxy.set_fault(link_fault::none); });
+            this->plan_refusal(*one, store_refusal::silent, when, refused_for);
         }
         return;
     }
     }
 }
 
+void fault_session::plan_refusal(entry_process& host, store_refusal kind,
+                                 milliseconds when, milliseconds span)
+{
+    const auto set = [&host, kind](bool is_refused)
+    {
+        const link_fault fault = kind == store_refusal::silent
+                                     ? link_fault::silent
+                                     : link_fault::refused;
+        if (kind == store_refusal::busy)
+            host.is_store_busy = is_refused;
+        else
+            host.store_proxy->set_fault(is_refused ? fault : link_fault::none);
+    };
+    this->queue.after(when,
+                      [this, &host, set, span]
+                      {
+                          this->note("refused " + host.name);
+                          set(true);
+                          host.refused_until = this->queue.now() + span;
+                      });
+    this->queue.after(when + span, [set] { set(false); });
+}
+
 void fault_session::plan_leaving(milliseconds when)
 {
     this->queue.after(
--- a/test/faults/power_session.cpp
+++ b/test/faults/power_session.cpp
@@ -24,6 +24,7 @@
 /// Faults begin within this time.
 constexpr int fault_span_ms = 11500;
 constexpr int longest_gap_ms = 36;
+constexpr milliseconds longest_stall{390};
 
 std::string time_of_day()
 {
@@ -53,6 +54,7 @@
             .caller_timeout_ms = 3500,
             .caller_patience_ms = 3500,
             .task_millicores = 4000,
+            .processor_shares = {0.5, 0.5, 0.3, 0.09},
             .loses_power = true};
 }
 
@@ -70,6 +72,17 @@
                                    : "127.0.0.1";
 }
 
+fault_session::entry_process*
+fault_session::host_at(const std::string& address) const
+{
+    if (!this->shape.loses_power)
+        return nullptr;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i)
+        if (this->address_of(i) == address)
+            return this->hosts[i].get();
+    return nullptr;
+}
+
 void fault_session::add_power_links(entry_process& host)
 {
     const std::size_t own = this->hosts.size();
@@ -101,6 +114,8 @@
         return;
     for (auto& row : rows)
     {
+        if (row.contains("tombstone"))
+            continue;
         const std::string key = row["key"];
         std::string value =
             support::decode_base64(row["value"].get<std::string>()).value();
@@ -286,11 +301,13 @@
         tcp_proxy& from = *this->peer_links.at({other, left});
         this->queue.after(
             when,
-            [this, &to, &from, chosen, left, other]
+            [this, &to, &from, chosen, left, other, span]
             {
                 this->note("cut " + this->hosts[left]->name + " " +
                            this->hosts[other]->name + " " +
                            std::to_string(static_cast<int>(chosen.forward)));
+                this->disturb(*this->hosts[left], span);
+                this->disturb(*this->hosts[other], span);
                 to.set_fault(chosen.forward);
                 from.set_fault(chosen.backward);
             });
@@ -319,6 +336,7 @@
                               [this, &host]
                               {
                                   this->note("stall " + host.name);
+                                  this->disturb(host, longest_stall);
                                   host.child->signal(SIGSTOP);
                               });
             at += milliseconds(100 + this->pick(290));
@@ -337,22 +355,23 @@
         const auto picked = static_cast<std::size_t>(
             this->pick(static_cast<int>(this->endpoints.size())));
         at += milliseconds(100 + this->pick(700));
-        this->queue.after(at,
-                          [this, &server = *this->endpoints[picked]]
-                          {
-                              for (tcp_proxy* const link : server.proxies)
-                                  link->reset_all();
-                              server.endpoint->restart();
-                              const auto& entry = server.endpoint->entry();
-                              this->note("endpoint restarts " + entry.id);
-                              this->put_row("servers", entry.id,
-                                            endpoint_document(entry));
-                          });
+        this->queue.after(at, [this, &server = *this->endpoints[picked]]
+                          { this->restart_endpoint(server); });
     }
     if (this->pick(2) == 0)
         this->plan_late_endpoints(domain, at);
 }
 
+void fault_session::restart_endpoint(endpoint_server& server)
+{
+    for (tcp_proxy* const link : server.proxies)
+        link->reset_all();
+    server.endpoint->restart();
+    const auto& entry = server.endpoint->entry();
+    this->note("endpoint restarts " + entry.id);
+    this->put_row("servers", entry.id, endpoint_document(entry));
+}
+
 void fault_session::plan_late_endpoints(const std::string& domain,
                                         milliseconds when)
 {
@@ -372,6 +391,9 @@
         {
             this->note("link of " + server.endpoint->entry().id + " " +
                        std::to_string(static_cast<int>(now)));
+            if (server.has_exited)
+                return;
+            server.calm_since = this->queue.now();
             for (tcp_proxy* const link : server.proxies)
                 link->set_fault(now);
         };
--- a/test/process/process_fleet.cpp
+++ b/test/process/process_fleet.cpp
@@ -94,8 +94,8 @@
     // its life by listening on the first port: a port is free also while the
     // host that uses it has stopped.
     constexpr int first = 12000;
-    constexpr int block_size = 250;
-    constexpr int blocks = 72;
+    constexpr int block_size = 500;
+    constexpr int blocks = 36;
     static int block = -1;
     static int next = 0;
     for (int tries = 0; tries < blocks; ++tries)
