Fault soak: the store's feed is a history of reports

The stand-in's feed showed the newest state of each row, whole, and endpoints never reported, so a reader was up to date after one answer.

Endpoints now write their entry every 1,500 ms (heartbeat_ms), each change is kept by itself for 20 s (history_s) and an answer is cut. The history begins before the session, so a host that starts anew gets 410 and reads all rows.

--whole now ends with losses after a time in which hosts only stood by, and notes each answer of the endpoints' feed.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <sys/stat.h>
@@ -39,6 +40,12 @@
 /// Delays of this process are kept as long as the disturbances that excuse a
 /// host.
 constexpr milliseconds contact_span{4000};
+/// Endpoints write their entries as often as on the sites.
+constexpr milliseconds report_interval{1500};
+/// Their reports are spread over the interval.
+constexpr int report_phases = 15;
+/// How long the store keeps its history on the sites.
+constexpr milliseconds history_span{20000};
 
 /// Parses JOB.0.GROUP.INDEX; job ids here have no dots.
 shard::task_key task_of(const std::string& name)
@@ -74,27 +81,28 @@
     return response;
 }
 
-/// Returns the rows of a table that changed after a version.
+template <typename Row>
+json row_document(const std::string& table, const std::string& key,
+                  const Row& row)
+{
+    json document{{"table", table},
+                  {"part", row.part},
+                  {"key", row.part.empty() ? key : row.key},
+                  {"ver", row.version}};
+    if (row.is_removed)
+        document["tombstone"] = true;
+    else
+        document["value"] = row.value;
+    return document;
+}
+
 template <typename Rows>
-json rows_after(const Rows& rows, const std::string& table, std::int64_t after)
+json whole_table(const Rows& rows, const std::string& table)
 {
     json found = json::array();
     for (const auto& [key, row] : rows)
-    {
-        const bool is_shown = row.version > after && !row.is_removed;
-        if (is_shown)
-            found.push_back({{"table", table},
-                             {"part", row.part},
-                             {"key", row.part.empty() ? key : row.key},
-                             {"value", row.value},
-                             {"ver", row.version}});
-        else if (row.version > after && after > 0)
-            found.push_back({{"table", table},
-                             {"part", ""},
-                             {"key", key},
-                             {"tombstone", true},
-                             {"ver", row.version}});
-    }
+        if (!row.is_removed)
+            found.push_back(row_document(table, key, row));
     return found;
 }
 
@@ -195,6 +203,9 @@
             port += ports_per_host;
         }
     }
+    // The store has run for long: its history does not reach back to the first
+    // rows.
+    this->history_from = this->store_version;
     this->pump = this->loop.make_timer(
         [this]
         {
@@ -282,16 +293,19 @@
         this->shape.loses_power ? this->shape.hosts_per_domain : 1;
     const int first_host =
         (std::stoi(domain.substr(1)) - 1) * this->shape.hosts_per_domain;
-    for (int i = 0; i < links; ++i)
+    for (int number = first_host; number < first_host + links; ++number)
     {
-        const auto host = static_cast<std::size_t>(first_host + i);
+        const auto host = static_cast<std::size_t>(number);
         server.proxies.push_back(
             &this->add_proxy({.address = this->address_of(host),
                               .port = proxy_port,
                               .server_port = port}));
         this->links_of[host].push_back(server.proxies.back());
     }
-    this->put_row("servers", id, endpoint_document(server.endpoint->entry()));
+    this->put_entry(server);
+    const auto phase = static_cast<int>(this->endpoints.size() % report_phases);
+    this->queue.after(report_interval * phase / report_phases,
+                      [this, &server] { this->report_endpoint(server); });
     this->endpoints.push_back(std::move(created));
 }
 
@@ -388,37 +402,61 @@
 
 // The store.
 
-std::string
-fault_session::endpoint_document(const schema::endpoint_registration& entry)
-{
-    return json{{"service", entry.pool},
-                {"addr", entry.address + ":" + std::to_string(entry.port)},
-                {"zone", entry.domain},
-                {"state", entry.is_draining ? "draining" : "ready"},
-                {"capacity",
-                 {{"cpu", entry.capacity.millicores},
-                  {"mem_mb", entry.capacity.memory_mb},
-                  {"gpu", 0}}},
-                {"labels", {"a", "r1"}},
-                {"version", "v1"},
-                {"slots", 8},
-                {"cold_left_ms", 0},
-                {"seq", 1},
-                {"born", entry.born_ms}}
-        .dump();
+void fault_session::put_entry(endpoint_server& server)
+{
+    const schema::endpoint_registration& entry = server.endpoint->entry();
+    const json document{
+        {"service", entry.pool},
+        {"addr", entry.address + ":" + std::to_string(entry.port)},
+        {"zone", entry.domain},
+        {"state", entry.is_draining ? "draining" : "ready"},
+        {"capacity",
+         {{"cpu", entry.capacity.millicores},
+          {"mem_mb", entry.capacity.memory_mb},
+          {"gpu", 0}}},
+        {"labels", {"a", "r1"}},
+        {"version", "v1"},
+        {"slots", 8},
+        {"cold_left_ms", 0},
+        {"seq", ++server.reports},
+        {"clock_ms", support::whole_ms(this->queue.now() - support::instant())},
+        {"born", entry.born_ms}};
+    this->put_row("servers", entry.id, document.dump());
+}
+
+void fault_session::report_endpoint(endpoint_server& server)
+{
+    if (server.has_exited)
+        return;
+    if (this->store_is_up)
+        this->put_entry(server);
+    this->queue.after(report_interval,
+                      [this, &server] { this->report_endpoint(server); });
+}
+
+void fault_session::store_row(const std::string& table, const std::string& key,
+                              stored_row row)
+{
+    row.version = ++this->store_version;
+    this->tables[table][key] = row;
+    const support::instant now = this->queue.now();
+    this->history.push_back(
+        {.table = table, .key = key, .row = std::move(row), .at = now});
+    for (; now - this->history.front().at > history_span;
+         this->history.pop_front())
+        this->history_from =
+            std::max(this->history_from, this->history.front().row.version);
 }
 
 void fault_session::put_row(const std::string& table, const std::string& key,
                             const std::string& value)
 {
-    this->tables[table][key] = {.value = support::encode_base64(value),
-                                .version = ++this->store_version};
+    this->store_row(table, key, {.value = support::encode_base64(value)});
 }
 
 void fault_session::remove_row(const std::string& table, const std::string& key)
 {
-    this->tables[table][key] = {
-        .value = {}, .version = ++this->store_version, .is_removed = true};
+    this->store_row(table, key, {.value = {}, .is_removed = true});
 }
 
 void fault_session::put_config()
@@ -469,8 +507,7 @@
                                            {"ver", version}}}}}));
             return;
         }
-        this->tables[table][key] = {.value = changed["value"],
-                                    .version = ++this->store_version};
+        this->store_row(table, key, {.value = changed["value"]});
         this->store->respond(
             id, json_response(200, {{"ver", this->store_version}}));
         return;
@@ -484,17 +521,20 @@
         this->store->respond(id, json_response(410, json::object()));
         return;
     }
-    if (!is_feed && this->lagging)
+    if (!is_feed)
     {
-        auto rows = rows_after(this->lagging->tables[table], table, 0);
+        auto rows = whole_table(
+            (this->lagging ? this->lagging->tables : this->tables)[table],
+            table);
         this->localize(rows, request.host);
         this->store->respond(
-            id, json_response(
-                    200, {{"rows", rows}, {"ver", this->lagging->version}}));
+            id,
+            json_response(200, {{"rows", rows},
+                                {"ver", this->lagging ? this->lagging->version
+                                                      : this->store_version}}));
         return;
     }
-    const std::int64_t wait =
-        is_feed ? std::stoll(query_value(request.query, "wait_ms")) : 0;
+    const std::int64_t wait = std::stoll(query_value(request.query, "wait_ms"));
     this->answer_changes(id, {.table = table,
                               .reader = request.host,
                               .after = after,
@@ -515,16 +555,38 @@
 void fault_session::answer_changes(transport::exchange_id id,
                                    const table_wait& wait)
 {
-    json rows = rows_after(this->tables[wait.table], wait.table, wait.after);
+    json rows = json::array();
+    std::int64_t version = this->store_version;
+    const auto first =
+        std::partition_point(this->history.begin(), this->history.end(),
+                             [&wait](const stored_change& change)
+                             { return change.row.version <= wait.after; });
+    for (auto change = first; change != this->history.end(); ++change)
+    {
+        if (change->table != wait.table)
+            continue;
+        rows.push_back(row_document(change->table, change->key, change->row));
+        if (std::cmp_less(rows.size(), this->shape.rows_per_answer))
+            continue;
+        // The reader has to ask for the others.
+        version = change->row.version;
+        break;
+    }
     if (rows.empty() && this->queue.now() < wait.until)
     {
         this->queue.after(milliseconds(20),
                           [this, id, wait] { this->answer_changes(id, wait); });
         return;
     }
+    if (wait.table == "servers")
+        this->note("feed to " + wait.reader + " after " +
+                   std::to_string(wait.after) + " version " +
+                   std::to_string(version) + " of " +
+                   std::to_string(this->store_version) + " rows " +
+                   std::to_string(rows.size()));
     this->localize(rows, wait.reader);
     this->store->respond(
-        id, json_response(200, {{"rows", rows}, {"ver", this->store_version}}));
+        id, json_response(200, {{"rows", rows}, {"ver", version}}));
 }
 
 // Endpoints.
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -9,6 +9,7 @@
 #include "shards/virtual_endpoint.hpp"
 #include "tcp_proxy.hpp"
 
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -39,6 +40,8 @@
     int caller_patience_ms = 3500;
     /// What each task needs of an endpoint's 16,000.
     int task_millicores = 6800;
+    /// Most changes in one answer of the store.
+    int rows_per_answer = 500;
     /// Of the hosts, in turn.
     std::vector<double> processor_shares = {0.25};
     /// Every link of a host is its own, so that it can lose its power.
@@ -126,8 +129,7 @@
         std::optional<support::instant> draining_since;
         /// The end of the last fault of its links.
         support::instant calm_since;
-        /// Its row has lapsed while the store was away.
-        bool has_lapsed = false;
+        std::int64_t reports = 0;
         bool has_exited = false;
     };
     struct caller_state
@@ -234,12 +236,26 @@
     void answer_changes(transport::exchange_id id, const table_wait& wait);
     void serve_endpoint(endpoint_server& where, transport::exchange_id id,
                         const transport::http_request& request);
+    struct stored_row
+    {
+        std::string value = {};
+        std::int64_t version = 0;
+        std::string part = {};
+        /// The row's key if it is in another part than the empty one.
+        std::string key = {};
+        bool is_removed = false;
+    };
+    /// Gives \p row the next version.
+    void store_row(const std::string& table, const std::string& key,
+                   stored_row row);
     void put_row(const std::string& table, const std::string& key,
                  const std::string& value);
     void remove_row(const std::string& table, const std::string& key);
     void put_config();
-    static std::string
-    endpoint_document(const schema::endpoint_registration& entry);
+    /// Writes the endpoint's entry to the store.
+    void put_entry(endpoint_server& server);
+    /// Writes it again and again, as long as the endpoint is there.
+    void report_endpoint(endpoint_server& server);
     void put_odd_rows();
     /// Sends jobs until some more are completed; false after a time limit.
     bool serve_jobs();
@@ -277,15 +293,6 @@
     std::unique_ptr<transport::http_server> store;
     int store_port = 0;
     bool store_is_up = true;
-    struct stored_row
-    {
-        std::string value;
-        std::int64_t version = 0;
-        std::string part = {};
-        /// The row's key if it is in another part than the empty one.
-        std::string key = {};
-        bool is_removed = false;
-    };
     std::map<std::string, std::map<std::string, stored_row>> tables;
     /// What whole reads show while the store lags.
     struct stored_tables
@@ -294,6 +301,15 @@
         std::int64_t version = 0;
     };
     std::optional<stored_tables> lagging;
+    struct stored_change
+    {
+        std::string table;
+        std::string key;
+        stored_row row;
+        support::instant at;
+    };
+    /// Each change by itself, in the order of versions.
+    std::deque<stored_change> history;
     /// Changes up to this version are forgotten.
     std::int64_t history_from = 0;
     /// Since when the store is up and does not lag.
--- a/test/faults/installation.cpp
+++ b/test/faults/installation.cpp
@@ -23,14 +23,16 @@
 
 session_shape installation_shape()
 {
-    // A link of 1 Mbit/s carries shards of 8 endpoints.
+    // A link of 1 Mbit/s carries shards of 8 endpoints. The store's answers
+    // hold 500 changes on sites of up to 370 endpoints.
     return {.domains = 4,
             .hosts_per_domain = 2,
             .endpoints_per_domain = 13,
             .link_rate = 1,
             .longest_work_ms = 1500,
             .caller_timeout_ms = 1500,
-            .caller_patience_ms = 1500};
+            .caller_patience_ms = 1500,
+            .rows_per_answer = 70};
 }
 
 void fault_session::restart_host(entry_process& host, milliseconds span)
@@ -155,9 +157,8 @@
             if (found == this->endpoints.end() || (*found)->draining_since)
                 return;
             (*found)->draining_since = this->queue.now();
-            auto& entry = (*found)->endpoint->entry();
-            entry.is_draining = true;
-            this->put_row("servers", entry.id, endpoint_document(entry));
+            (*found)->endpoint->entry().is_draining = true;
+            this->put_entry(**found);
         });
 }
 
--- a/test/faults/odd_entries.cpp
+++ b/test/faults/odd_entries.cpp
@@ -115,8 +115,7 @@
             this->put_row(table, "odd-" + std::to_string(i), documents[i]);
         this->put_row(table, "h 1\r\nx: y", documents.back());
         this->put_row(table, std::string(200, 'k'), documents.back());
-        this->tables[table]["raw"] = {.value = "=A==",
-                                      .version = ++this->store_version};
+        this->store_row(table, "raw", {.value = "=A=="});
     }
     for (int i = 0; i < repeated_rows; ++i)
         this->put_row("servers", "copy-" + std::to_string(i), "x");
@@ -125,11 +124,10 @@
                             R"("service":"s"}])");
     for (const auto& [table, key] :
          {std::pair{"op", "config"}, std::pair{"servers", "i-1"}})
-        this->tables[table][std::string("other part/") + key] = {
-            .value = support::encode_base64(config),
-            .version = ++this->store_version,
-            .part = "other",
-            .key = key};
+        this->store_row(table, std::string("other part/") + key,
+                        {.value = support::encode_base64(config),
+                         .part = "other",
+                         .key = key});
 }
 
 bool fault_session::wait_for(const std::function<bool()>& condition)
@@ -214,10 +212,9 @@
     const std::string activated =
         "config_activated version=" + std::to_string(this->config_version) +
         " ";
-    schema::endpoint_registration entry =
-        this->endpoints.front()->endpoint->entry();
-    entry.is_draining = true;
-    this->put_row("servers", entry.id, endpoint_document(entry));
+    endpoint_server& leaving = *this->endpoints.front();
+    leaving.endpoint->entry().is_draining = true;
+    this->put_entry(leaving);
     const auto any_logged = [this](const std::string& text)
     {
         return std::any_of(this->hosts.begin(), this->hosts.end(),
--- a/test/faults/power_session.cpp
+++ b/test/faults/power_session.cpp
@@ -54,6 +54,7 @@
             .caller_timeout_ms = 3500,
             .caller_patience_ms = 3500,
             .task_millicores = 4000,
+            .rows_per_answer = 43,
             .processor_shares = {0.5, 0.5, 0.3, 0.09},
             .loses_power = true};
 }
@@ -367,9 +368,8 @@
     for (tcp_proxy* const link : server.proxies)
         link->reset_all();
     server.endpoint->restart();
-    const auto& entry = server.endpoint->entry();
-    this->note("endpoint restarts " + entry.id);
-    this->put_row("servers", entry.id, endpoint_document(entry));
+    this->note("endpoint restarts " + server.endpoint->entry().id);
+    this->put_entry(server);
 }
 
 void fault_session::plan_late_endpoints(const std::string& domain,
--- a/test/faults/whole_session.cpp
+++ b/test/faults/whole_session.cpp
@@ -17,9 +17,11 @@
 
 using support::milliseconds;
 
-constexpr milliseconds load_span{25000};
+constexpr milliseconds load_span{30000};
 /// Faults begin within this time.
-constexpr int fault_span_ms = 17000;
+constexpr int fault_span_ms = 20000;
+/// Hosts that have only stood by for this long take over.
+constexpr milliseconds last_losses{23500};
 /// Jobs of a second, on average and at most beyond it, in waves of a length.
 constexpr double mean_jobs = 100;
 constexpr double wave_jobs = 70;
@@ -34,10 +36,14 @@
 constexpr milliseconds notice_time{2000};
 constexpr milliseconds rolling_interval{1300};
 constexpr milliseconds least_renewal{1000};
-/// Entries lapse after three heartbeats, and are back this long after the store
-/// at the latest.
+/// Entries lapse while the store is away, and are back with the next report.
 constexpr milliseconds lapse_time{1500};
-constexpr int longest_return_ms = 1900;
+/// Most changes in one answer of the platform's store, and endpoints of the
+/// sites that are played. From 375 on, a host that reads every 2 s what changes
+/// every 1.5 s falls behind.
+constexpr int platform_rows_per_answer = 500;
+constexpr int least_site = 350;
+constexpr int site_sizes = 200;
 /// A domain keeps this many.
 constexpr std::size_t least_endpoints = 24;
 
@@ -148,8 +154,7 @@
     server.draining_since = this->queue.now();
     auto& entry = server.endpoint->entry();
     entry.is_draining = true;
-    server.has_lapsed = false;
-    this->put_row("servers", entry.id, endpoint_document(entry));
+    this->put_entry(server);
     this->note("endpoint leaves " + entry.id + " version " +
                std::to_string(this->store_version));
     this->queue.after(served_on,
@@ -181,7 +186,7 @@
     const int kind = this->pick(8);
     for (int i = 0; i < many; ++i)
     {
-        if (kind == 0)
+        if (kind <= 1)
         {
             this->join(domain);
             continue;
@@ -192,11 +197,11 @@
         serving.pop_back();
         const milliseconds beyond(this->pick(3) == 0 ? this->pick(9000)
                                                      : 100 + this->pick(900));
-        if (kind == 1)
+        if (kind == 2)
             this->restart_endpoint(server);
-        else if (kind == 2)
+        else if (kind == 3)
             this->leave(server, notice_time);
-        else if (kind <= 5)
+        else if (kind == 4)
             this->leave(server, drain_time + beyond);
         else
         {
@@ -206,7 +211,7 @@
                               { this->leave(server, drain_time + beyond); });
         }
     }
-    this->queue.after(milliseconds(100 + this->pick(250)),
+    this->queue.after(milliseconds(100 + this->pick(400)),
                       [this, end] { this->change_endpoints(end); });
 }
 
@@ -324,35 +329,19 @@
                           [this]
                           {
                               for (const auto& one : this->endpoints)
-                              {
-                                  if (one->has_exited || this->pick(3) != 0)
-                                      continue;
-                                  one->has_lapsed = true;
-                                  this->remove_row("servers",
-                                                   one->endpoint->entry().id);
-                              }
+                                  if (!one->has_exited && this->pick(3) == 0)
+                                      this->remove_row(
+                                          "servers", one->endpoint->entry().id);
                           });
-    this->queue.after(
-        when + span,
-        [this, lag, forgets]
-        {
-            this->note("store back lag_ms " + std::to_string(lag.count()));
-            if (forgets)
-                this->history_from = this->store_version + 1;
-            this->set_store(true, lag.count() > 0);
-            for (const auto& one : this->endpoints)
-                this->queue.after(
-                    milliseconds(this->pick(longest_return_ms)),
-                    [this, &server = *one]
-                    {
-                        if (!server.has_lapsed || server.has_exited)
-                            return;
-                        server.has_lapsed = false;
-                        const auto& entry = server.endpoint->entry();
-                        this->put_row("servers", entry.id,
-                                      endpoint_document(entry));
-                    });
-        });
+    this->queue.after(when + span,
+                      [this, lag, forgets]
+                      {
+                          this->note("store back lag_ms " +
+                                     std::to_string(lag.count()));
+                          if (forgets)
+                              this->history_from = this->store_version + 1;
+                          this->set_store(true, lag.count() > 0);
+                      });
     this->queue.after(when + span + lag,
                       [this] { this->set_store(this->store_is_up, false); });
 }
@@ -361,6 +350,12 @@
 
 std::vector<std::string> fault_session::run_whole()
 {
+    // The store's answers cover as long a time as on a site of some size.
+    this->shape.rows_per_answer = platform_rows_per_answer *
+                                  static_cast<int>(this->endpoints.size()) /
+                                  (least_site + this->pick(site_sizes));
+    this->note("rows per answer " +
+               std::to_string(this->shape.rows_per_answer));
     if (!this->wait_ready())
         this->report_violation("not ready after the start");
     const auto plan_some = [this](int least, int choices, auto plan)
@@ -369,8 +364,12 @@
             (this->*plan)(milliseconds(this->pick(fault_span_ms)));
     };
     this->plan_rolling_restart(milliseconds(500 + this->pick(2000)));
-    this->plan_outage(milliseconds(3000 + this->pick(3000)));
-    this->plan_outage(milliseconds(12000 + this->pick(4000)));
+    this->plan_outage(milliseconds(1500 + this->pick(2500)));
+    this->plan_outage(milliseconds(8000 + this->pick(3000)));
+    for (int left = 4 + this->pick(5); left > 0; --left)
+        this->plan_loss(this->pick_host(),
+                        last_losses + milliseconds(this->pick(2500)),
+                        milliseconds(300 + this->pick(2000)));
     for (int left = 2 + this->pick(3); left > 0; --left)
         this->plan_loss(this->pick_host(),
                         milliseconds(this->pick(fault_span_ms)),
