Merge the soak of the users' whole installation; first reads are no division

A domain of which no owner was heard has nothing that runs in other shards; an owner that still has fewer shards counts as a division when it is heard.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -306,6 +306,8 @@
     };
 
     void record_token(int shard, fencing_token token);
+    /// Returns whether an owner of a shard of the own domain was heard of.
+    bool knows_any_owner() const;
     epoch_state& epochs_of(int shard);
     /// Returns whether this process has had time to learn of every owner.
     bool has_settled(support::instant now) const;
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -104,6 +104,9 @@
     if (!is_news || domain != this->options.self.domain)
         return is_news;
     this->raise_shard_count(heartbeat.shard_count, now);
+    // An owner that has not heard of the division yet.
+    if (heartbeat.shard_count < this->shards && !heartbeat.owned.empty())
+        this->divided_at = now;
     for (const schema::ownership& owned_there : heartbeat.owned)
         this->record_token(owned_there.shard, owned_there.token);
     for (const schema::heard_owner& heard : heartbeat.heard)
@@ -173,12 +176,27 @@
     if (count <= this->shards)
         return;
     this->shards = count;
-    this->divided_at = now;
+    // Nothing runs in other shards of a domain that has not had an owner yet.
+    if (this->knows_any_owner())
+        this->divided_at = now;
     // An endpoint of a new shard has seen the tokens of an earlier one.
     for (const auto& [shard, state] : this->epochs)
         this->first_epoch = std::max(this->first_epoch, state.highest);
 }
 
+bool host_view::knows_any_owner() const
+{
+    return !this->owned.empty() || !this->last_owners.empty() ||
+           std::any_of(this->peers.begin(), this->peers.end(),
+                       [this](const auto& entry)
+                       {
+                           const peer_state& peer = entry.second;
+                           return peer.identity.domain ==
+                                      this->options.self.domain &&
+                                  !peer.last_heartbeat.owned.empty();
+                       });
+}
+
 void host_view::set_registration(std::int64_t version)
 {
     this->registration = version;
--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -2,10 +2,12 @@
 
 #include "chicorydrum/support/base64.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <sys/stat.h>
@@ -35,6 +37,15 @@
 /// The longest drain time of the sites: an endpoint that leaves must get no new
 /// work after it.
 constexpr milliseconds drain_limit{3000};
+/// Delays of this process are kept as long as the disturbances that excuse a
+/// host.
+constexpr milliseconds contact_span{4000};
+/// Endpoints write their entries as often as on the sites.
+constexpr milliseconds report_interval{1500};
+/// Their reports are spread over the interval.
+constexpr int report_phases = 15;
+/// How long the store keeps its history on the sites.
+constexpr milliseconds history_span{20000};
 
 /// Parses JOB.0.GROUP.INDEX; job ids here have no dots.
 shard::task_key task_of(const std::string& name)
@@ -70,18 +81,28 @@
     return response;
 }
 
-/// Returns the rows of a table that changed after a version.
+template <typename Row>
+json row_document(const std::string& table, const std::string& key,
+                  const Row& row)
+{
+    json document{{"table", table},
+                  {"part", row.part},
+                  {"key", row.part.empty() ? key : row.key},
+                  {"ver", row.version}};
+    if (row.is_removed)
+        document["tombstone"] = true;
+    else
+        document["value"] = row.value;
+    return document;
+}
+
 template <typename Rows>
-json rows_after(const Rows& rows, const std::string& table, std::int64_t after)
+json whole_table(const Rows& rows, const std::string& table)
 {
     json found = json::array();
     for (const auto& [key, row] : rows)
-        if (row.version > after)
-            found.push_back({{"table", table},
-                             {"part", row.part},
-                             {"key", row.part.empty() ? key : row.key},
-                             {"value", row.value},
-                             {"ver", row.version}});
+        if (!row.is_removed)
+            found.push_back(row_document(table, key, row));
     return found;
 }
 
@@ -140,8 +161,12 @@
         this->journal.open(path + "/session.log");
     this->queue.run_until(support::instant(support::seconds(1)));
     this->store_calm_since = this->queue.now();
-    const int ports_per_domain = this->shape.hosts_per_domain * ports_per_host +
-                                 2 * this->shape.endpoints_per_domain;
+    // The links of hosts that may lose their power have addresses of their own.
+    const int ports_per_endpoint = this->shape.loses_power ? 1 : 2;
+    const int ports_per_domain =
+        this->shape.hosts_per_domain * ports_per_host +
+        ports_per_endpoint * (this->shape.endpoints_per_domain +
+                              this->shape.later_endpoints_per_domain);
     const int base = process_test::find_free_ports(1 + this->shape.domains *
                                                            ports_per_domain);
     this->store =
@@ -167,8 +192,10 @@
         {
             this->add_endpoint("i-" + std::to_string(this->endpoints.size()),
                                domain_name, port);
-            port += 2;
+            port += ports_per_endpoint;
         }
+        this->next_endpoint_port[domain_name] = port;
+        port += ports_per_endpoint * this->shape.later_endpoints_per_domain;
         for (int i = 0; i < this->shape.hosts_per_domain; ++i)
         {
             this->add_host("h" + std::to_string(this->hosts.size()),
@@ -176,15 +203,25 @@
             port += ports_per_host;
         }
     }
+    // The store has run for long: its history does not reach back to the first
+    // rows.
+    this->history_from = this->store_version;
     this->pump = this->loop.make_timer(
         [this]
         {
             const support::instant now = transport::event_loop::now();
             constexpr milliseconds noted_delay{25};
             if (now - this->last_pump > noted_delay)
-                this->note(
-                    "session late by ms " +
-                    std::to_string(support::whole_ms(now - this->last_pump)));
+            {
+                const milliseconds delay(
+                    support::whole_ms(now - this->last_pump));
+                this->note("session late by ms " +
+                           std::to_string(delay.count()));
+                const bool was_long_ago = now - this->late_at > contact_span;
+                this->late_by =
+                    was_long_ago ? delay : std::max(this->late_by, delay);
+                this->late_at = now;
+            }
             this->last_pump = now;
             this->advance_time();
             std::vector<tcp_proxy*> all;
@@ -205,7 +242,8 @@
     wanted.entry.id = id;
     wanted.entry.pool = "workers";
     wanted.entry.address = "127.0.0.1";
-    wanted.entry.port = port + 1;
+    const int proxy_port = this->shape.loses_power ? port : port + 1;
+    wanted.entry.port = proxy_port;
     wanted.entry.domain = domain;
     wanted.entry.capacity.millicores = 16000;
     wanted.entry.capacity.memory_mb = 65536;
@@ -253,17 +291,21 @@
             }});
     const int links =
         this->shape.loses_power ? this->shape.hosts_per_domain : 1;
-    for (int i = 0; i < links; ++i)
+    const int first_host =
+        (std::stoi(domain.substr(1)) - 1) * this->shape.hosts_per_domain;
+    for (int number = first_host; number < first_host + links; ++number)
     {
-        const std::size_t host =
-            this->hosts.size() + static_cast<std::size_t>(i);
+        const auto host = static_cast<std::size_t>(number);
         server.proxies.push_back(
             &this->add_proxy({.address = this->address_of(host),
-                              .port = port + 1,
+                              .port = proxy_port,
                               .server_port = port}));
         this->links_of[host].push_back(server.proxies.back());
     }
-    this->put_row("servers", id, endpoint_document(server.endpoint->entry()));
+    this->put_entry(server);
+    const auto phase = static_cast<int>(this->endpoints.size() % report_phases);
+    this->queue.after(report_interval * phase / report_phases,
+                      [this, &server] { this->report_endpoint(server); });
     this->endpoints.push_back(std::move(created));
 }
 
@@ -282,10 +324,7 @@
                                              .server_port = this->store_port});
     if (this->shape.loses_power)
         this->add_power_links(*created);
-    static constexpr std::array powers = {0.5, 0.5, 0.3, 0.09};
-    const double power = this->shape.loses_power
-                             ? powers[this->hosts.size() % powers.size()]
-                             : 0.25;
+    const std::vector<double>& shares = this->shape.processor_shares;
     std::ofstream(this->work_directory + "/" + name + ".yaml")
         << "name: " << name << "\ndomain: " << domain
         << "\naddress: 127.0.0.1\nlisteners:\n  callers: 127.0.0.1:" << port
@@ -293,7 +332,8 @@
         << "\n  peer_port: " << port + 2 << "\n  metrics_port: " << port + 3
         << "\nstore: " << address << ":" << proxy_port
         << "\nlimits:\n  link_rate: " << this->shape.link_rate
-        << "\n  processor_share: " << power << "\n";
+        << "\n  processor_share: " << shares[this->hosts.size() % shares.size()]
+        << "\n";
     this->start_host(*created);
     this->hosts.push_back(std::move(created));
 }
@@ -312,6 +352,11 @@
     {
         if (one->endpoint->entry().id != id || !one->draining_since)
             continue;
+        if (this->shape.checks_contact)
+        {
+            this->check_leaving(*one, task);
+            continue;
+        }
         const support::instant known =
             std::max(*one->draining_since, this->store_calm_since);
         if (this->store_is_up && !this->lagging &&
@@ -346,6 +391,7 @@
 void fault_session::start_host(entry_process& host)
 {
     host.is_stopping = false;
+    this->disturb(host, milliseconds(0));
     host.child.reset();
     host.child = std::make_unique<process_test::child_process>(
         std::vector<std::string>{
@@ -356,31 +402,61 @@
 
 // The store.
 
-std::string
-fault_session::endpoint_document(const schema::endpoint_registration& entry)
-{
-    return json{{"service", entry.pool},
-                {"addr", entry.address + ":" + std::to_string(entry.port)},
-                {"zone", entry.domain},
-                {"state", entry.is_draining ? "draining" : "ready"},
-                {"capacity",
-                 {{"cpu", entry.capacity.millicores},
-                  {"mem_mb", entry.capacity.memory_mb},
-                  {"gpu", 0}}},
-                {"labels", {"a", "r1"}},
-                {"version", "v1"},
-                {"slots", 8},
-                {"cold_left_ms", 0},
-                {"seq", 1},
-                {"born", entry.born_ms}}
-        .dump();
+void fault_session::put_entry(endpoint_server& server)
+{
+    const schema::endpoint_registration& entry = server.endpoint->entry();
+    const json document{
+        {"service", entry.pool},
+        {"addr", entry.address + ":" + std::to_string(entry.port)},
+        {"zone", entry.domain},
+        {"state", entry.is_draining ? "draining" : "ready"},
+        {"capacity",
+         {{"cpu", entry.capacity.millicores},
+          {"mem_mb", entry.capacity.memory_mb},
+          {"gpu", 0}}},
+        {"labels", {"a", "r1"}},
+        {"version", "v1"},
+        {"slots", 8},
+        {"cold_left_ms", 0},
+        {"seq", ++server.reports},
+        {"clock_ms", support::whole_ms(this->queue.now() - support::instant())},
+        {"born", entry.born_ms}};
+    this->put_row("servers", entry.id, document.dump());
+}
+
+void fault_session::report_endpoint(endpoint_server& server)
+{
+    if (server.has_exited)
+        return;
+    if (this->store_is_up)
+        this->put_entry(server);
+    this->queue.after(report_interval,
+                      [this, &server] { this->report_endpoint(server); });
+}
+
+void fault_session::store_row(const std::string& table, const std::string& key,
+                              stored_row row)
+{
+    row.version = ++this->store_version;
+    this->tables[table][key] = row;
+    const support::instant now = this->queue.now();
+    this->history.push_back(
+        {.table = table, .key = key, .row = std::move(row), .at = now});
+    for (; now - this->history.front().at > history_span;
+         this->history.pop_front())
+        this->history_from =
+            std::max(this->history_from, this->history.front().row.version);
 }
 
 void fault_session::put_row(const std::string& table, const std::string& key,
                             const std::string& value)
 {
-    this->tables[table][key] = {.value = support::encode_base64(value),
-                                .version = ++this->store_version};
+    this->store_row(table, key, {.value = support::encode_base64(value)});
+}
+
+void fault_session::remove_row(const std::string& table, const std::string& key)
+{
+    this->store_row(table, key, {.value = {}, .is_removed = true});
 }
 
 void fault_session::put_config()
@@ -403,7 +479,9 @@
 void fault_session::serve_store(transport::exchange_id id,
                                 const transport::http_request& request)
 {
-    if (!this->store_is_up)
+    const entry_process* const caller = this->host_at(request.host);
+    const bool is_busy = caller != nullptr && caller->is_store_busy;
+    if (!this->store_is_up || is_busy)
     {
         this->store->respond(id, json_response(503, json::object()));
         return;
@@ -417,8 +495,8 @@
         const std::string key = changed["key"];
         const auto& rows = this->tables[table];
         const auto found = rows.find(key);
-        const std::int64_t version =
-            found == rows.end() ? 0 : found->second.version;
+        const bool is_there = found != rows.end() && !found->second.is_removed;
+        const std::int64_t version = is_there ? found->second.version : 0;
         if (version != expected["ver"])
         {
             this->store->respond(
@@ -429,8 +507,7 @@
                                            {"ver", version}}}}}));
             return;
         }
-        this->tables[table][key] = {.value = changed["value"],
-                                    .version = ++this->store_version};
+        this->store_row(table, key, {.value = changed["value"]});
         this->store->respond(
             id, json_response(200, {{"ver", this->store_version}}));
         return;
@@ -444,17 +521,20 @@
         this->store->respond(id, json_response(410, json::object()));
         return;
     }
-    if (!is_feed && this->lagging)
+    if (!is_feed)
     {
-        auto rows = rows_after(this->lagging->tables[table], table, 0);
+        auto rows = whole_table(
+            (this->lagging ? this->lagging->tables : this->tables)[table],
+            table);
         this->localize(rows, request.host);
         this->store->respond(
-            id, json_response(
-                    200, {{"rows", rows}, {"ver", this->lagging->version}}));
+            id,
+            json_response(200, {{"rows", rows},
+                                {"ver", this->lagging ? this->lagging->version
+                                                      : this->store_version}}));
         return;
     }
-    const std::int64_t wait =
-        is_feed ? std::stoll(query_value(request.query, "wait_ms")) : 0;
+    const std::int64_t wait = std::stoll(query_value(request.query, "wait_ms"));
     this->answer_changes(id, {.table = table,
                               .reader = request.host,
                               .after = after,
@@ -475,16 +555,38 @@
 void fault_session::answer_changes(transport::exchange_id id,
                                    const table_wait& wait)
 {
-    json rows = rows_after(this->tables[wait.table], wait.table, wait.after);
+    json rows = json::array();
+    std::int64_t version = this->store_version;
+    const auto first =
+        std::partition_point(this->history.begin(), this->history.end(),
+                             [&wait](const stored_change& change)
+                             { return change.row.version <= wait.after; });
+    for (auto change = first; change != this->history.end(); ++change)
+    {
+        if (change->table != wait.table)
+            continue;
+        rows.push_back(row_document(change->table, change->key, change->row));
+        if (std::cmp_less(rows.size(), this->shape.rows_per_answer))
+            continue;
+        // The reader has to ask for the others.
+        version = change->row.version;
+        break;
+    }
     if (rows.empty() && this->queue.now() < wait.until)
     {
         this->queue.after(milliseconds(20),
                           [this, id, wait] { this->answer_changes(id, wait); });
         return;
     }
+    if (wait.table == "servers")
+        this->note("feed to " + wait.reader + " after " +
+                   std::to_string(wait.after) + " version " +
+                   std::to_string(version) + " of " +
+                   std::to_string(this->store_version) + " rows " +
+                   std::to_string(rows.size()));
     this->localize(rows, wait.reader);
     this->store->respond(
-        id, json_response(200, {{"rows", rows}, {"ver", this->store_version}}));
+        id, json_response(200, {{"rows", rows}, {"ver", version}}));
 }
 
 // Endpoints.
@@ -523,7 +625,9 @@
         this->note("start " + name_of(order.task) + " run " +
                    std::to_string(order.run) + " token " +
                    std::to_string(order.token) + " at " +
-                   where.endpoint->entry().id);
+                   where.endpoint->entry().id + " by " + request.host);
+        if (this->shape.checks_contact)
+            this->starting_host = this->host_at(request.host);
         where.endpoint->start(order, reply);
         return;
     }
@@ -544,7 +648,7 @@
 {
     const std::string job = "j" + std::to_string(this->seed) + "x" +
                             std::to_string(this->callers.size());
-    this->callers[job] = {.tasks = 1 + this->pick(3),
+    this->callers[job] = {.tasks = 1 + this->pick(this->shape.most_tasks),
                           .work_ms =
                               30 + this->pick(this->shape.longest_work_ms - 30),
                           .patience_ms = this->shape.caller_patience_ms};
@@ -704,7 +808,11 @@
     for (const auto& one : this->proxies)
         one->set_fault(link_fault::none);
     for (const auto& one : this->endpoints)
+    {
         one->endpoint->set_fault(shards::endpoint_fault::none);
+        if (one->has_exited)
+            this->exit_endpoint(*one);
+    }
     for (std::size_t i = 0; i < this->hosts.size(); ++i)
         this->restore_power(i);
     for (const auto& host : this->hosts)
--- a/test/faults/installation.cpp
+++ b/test/faults/installation.cpp
@@ -23,14 +23,16 @@
 
 session_shape installation_shape()
 {
-    // A link of 1 Mbit/s carries shards of 8 endpoints.
+    // A link of 1 Mbit/s carries shards of 8 endpoints. The store's answers
+    // hold 500 changes on sites of up to 370 endpoints.
     return {.domains = 4,
             .hosts_per_domain = 2,
             .endpoints_per_domain = 13,
             .link_rate = 1,
             .longest_work_ms = 1500,
             .caller_timeout_ms = 1500,
-            .caller_patience_ms = 1500};
+            .caller_patience_ms = 1500,
+            .rows_per_answer = 70};
 }
 
 void fault_session::restart_host(entry_process& host, milliseconds span)
@@ -107,21 +109,40 @@
         const milliseconds refused_for(3000 + this->pick(6000));
         for (const auto& one : this->hosts)
         {
-            tcp_proxy& proxy = *one->store_proxy;
             const bool is_refused =
                 domain.empty() ? this->pick(2) == 0 : one->domain == domain;
             if (!is_refused)
                 continue;
-            this->queue.after(when, [&proxy]
-                              { proxy.set_fault(link_fault::silent); });
-            this->queue.after(when + refused_for,
-                              [&proxy] { proxy.set_fault(link_fault::none); });
+            this->plan_refusal(*one, store_refusal::silent, when, refused_for);
         }
         return;
     }
     }
 }
 
+void fault_session::plan_refusal(entry_process& host, store_refusal kind,
+                                 milliseconds when, milliseconds span)
+{
+    const auto set = [&host, kind](bool is_refused)
+    {
+        const link_fault fault = kind == store_refusal::silent
+                                     ? link_fault::silent
+                                     : link_fault::refused;
+        if (kind == store_refusal::busy)
+            host.is_store_busy = is_refused;
+        else
+            host.store_proxy->set_fault(is_refused ? fault : link_fault::none);
+    };
+    this->queue.after(when,
+                      [this, &host, set, span]
+                      {
+                          this->note("refused " + host.name);
+                          set(true);
+                          host.refused_until = this->queue.now() + span;
+                      });
+    this->queue.after(when + span, [set] { set(false); });
+}
+
 void fault_session::plan_leaving(milliseconds when)
 {
     this->queue.after(
@@ -136,9 +157,8 @@
             if (found == this->endpoints.end() || (*found)->draining_since)
                 return;
             (*found)->draining_since = this->queue.now();
-            auto& entry = (*found)->endpoint->entry();
-            entry.is_draining = true;
-            this->put_row("servers", entry.id, endpoint_document(entry));
+            (*found)->endpoint->entry().is_draining = true;
+            this->put_entry(**found);
         });
 }
 
