Held jobs wait only while a copy's runs can be active

An owner's heartbeat now says how long the entry hosts whose jobs it has were silent at most. They were alive then, so that their callers' copies come 1,300 ms after that at the earliest: the window begins some 1,100 ms after the owner was last heard instead of 600. And the runs that a copy can meet have ended 375 ms after its arrival, whenever the owner was heard: owners end a lost host's jobs after 575 ms or leave them to a lease of 1,100, and copies come after 1,300. Hosts of earlier versions say nothing; the window begins as before.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -150,6 +150,9 @@
   /// The version of the store up to which the sender has read the endpoints; 0
   /// before its first read.
   14: i64 endpoints_version
+  /// The longest time since the sender has heard an entry host whose jobs its
+  /// shards have; unset if it owns none.
+  15: optional i64 callers_silent_us
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -268,6 +268,9 @@
     void answer_new_owners();
     /// Ends the adoption window of shards that all live hosts have answered.
     void end_answered_adoptions();
+    /// Returns the longest time in microseconds since a host was heard whose
+    /// jobs this host's shards have.
+    std::int64_t longest_caller_silence() const;
     schema::shard_message make_heartbeat(bool to_own_domain) const;
     void update_shard_endpoints(support::instant now);
 
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -223,6 +223,9 @@
     }
     /// Returns whether an owner keeps the jobs of \p host.
     bool keeps_jobs_of(const std::string& host) const;
+    /// Returns how long ago \p host was heard; 0 for this host, and for one
+    /// that is not known any more the time after which its jobs have ended.
+    support::decision_clock::duration silence_of(const std::string& host) const;
     /// Returns the peers whose jobs some owner may keep.
     std::vector<std::string> peers_with_jobs() const;
     /// Returns whether a peer that had not announced its stop was found lost
--- a/shard/include/chicorydrum/shard/owner_sightings.hpp
+++ b/shard/include/chicorydrum/shard/owner_sightings.hpp
@@ -24,6 +24,8 @@
     /// The last lease of an owner that was not heard for this long has lapsed:
     /// next heartbeat 300, tick that is late by 100, lapse of a lease 1,100.
     support::milliseconds lapse{1500};
+    /// Copies of a lost host's jobs arrive this long after its loss or later.
+    support::milliseconds copy_delay{1300};
 };
 
 /// An owner whose runs may be active without it.
@@ -45,9 +47,11 @@
     /// before this process heard them.
     void domain_listed(const std::string& domain);
     /// The owner of shard \p claim of \p domain, which it divides into
-    /// \p shards, has sent a heartbeat at \p sent or later.
+    /// \p shards, has sent a heartbeat at \p sent or later. The entry hosts
+    /// whose jobs it had were alive at \p callers_alive.
     void heard(const std::string& domain, const schema::ownership& claim,
-               int shards, support::instant sent);
+               int shards, support::instant sent,
+               support::instant callers_alive);
     /// Returns the lost owner whose last lease lapses last, or nothing if
     /// copies that arrive now at the owner of \p own have no active runs in
     /// other shards.
@@ -55,9 +59,14 @@
                                         support::instant now) const;
 
 private:
+    struct sighting
+    {
+        support::instant at = {};
+        support::instant callers_alive = {};
+    };
     /// When the owners of a shard were last heard, by their tokens. Invariant:
     /// none has a predecessor here whose runs it knows.
-    using shard_sightings = std::map<fencing_token, support::instant>;
+    using shard_sightings = std::map<fencing_token, sighting>;
 
     sighting_options options;
     support::instant started;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -442,6 +442,15 @@
     this->send_heartbeats(now, true);
 }
 
+std::int64_t entry_host::longest_caller_silence() const
+{
+    support::decision_clock::duration longest{0};
+    for (const auto& [number, shard] : this->shards)
+        for (const std::string& host : shard->caller_hosts())
+            longest = std::max(longest, this->view.silence_of(host));
+    return support::duration_cast<support::microseconds>(longest).count();
+}
+
 schema::shard_message entry_host::make_heartbeat(bool to_own_domain) const
 {
     schema::shard_heartbeat heartbeat;
@@ -456,6 +465,8 @@
     if (to_own_domain)
         heartbeat.heard = this->view.heard_owners();
     heartbeat.lacks_endpoints = this->table.lacks_endpoints(this->current_time);
+    if (!this->shards.empty())
+        heartbeat.__set_callers_silent_us(this->longest_caller_silence());
     heartbeat.endpoints_version = this->table.endpoints_read_to();
     schema::shard_message message;
     message.__set_beat(std::move(heartbeat));
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -98,9 +98,16 @@
     found->second.last_heartbeat = heartbeat;
     found->second.has_heartbeat = true;
     const std::string& domain = found->second.identity.domain;
+    // Hosts of earlier versions say nothing of their callers' hosts, whose jobs
+    // they keep for as long as those may be silent.
+    const support::microseconds callers_silent =
+        heartbeat.__isset.callers_silent_us
+            ? support::microseconds(heartbeat.callers_silent_us)
+            : this->options.all_jobs_ended_timeout;
     for (const schema::ownership& claim : heartbeat.owned)
         if (sent)
-            this->sightings.heard(domain, claim, heartbeat.shard_count, *sent);
+            this->sightings.heard(domain, claim, heartbeat.shard_count, *sent,
+                                  *sent - callers_silent);
     if (!is_news || domain != this->options.self.domain)
         return is_news;
     this->raise_shard_count(heartbeat.shard_count, now);
@@ -268,7 +275,7 @@
     this->update_liveness();
     for (const schema::ownership& claim : this->owned)
         this->sightings.heard(this->options.self.domain, claim, this->shards,
-                              now);
+                              now, now);
     const shard_owners& current = this->owners();
     for (int shard = 0; shard < this->shards; ++shard)
     {
@@ -336,6 +343,17 @@
                             this->options.caller_silence_timeout);
 }
 
+support::decision_clock::duration
+host_view::silence_of(const std::string& host) const
+{
+    if (host == this->options.self.name)
+        return support::decision_clock::duration(0);
+    const auto found = this->peers.find(host);
+    if (found == this->peers.end())
+        return this->options.all_jobs_ended_timeout;
+    return this->current_time - found->second.last_received;
+}
+
 std::vector<std::string> host_view::peers_with_jobs() const
 {
     std::vector<std::string> found;
--- a/shard/lib/owner_sightings.cpp
+++ b/shard/lib/owner_sightings.cpp
@@ -19,22 +19,23 @@
 
 void owner_sightings::heard(const std::string& domain,
                             const schema::ownership& claim, int shards,
-                            instant sent)
+                            instant sent, instant callers_alive)
 {
     int& count = this->shard_counts[domain];
     count = std::max(count, shards);
     const shard_name name{.domain = domain, .shard = claim.shard};
     shard_sightings& known = this->owners[name];
     std::erase_if(known, [this, sent](const auto& owner)
-                  { return sent - owner.second >= this->options.lapse; });
+                  { return sent - owner.second.at >= this->options.lapse; });
     fencing_token& floor = this->settled[name];
     // A domain that starts anew may count from lower tokens.
     if (known.empty())
         floor = 0;
     if (claim.token < floor)
         return;
-    instant& last = known[claim.token];
-    last = std::max(last, sent);
+    sighting& last = known[claim.token];
+    last.at = std::max(last.at, sent);
+    last.callers_alive = std::max(last.callers_alive, callers_alive);
     if (claim.is_adopting)
         return;
     floor = claim.token;
@@ -53,10 +54,15 @@
     };
     for (const auto& [name, known] : this->owners)
         for (const auto& [token, last] : known)
-            if (name != own && now - last > this->options.recent)
+        {
+            const bool may_meet_copies =
+                now - last.at > this->options.recent &&
+                now >= last.callers_alive + this->options.copy_delay;
+            if (name != own && may_meet_copies)
                 consider({.name = name,
-                          .heard_at = last,
-                          .lapses_at = last + this->options.lapse});
+                          .heard_at = last.at,
+                          .lapses_at = last.at + this->options.lapse});
+        }
     const instant known_from = this->started + this->options.lapse;
     if (now >= known_from)
         return latest;
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -18,6 +18,11 @@
 
 /// Assumed for a task without an estimate.
 constexpr double default_estimate_ms = 100;
+/// The runs of a lost host whose callers' copies arrive now have ended after
+/// this time: their owner has ended them 575 ms after the loss (silence 500,
+/// grace after a stall 50, tick 25), or its last lease lapses within 1,100 ms
+/// more; copies arrive 1,300 ms after the loss at the earliest.
+constexpr support::milliseconds longest_hold{375};
 /// Shortest run time of a task relative to its estimate: two standard
 /// deviations of the callers' estimates.
 constexpr double min_run_time_ratio = 0.5;
@@ -157,7 +162,7 @@
     const auto lost = this->hooks.find_lost_owner();
     if (!lost)
         return;
-    job.held_until = lost->lapses_at;
+    job.held_until = std::min(lost->lapses_at, now + longest_hold);
     // -1 if it was never heard.
     const std::int64_t heard_ms =
         lost->heard_at ? support::whole_ms(now - *lost->heard_at) : -1;
@@ -167,7 +172,7 @@
             .add("lost_domain", lost->name.domain)
             .add("lost_shard", lost->name.shard)
             .add("heard_ms", heard_ms)
-            .add("longest_ms", support::whole_ms(lost->lapses_at - now)));
+            .add("longest_ms", support::whole_ms(*job.held_until - now)));
 }
 
 bool shard_owner::is_held(const owned_job& job, instant now) const
--- a/shard/unittests/owner_sightings_test.cpp
+++ b/shard/unittests/owner_sightings_test.cpp
@@ -16,6 +16,8 @@
 const instant start(milliseconds(1000));
 /// When the process has run for longer than any lease.
 const instant later = start + milliseconds(5000);
+/// Of the entry hosts whose jobs the owners have.
+constexpr milliseconds callers_silent{700};
 const shard_name own{.domain = "D1", .shard = 0};
 const shard_name first{.domain = "D2", .shard = 0};
 const shard_name second{.domain = "D2", .shard = 1};
@@ -40,7 +42,7 @@
 BOOST_AUTO_TEST_CASE(owner_counts_as_lost_within_its_window_only)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 1, later);
+    owners.heard("D2", claim(0, 7), 1, later, later - callers_silent);
     BOOST_TEST(!owners.find_lost(own, later + milliseconds(600)).has_value());
     const auto lost = owners.find_lost(own, later + milliseconds(601));
     BOOST_REQUIRE(lost.has_value());
@@ -55,8 +57,9 @@
 BOOST_AUTO_TEST_CASE(each_shard_counts_for_itself)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 2, later);
-    owners.heard("D2", claim(1, 7), 2, later + milliseconds(500));
+    owners.heard("D2", claim(0, 7), 2, later, later - callers_silent);
+    owners.heard("D2", claim(1, 7), 2, later + milliseconds(500),
+                 later + milliseconds(500) - callers_silent);
     BOOST_TEST(
         (owners.find_lost(own, later + milliseconds(700))->name == first));
     const instant both_lost = later + milliseconds(1200);
@@ -67,13 +70,16 @@
 BOOST_AUTO_TEST_CASE(lower_tokens_do_not_count)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 1, later);
-    owners.heard("D2", claim(0, 8), 1, later + milliseconds(700));
+    owners.heard("D2", claim(0, 7), 1, later, later - callers_silent);
+    owners.heard("D2", claim(0, 8), 1, later + milliseconds(700),
+                 later + milliseconds(700) - callers_silent);
     BOOST_TEST(!owners.find_lost(own, later + milliseconds(700)).has_value());
-    owners.heard("D2", claim(0, 7), 1, later + milliseconds(1400));
+    owners.heard("D2", claim(0, 7), 1, later + milliseconds(1400),
+                 later + milliseconds(1400) - callers_silent);
     BOOST_TEST(owners.find_lost(own, later + milliseconds(1400)).has_value());
     // The successor's leases have lapsed: the domain may count anew.
-    owners.heard("D2", claim(0, 1), 1, later + milliseconds(2300));
+    owners.heard("D2", claim(0, 1), 1, later + milliseconds(2300),
+                 later + milliseconds(2300) - callers_silent);
     BOOST_TEST(!owners.find_lost(own, later + milliseconds(2400)).has_value());
 }
 
@@ -82,12 +88,14 @@
 BOOST_AUTO_TEST_CASE(adopting_successor_does_not_stand_for_its_predecessor)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 1, later);
-    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700));
+    owners.heard("D2", claim(0, 7), 1, later, later - callers_silent);
+    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700),
+                 later + milliseconds(700) - callers_silent);
     const auto lost = owners.find_lost(own, later + milliseconds(700));
     BOOST_REQUIRE(lost.has_value());
     BOOST_TEST((lost->heard_at == later));
-    owners.heard("D2", claim(0, 8), 1, later + milliseconds(800));
+    owners.heard("D2", claim(0, 8), 1, later + milliseconds(800),
+                 later + milliseconds(800) - callers_silent);
     BOOST_TEST(!owners.find_lost(own, later + milliseconds(800)).has_value());
 }
 
@@ -96,8 +104,9 @@
 BOOST_AUTO_TEST_CASE(lost_successor_has_its_own_window)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 1, later);
-    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700));
+    owners.heard("D2", claim(0, 7), 1, later, later - callers_silent);
+    owners.heard("D2", claim(0, 8, true), 1, later + milliseconds(700),
+                 later + milliseconds(700) - callers_silent);
     const instant end = later + milliseconds(700 + 1500);
     BOOST_TEST(
         (owners.find_lost(own, later + milliseconds(1400))->lapses_at == end));
@@ -109,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(own_shard_does_not_count)
 {
     owner_sightings owners(limits, start);
-    owners.heard("D2", claim(0, 7), 1, later);
+    owners.heard("D2", claim(0, 7), 1, later, later - callers_silent);
     const instant silent = later + milliseconds(700);
     BOOST_TEST(!owners.find_lost(first, silent).has_value());
     BOOST_TEST(owners.find_lost(second, silent).has_value());
@@ -125,11 +134,11 @@
     BOOST_REQUIRE(owners.find_lost(own, soon).has_value());
     BOOST_TEST(
         (owners.find_lost(own, soon)->lapses_at == start + milliseconds(1500)));
-    owners.heard("D2", claim(0, 7), 2, soon);
+    owners.heard("D2", claim(0, 7), 2, soon, soon - callers_silent);
     BOOST_TEST((owners.find_lost(own, soon)->name == second));
-    owners.heard("D2", claim(1, 7, true), 2, soon);
+    owners.heard("D2", claim(1, 7, true), 2, soon, soon - callers_silent);
     BOOST_TEST((owners.find_lost(own, soon)->name == second));
-    owners.heard("D2", claim(1, 7), 2, soon);
+    owners.heard("D2", claim(1, 7), 2, soon, soon - callers_silent);
     BOOST_TEST(!owners.find_lost(own, soon).has_value());
     BOOST_TEST(!owner_sightings(limits, start)
                     .find_lost(own, start + milliseconds(1500))
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -93,6 +93,8 @@
         .integer("shard_count", heartbeat.shard_count, 0, max_shards)
         .integer("endpoints_version", heartbeat.endpoints_version, 0,
                  max_exact_integer)
+        .integer("callers_silent_us", heartbeat.callers_silent_us, 0,
+                 max_span_us)
         .require(heartbeat.owned.size() <= max_owned_shards, "owned",
                  "a short list");
     for (const schema::ownership& claim : heartbeat.owned)
