Endpoints: rows count again after the store's version has decreased

What callers could see: starts on endpoints that leave (DRAIN), or endpoints that are not used any more, after one answer with a version too high or a store that counts from a lower one.

Cause: since each row whose version is below the known one is dropped, also in reads of changes. A version that decreases is followed by reading all rows anew, but the versions of known, dropped and leaving endpoints stayed, so that no later row was used until the store had passed them.

Test: directory_reads/rows_of_a_version_that_decreased_are_used failed before. shard_tests passed.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -364,6 +364,9 @@
     const table_state& state_of(directory_table table) const;
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
+    /// The store counts from a lower version again: what is known of the
+    /// endpoints stands until it is read anew.
+    void forget_versions();
     /// Joins the answers of a read of all rows. Returns nothing if there are
     /// more to come.
     std::optional<table_rows> join(table_rows rows, support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -248,6 +248,18 @@
                         .add("first", is_first));
 }
 
+void directory::forget_versions()
+{
+    this->endpoints_read_version = 0;
+    // Later rows may have lower versions now.
+    for (auto& [id, endpoint] : this->known)
+        endpoint.version = 0;
+    for (auto& [id, endpoint] : this->dropped)
+        endpoint.version = 0;
+    for (auto& [id, one] : this->news)
+        one.endpoint.version = 0;
+}
+
 milliseconds directory::next_backoff(milliseconds before)
 {
     const milliseconds doubled = std::clamp(
@@ -312,7 +324,7 @@
         table.wants_all = true;
         table.earlier.reset();
         if (has_decreased && rows.table == directory_table::endpoints)
-            this->endpoints_read_version = 0;
+            this->forget_versions();
         // The first loss is not delayed, as changes are unknown meanwhile. A
         // store that shows rows whose changes it has forgotten loses each read
         // again, and the reads of all hosts would use up its rate.
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -503,6 +503,42 @@
     BOOST_TEST(!this->table.lacks_endpoints(this->now));
 }
 
+// Guards against rows that are taken for outdated for good after a store that
+// counts from a lower version again: an endpoint that leaves would get work.
+BOOST_FIXTURE_TEST_CASE(rows_of_a_version_that_decreased_are_used,
+                        directory_fixture)
+{
+    endpoint_row row{
+        .id = "i-0", .entry = schema::endpoint_registration(), .version = 100};
+    row.entry->id = row.id;
+    row.entry->domain = "D1";
+    row.entry->born_ms = 1;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 100;
+    rows.endpoints = {row};
+    this->table.rows_read(rows, this->now);
+    this->run_for(milliseconds(2500));
+    rows.is_whole = false;
+    rows.version = 50;
+    rows.endpoints = {};
+    this->table.rows_read(rows, this->now);
+    rows.is_whole = true;
+    row.version = 40;
+    rows.endpoints = {row};
+    this->table.rows_read(rows, this->now);
+    rows.is_whole = false;
+    rows.version = 60;
+    row.version = 60;
+    row.entry->is_draining = true;
+    rows.endpoints = {row};
+    this->table.rows_read(rows, this->now);
+    BOOST_REQUIRE(this->table.endpoints().size() == 1U);
+    BOOST_TEST(this->table.endpoints().front().is_draining);
+}
+
 // Guards against an endpoint that a peer has told of as leaving, and that older
 // changes turn back.
 BOOST_FIXTURE_TEST_CASE(older_changes_do_not_turn_a_leaving_endpoint_back,
