Owners that have stalled end a lost host's jobs before they are heard

What callers could see: two runs of a task (TWICE). An entry host is silent, its owner stalls for 300 to 400 ms meanwhile and is lost up to 75 ms after it has resumed. A copy in another domain starts at once, while the lost owner's last lease runs on.

Cause: after a stall, all silences were put off for 50 ms, however long they were. In this time the owner extended leases and was heard. An owner that is heard 700 ms after a host's loss is taken to have stopped that host's runs, with 625 ms at most, a sum that has no stall in it; one that was heard up to 600 ms ago holds no jobs. The grace now lengthens a silence by 50 ms and no more.

--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -320,8 +320,14 @@
 bool host_view::is_silent(const peer_state& peer,
                           support::milliseconds limit) const
 {
-    return this->current_time >= this->silence_counts_from &&
-           this->current_time - peer.last_received >= limit;
+    // Peers count on it that a host that is heard has ended the jobs of hosts
+    // that were lost long before, so that a stall defers this by the grace
+    // only.
+    const support::milliseconds grace =
+        this->current_time < this->silence_counts_from
+            ? this->options.stall_grace
+            : support::milliseconds(0);
+    return this->current_time - peer.last_received >= limit + grace;
 }
 
 bool host_view::is_live(const peer_state& peer) const
--- a/test/shards/lost_owner_test.cpp
+++ b/test/shards/lost_owner_test.cpp
@@ -254,6 +254,44 @@
                 }
 }
 
+// Guards against an owner that has stalled and counts a silent host's jobs to
+// the end of its grace: it is lost later than the sums of the hold allow for,
+// and its last leases run on beside the copy.
+BOOST_AUTO_TEST_CASE(owner_that_stalled_is_lost_with_its_domain)
+{
+    for (const int stall : {250, 310, 390})
+        for (int phase = 0; phase < 300; phase += 50)
+            for (int offset = 400; offset <= 500; offset += 25)
+                for (int left = 0; left <= 75; left += 25)
+                    BOOST_TEST_CONTEXT("stall " << stall << " phase " << phase
+                                                << " offset " << offset
+                                                << " left " << left)
+                    {
+                        shard_fleet fleet(
+                            {.domains = 2, .endpoints_per_domain = 2});
+                        fleet.run_for(warm_up);
+                        const std::string owner = fleet.owner_of("D1");
+                        const std::string entry = other_host(fleet, owner);
+                        fleet.send_copies_to("D2-h1");
+                        const std::string job = fleet.submit(
+                            entry, {.tasks = 1,
+                                    .work = milliseconds(3000),
+                                    .timeout = milliseconds(9000)});
+                        fleet.run_for(milliseconds(100 + phase));
+                        fleet.lose_caller(job);
+                        fleet.pause(entry, milliseconds(9000));
+                        fleet.run_for(milliseconds(offset));
+                        fleet.pause(owner, milliseconds(stall));
+                        fleet.run_for(milliseconds(stall + left));
+                        for (const std::string& name : hosts_of(fleet, "D1"))
+                            if (name != entry)
+                                fleet.kill(name);
+                        fleet.run_for(milliseconds(9000));
+                        BOOST_TEST(fleet.caller(job).attempts > 1);
+                        check_no_violations(fleet);
+                    }
+}
+
 // Guards against a copy at its home shard while the job runs in another shard
 // of the domain, whose owner is lost and whose successor does not reach its
 // endpoints.
