Scenario of a host behind a slow link; its jobs are ended as lost

What callers see: jobs that are sent to a live host whose messages wait 175 ms or more each way are interrupted (host_silent) and sent again, all of them at 200 ms.

Cause: since an owner reckons a host's silence from the time at which its last message was sent at the earliest, a bound that is late by the way back. With d each way and heartbeats every 150 ms, a host that is heard all the time counts as silent for up to 2 d + 175 ms; its jobs are ended at 500.

thin_link/jobs_of_a_host_behind_a_slow_link_are_served fails: 3, 20 and 19 of 20 jobs at 175, 200 and 225 ms (none at 50, 100, 150).

--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -618,7 +618,7 @@
                 " that its peers reject: " + checked.error().detail);
         const int peer_incarnation = this->processes.at(peer).incarnation;
         this->queue.after(
-            link_delay,
+            link_delay + this->peer_delay(name) + this->peer_delay(peer),
             [this, name, incarnation, peer, peer_incarnation, link, message]
             {
                 const bool is_open =
@@ -1118,6 +1118,18 @@
     this->answer_delays[id] = {.least = least, .most = most};
 }
 
+void shard_fleet::set_peer_delay(const std::string& host, milliseconds delay)
+{
+    this->trace("peer_delay " + host + " ms=" + std::to_string(delay.count()));
+    this->peer_delays[host] = delay;
+}
+
+support::milliseconds shard_fleet::peer_delay(const std::string& host) const
+{
+    const auto found = this->peer_delays.find(host);
+    return found == this->peer_delays.end() ? milliseconds(0) : found->second;
+}
+
 void shard_fleet::set_usual_answer_delay(const std::string& id)
 {
     this->trace("usual_answer_delay " + id);
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -186,6 +186,9 @@
                           support::milliseconds least,
                           support::milliseconds most);
     void set_usual_answer_delay(const std::string& endpoint);
+    /// Makes each message between \p host and others wait for \p delay, each
+    /// way, as in the queue of its link.
+    void set_peer_delay(const std::string& host, support::milliseconds delay);
     /// Stores a configuration whose first route is the most urgent.
     void set_config(std::int64_t version,
                     const std::vector<std::string>& routes);
@@ -318,6 +321,7 @@
     /// reach it. For the others, their next order shows it.
     void close_connections(const std::string& id);
     support::microseconds answer_delay(const std::string& endpoint);
+    support::milliseconds peer_delay(const std::string& host) const;
     /// Returns how long \p bytes that enter a link now take to leave it.
     support::microseconds queue_in_link(const std::string& link, double bytes);
     /// Returns the endpoint that listens at an address.
@@ -374,6 +378,7 @@
     support::milliseconds read_lag{0};
     /// By host; other reads take the usual time.
     std::map<std::string, support::milliseconds> read_delays;
+    std::map<std::string, support::milliseconds> peer_delays;
     struct time_span
     {
         support::instant from;
--- a/test/shards/thin_link_test.cpp
+++ b/test/shards/thin_link_test.cpp
@@ -53,6 +53,38 @@
     check_no_violations(fleet);
 }
 
+// Guards against a host that counts as lost to the owners, since its messages
+// wait in its link, although they come all the time.
+BOOST_AUTO_TEST_CASE(jobs_of_a_host_behind_a_slow_link_are_served)
+{
+    for (const int delay : {50, 100, 150, 175, 200, 225})
+        BOOST_TEST_CONTEXT("delay " << delay)
+        {
+            shard_fleet fleet({.domains = 2, .hosts_per_domain = 4});
+            fleet.run_for(warm_up);
+            const std::string slow = other_host(fleet, fleet.owner_of("D1"));
+            fleet.set_peer_delay(slow, milliseconds(delay));
+            fleet.run_for(milliseconds(3000));
+            constexpr int jobs = 20;
+            std::vector<std::string> sent;
+            for (int i = 0; i < jobs; ++i)
+            {
+                sent.push_back(
+                    fleet.submit(slow, {.tasks = 1,
+                                        .work = milliseconds(500),
+                                        .timeout = milliseconds(4000)}));
+                fleet.run_for(milliseconds(150));
+            }
+            fleet.run_for(milliseconds(5000));
+            const auto lost =
+                std::count_if(sent.begin(), sent.end(),
+                              [&fleet](const std::string& job)
+                              { return fleet.caller(job).attempts > 1; });
+            BOOST_TEST(lost == 0);
+            check_no_violations(fleet);
+        }
+}
+
 // The shards of hosts with thin links must be small, so that several links
 // share the orders of a domain. Beyond 8 Mbit/s the link does not bind.
 BOOST_AUTO_TEST_CASE(shards_are_sized_to_the_link)
