Logs: changes that come in two answers are no late reads

What operators saw: two warnings, endpoints_late and endpoints_followed, at each read of a host that has more changes between two reads than an answer holds: hosts without shards with more than 375 endpoints.

Whether peers are told of leaving endpoints is decided as before; the lines now tell of age, failed reads and lost history only.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -377,6 +377,9 @@
     /// Reads on at once after an answer that did not hold all changes, or reads
     /// all rows once these are fewer than the changes that were read.
     void follow_cut_answer(const table_rows& rows, support::instant now);
+    /// The same without the time between the answers of one read: more changes
+    /// than an answer holds between two reads are usual in large installations.
+    bool has_old_endpoints(support::instant now) const;
     /// Logs when the endpoints begin or cease to be followed.
     void log_following(support::instant now);
     void apply_hosts(const table_rows& rows, support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -118,6 +118,12 @@
 }
 
 bool directory::lacks_endpoints(instant now) const
+{
+    return this->state_of(directory_table::endpoints).rows_behind > 0 ||
+           this->has_old_endpoints(now);
+}
+
+bool directory::has_old_endpoints(instant now) const
 {
     const table_state& table = this->state_of(directory_table::endpoints);
     const instant as_of = std::max(table.read_as_of.value_or(instant()),
@@ -127,12 +133,12 @@
                                       : this->options.standby_interval;
     const bool is_late = now - as_of >= interval + this->options.late_read;
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
-           !table.has_followed || table.rows_behind > 0 || is_late;
+           !table.has_followed || is_late;
 }
 
 void directory::log_following(instant now)
 {
-    const bool follows = !this->lacks_endpoints(now);
+    const bool follows = !this->has_old_endpoints(now);
     if (follows == std::exchange(this->was_following, follows))
         return;
     const auto as_of = this->endpoints_as_of();
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -539,6 +539,51 @@
     BOOST_TEST(this->table.endpoints().front().is_draining);
 }
 
+// Guards against a host that reads all changes in time and says every other
+// second that it does not follow them, as they come in two answers.
+BOOST_FIXTURE_TEST_CASE(changes_in_two_answers_are_followed, directory_fixture)
+{
+    const auto row = [](int number, std::int64_t at)
+    {
+        endpoint_row made{.id = "i-" + std::to_string(number),
+                          .entry = schema::endpoint_registration(),
+                          .version = at};
+        made.entry->id = made.id;
+        made.entry->domain = "D1";
+        return made;
+    };
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 10;
+    for (int i = 0; i < 5; ++i)
+        rows.endpoints.push_back(row(i, 1 + i));
+    this->table.rows_read(rows, this->now);
+    this->table.tick(this->now);
+    rows.is_whole = false;
+    this->lines.clear();
+    for (int round = 0; round < 20; ++round)
+    {
+        this->run_for(milliseconds(2000));
+        rows.is_cut = true;
+        rows.endpoints = {row(0, rows.version + 1), row(1, rows.version + 2)};
+        rows.version += 2;
+        this->table.rows_read(rows, this->now);
+        this->table.tick(this->now);
+        rows.is_cut = false;
+        rows.endpoints = {row(2, rows.version + 1)};
+        rows.version += 1;
+        this->table.rows_read(rows, this->now);
+        this->table.tick(this->now);
+    }
+    const auto late = std::count_if(
+        this->lines.begin(), this->lines.end(),
+        [](const std::string& line)
+        { return line.find("endpoints_late") != std::string::npos; });
+    BOOST_TEST(late == 0);
+}
+
 // Guards against an endpoint that a peer has told of as leaving, and that older
 // changes turn back.
 BOOST_FIXTURE_TEST_CASE(older_changes_do_not_turn_a_leaving_endpoint_back,
