--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -364,6 +364,9 @@
     const table_state& state_of(directory_table table) const;
     void set_available(bool is_available, std::string_view why);
     support::milliseconds next_backoff(support::milliseconds before);
+    /// The store counts from a lower version again: what is known of the
+    /// endpoints stands until it is read anew.
+    void forget_versions();
     /// Joins the answers of a read of all rows. Returns nothing if there are
     /// more to come.
     std::optional<table_rows> join(table_rows rows, support::instant now);
@@ -374,6 +377,9 @@
     /// Reads on at once after an answer that did not hold all changes, or reads
     /// all rows once these are fewer than the changes that were read.
     void follow_cut_answer(const table_rows& rows, support::instant now);
+    /// The same without the time between the answers of one read: more changes
+    /// than an answer holds between two reads are usual in large installations.
+    bool has_old_endpoints(support::instant now) const;
     /// Logs when the endpoints begin or cease to be followed.
     void log_following(support::instant now);
     void apply_hosts(const table_rows& rows, support::instant now);
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -118,6 +118,12 @@
 }
 
 bool directory::lacks_endpoints(instant now) const
+{
+    return this->state_of(directory_table::endpoints).rows_behind > 0 ||
+           this->has_old_endpoints(now);
+}
+
+bool directory::has_old_endpoints(instant now) const
 {
     const table_state& table = this->state_of(directory_table::endpoints);
     const instant as_of = std::max(table.read_as_of.value_or(instant()),
@@ -127,12 +133,12 @@
                                       : this->options.standby_interval;
     const bool is_late = now - as_of >= interval + this->options.late_read;
     return !this->endpoints_read_at || table.backoff.count() > 0 ||
-           !table.has_followed || table.rows_behind > 0 || is_late;
+           !table.has_followed || is_late;
 }
 
 void directory::log_following(instant now)
 {
-    const bool follows = !this->lacks_endpoints(now);
+    const bool follows = !this->has_old_endpoints(now);
     if (follows == std::exchange(this->was_following, follows))
         return;
     const auto as_of = this->endpoints_as_of();
@@ -248,6 +254,18 @@
                         .add("first", is_first));
 }
 
+void directory::forget_versions()
+{
+    this->endpoints_read_version = 0;
+    // Later rows may have lower versions now.
+    for (auto& [id, endpoint] : this->known)
+        endpoint.version = 0;
+    for (auto& [id, endpoint] : this->dropped)
+        endpoint.version = 0;
+    for (auto& [id, one] : this->news)
+        one.endpoint.version = 0;
+}
+
 milliseconds directory::next_backoff(milliseconds before)
 {
     const milliseconds doubled = std::clamp(
@@ -312,7 +330,7 @@
         table.wants_all = true;
         table.earlier.reset();
         if (has_decreased && rows.table == directory_table::endpoints)
-            this->endpoints_read_version = 0;
+            this->forget_versions();
         // The first loss is not delayed, as changes are unknown meanwhile. A
         // store that shows rows whose changes it has forgotten loses each read
         // again, and the reads of all hosts would use up its rate.
