Known red: a large configuration takes an installation apart

The virtual fleet charges what messages and the store's answers take in each host's link, and the time that decoding takes on a host's share of a core. Its configurations have the size of their routes.

--- /dev/null
+++ b/test/shards/config_spread_test.cpp
@@ -0,0 +1,180 @@
+/// \file
+/// Configurations of many routes, in installations whose links have a rate and
+/// whose hosts have a share of a core.
+#include "scenario_support.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/test/unit_test.hpp>
+
+namespace chicorydrum::shards
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+namespace
+{
+
+/// The thinnest links of quesada-cinta-grown: 19 Mbit/s.
+constexpr double link_rate = 2375;
+/// On one core of the machines that the tests run on.
+constexpr support::microseconds decode_time{25};
+/// A confirmed configuration must be in force after this.
+constexpr milliseconds apply_limit{3000};
+constexpr std::size_t many_routes = 1400;
+
+/// The installation of quesada-cinta-grown with fewer endpoints.
+fleet_options large_installation()
+{
+    return {.domains = 4,
+            .hosts_per_domain = 7,
+            .endpoints_per_domain = 8,
+            .powers = {0.5, 0.5, 0.3, 0.3, 0.09, 0.09, 0.09},
+            .peer_bytes_per_ms = link_rate,
+            .decode_time = decode_time};
+}
+
+std::vector<std::string> routes_with(std::size_t added)
+{
+    std::vector<std::string> names = {"quote", "check"};
+    for (std::size_t i = 0; i < added; ++i)
+        names.push_back("added" + std::to_string(i));
+    return names;
+}
+
+/// Returns the hosts that run and have not the version \p version.
+std::vector<std::string> hosts_without(const shard_fleet& fleet,
+                                       std::int64_t version)
+{
+    std::vector<std::string> found;
+    for (const std::string& name : fleet.host_names())
+    {
+        const shard::entry_host* const host = fleet.host(name);
+        if (host != nullptr && host->config().version() != version)
+            found.push_back(name);
+    }
+    return found;
+}
+
+/// Counts lines from \p begin on that show that a host took another one, or
+/// the store, for lost.
+std::ptrdiff_t losses(const shard_fleet& fleet, std::size_t begin)
+{
+    static constexpr std::array<std::string_view, 7> events = {
+        "link_was_silent", "peer_lost",      "host_isolated", "shard_claimed",
+        "store_lost",      "pause_detected", "endpoint_lost"};
+    return std::count_if(
+        fleet.log().begin() + static_cast<std::ptrdiff_t>(begin),
+        fleet.log().end(),
+        [](const std::string& line)
+        {
+            return std::any_of(events.begin(), events.end(),
+                               [&line](std::string_view event) {
+                                   return line.find(event) != std::string::npos;
+                               });
+        });
+}
+
+void check_all_have(const shard_fleet& fleet, std::int64_t version)
+{
+    const std::vector<std::string> without = hosts_without(fleet, version);
+    BOOST_TEST(without.empty(), without.size()
+                                    << " hosts are without version " << version
+                                    << ", such as " << without.front());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_spread)
+
+// Guards against hosts that send each large configuration to all others, so
+// that heartbeats wait behind it and live hosts count as lost.
+BOOST_AUTO_TEST_CASE(large_change_disturbs_nobody)
+{
+    shard_fleet fleet(large_installation());
+    fleet.run_for(warm_up);
+    const std::size_t begin = fleet.log().size();
+    fleet.set_config(2, routes_with(many_routes));
+    const auto jobs = submit_load(fleet, 60, milliseconds(50),
+                                  {.tasks = 1, .timeout = milliseconds(2000)});
+    check_all_have(fleet, 2);
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST(losses(fleet, begin) == 0);
+    for (const std::string& job : jobs)
+        BOOST_TEST((fleet.caller(job).answer == answer_kind::completed &&
+                    fleet.caller(job).attempts == 1));
+    check_no_violations(fleet);
+}
+
+// Guards against the same for small changes of a large configuration in quick
+// succession, and against a version that is late behind the earlier ones.
+BOOST_AUTO_TEST_CASE(changes_in_series_disturb_nobody)
+{
+    shard_fleet fleet(large_installation());
+    fleet.run_for(warm_up);
+    fleet.set_config(2, routes_with(many_routes));
+    fleet.run_for(apply_limit);
+    const std::size_t begin = fleet.log().size();
+    constexpr int changes = 12;
+    for (int i = 0; i < changes; ++i)
+    {
+        fleet.set_config(
+            3 + i, routes_with(many_routes + 1 + static_cast<std::size_t>(i)));
+        fleet.run_for(milliseconds(300));
+    }
+    fleet.run_for(apply_limit - milliseconds(300));
+    check_all_have(fleet, 2 + changes);
+    BOOST_TEST(losses(fleet, begin) == 0);
+    check_no_violations(fleet);
+}
+
+// Guards against a restart that makes all peers send the configuration to the
+// host that starts.
+BOOST_AUTO_TEST_CASE(restarts_beside_a_large_configuration_disturb_nobody)
+{
+    shard_fleet fleet(large_installation());
+    fleet.run_for(warm_up);
+    fleet.set_config(2, routes_with(many_routes));
+    fleet.run_for(milliseconds(4000));
+    for (const std::string host : {"D1-h7", "D2-h6", "D3-h5"})
+    {
+        fleet.stop_gracefully(host);
+        fleet.run_for(milliseconds(4000));
+        const std::size_t begin = fleet.log().size();
+        fleet.start(host);
+        fleet.run_for(apply_limit);
+        check_all_have(fleet, 2);
+        BOOST_TEST(losses(fleet, begin) == 0);
+    }
+    check_no_violations(fleet);
+}
+
+// Guards against a large configuration that does not reach the hosts that the
+// store does not answer, or that takes them apart.
+BOOST_AUTO_TEST_CASE(hosts_without_the_store_get_it_from_peers)
+{
+    for (const std::set<std::string>& cut :
+         {std::set<std::string>{"D1-h7"},
+          std::set<std::string>{"D1-h5", "D2-h6", "D3-h7", "D4-h1", "D4-h2"}})
+    {
+        shard_fleet fleet(large_installation());
+        fleet.run_for(warm_up);
+        fleet.partition(cut, {"store"});
+        fleet.run_for(milliseconds(4000));
+        const std::size_t begin = fleet.log().size();
+        fleet.set_config(2, routes_with(many_routes));
+        fleet.run_for(apply_limit);
+        check_all_have(fleet, 2);
+        fleet.set_config(3, routes_with(many_routes + 1));
+        fleet.run_for(apply_limit);
+        check_all_have(fleet, 3);
+        BOOST_TEST(losses(fleet, begin) == 0);
+        check_no_violations(fleet);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -36,6 +36,11 @@
 
 /// What calls to endpoints take on the wire with their headers.
 constexpr double answer_bytes = 300;
+/// What a route takes in a configuration, and a message but for it.
+constexpr std::size_t route_bytes = 160;
+constexpr double message_bytes = 300;
+/// Values of the store are base64.
+constexpr double base64_growth = 4.0 / 3.0;
 
 double bytes_of(const shard::start_order& /*order*/)
 {
@@ -50,6 +55,11 @@
     return 250;
 }
 
+double bytes_of(const schema::shard_message& message)
+{
+    return message_bytes + static_cast<double>(message.config.document.size());
+}
+
 std::string host_name(int domain, int number)
 {
     return "D" + std::to_string(domain) + "-h" + std::to_string(number);
@@ -277,21 +287,39 @@
 
 void shard_fleet::pause(const std::string& name, milliseconds span)
 {
-    process& paused = this->processes.at(name);
     this->trace("pause " + name + " ms=" + std::to_string(span.count()));
-    paused.paused_until = this->queue.now() + span;
-    this->queue.after(span,
-                      [this, name]
-                      {
-                          process& resumed = this->processes.at(name);
-                          if (this->queue.now() < resumed.paused_until)
-                              return;
-                          auto deferred_events =
-                              std::move(resumed.deferred_events);
-                          resumed.deferred_events.clear();
-                          for (const auto& hook : deferred_events)
-                              hook();
-                      });
+    this->defer_events(name, this->queue.now() + span);
+}
+
+void shard_fleet::charge_decoding(const std::string& name, std::size_t routes)
+{
+    if (this->options.decode_time.count() == 0 || routes == 0)
+        return;
+    const double busy_us =
+        static_cast<double>(this->options.decode_time.count()) *
+        static_cast<double>(routes) / this->power_of(name);
+    const support::instant begin =
+        std::max(this->queue.now(), this->processes.at(name).paused_until);
+    this->defer_events(name, begin + support::microseconds(
+                                         static_cast<std::int64_t>(busy_us)));
+}
+
+void shard_fleet::defer_events(const std::string& name, support::instant end)
+{
+    this->processes.at(name).paused_until = end;
+    this->queue.after(
+        support::duration_cast<support::microseconds>(end - this->queue.now()),
+        [this, name]
+        {
+            process& resumed = this->processes.at(name);
+            if (this->queue.now() < resumed.paused_until)
+                return;
+            // An event may defer those behind it again.
+            const auto deferred_events =
+                std::exchange(resumed.deferred_events, {});
+            for (const auto& hook : deferred_events)
+                hook();
+        });
 }
 
 // Links.
@@ -507,7 +535,8 @@
         const bool was_closed =
             this->closed_connections.contains({name, addressed.entry().id});
         this->queue.after(
-            link_delay + this->queue_in_link(name + " out", bytes_of(order)),
+            link_delay + this->queue_in_link(name + " out", bytes_of(order),
+                                             this->options.link_bytes_per_ms),
             [this, name, incarnation, id, order, settled, send_request,
              handle_answer, no_answer, sent_to, was_closed]
             {
@@ -542,7 +571,9 @@
                             this->endpoint(id).incarnation_number();
                         this->queue.after(
                             this->answer_delay(id) +
-                                this->queue_in_link(name + " in", answer_bytes),
+                                this->queue_in_link(
+                                    name + " in", answer_bytes,
+                                    this->options.link_bytes_per_ms),
                             [this, name, incarnation, id, settled, no_answer,
                              handle_answer, answer, is_slow, sent_by]
                             {
@@ -618,7 +649,9 @@
                 " that its peers reject: " + checked.error().detail);
         const int peer_incarnation = this->processes.at(peer).incarnation;
         this->queue.after(
-            link_delay + this->peer_delay(name) + this->peer_delay(peer),
+            link_delay + this->peer_delay(name) + this->peer_delay(peer) +
+                this->queue_in_link(name + " peers out", bytes_of(message),
+                                    this->options.peer_bytes_per_ms),
             [this, name, incarnation, peer, peer_incarnation, link, message]
             {
                 const bool is_open =
@@ -632,11 +665,8 @@
                          .incarnation = peer_incarnation,
                          .message = message});
                 else if (is_open)
-                    this->deliver(
-                        peer, peer_incarnation,
-                        [name, message](shard::entry_host& host,
-                                        support::instant now)
-                        { host.peer_message_received(name, message, now); });
+                    this->deliver_message(name, peer, peer_incarnation,
+                                          message);
             });
     };
     hooks.close_link = [this, name](const std::string& peer)
@@ -659,11 +689,12 @@
     {
         this->write(name, incarnation, wanted);
     };
-    hooks.decode_config = [this](const std::string& document)
+    hooks.decode_config = [this, name](const std::string& document)
     {
         // The document of a simulated configuration is its version.
         const auto& config =
             this->rows_of(directory_table::config).at("config").config;
+        this->charge_decoding(name, config->routes.size());
         return config && config->document == document
                    ? config
                    : std::optional<shard::routing_config>();
@@ -680,6 +711,30 @@
     return hooks;
 }
 
+void shard_fleet::deliver_message(const std::string& from,
+                                  const std::string& to, int incarnation,
+                                  const schema::shard_message& message)
+{
+    const auto deliver_now = [this, from, to, incarnation, message]
+    {
+        this->deliver(
+            to, incarnation,
+            [from, message](shard::entry_host& host, support::instant now)
+            { host.peer_message_received(from, message, now); });
+    };
+    if (this->options.peer_bytes_per_ms == 0)
+        deliver_now();
+    else
+        this->queue.after(this->queue_in_link(to + " peers in",
+                                              bytes_of(message),
+                                              this->options.peer_bytes_per_ms),
+                          [this, link = link_of(from, to), deliver_now]
+                          {
+                              if (this->links.contains(link))
+                                  deliver_now();
+                          });
+}
+
 // The store.
 
 void shard_fleet::store_row(directory_table table, const std::string& key,
@@ -767,7 +822,8 @@
 {
     shard::routing_config config;
     config.version = version;
-    config.document = std::to_string(version);
+    config.document =
+        std::to_string(version) + std::string(routes.size() * route_bytes, ' ');
     int priority = 0;
     for (const std::string& name : routes)
         config.routes.push_back({.name = name,
@@ -828,15 +884,33 @@
                  this->rows_before(wanted.table, this->read_lag))
                 if (!row.is_removed)
                     append_row(rows, key, row);
-    }
-    this->queue.after(
-        delay,
-        [this, name, incarnation, rows]
+        if (rows.config)
+            delay += this->queue_in_link(
+                name + " peers in",
+                static_cast<double>(rows.config->document.size()) *
+                    base64_growth,
+                this->options.peer_bytes_per_ms);
+        if (delay > store_timeout)
         {
-            this->deliver(name, incarnation,
-                          [rows](shard::entry_host& host, support::instant now)
-                          { host.rows_read(rows, now); });
-        });
+            delay = store_timeout;
+            rows = shard::table_rows();
+            rows.table = wanted.table;
+        }
+    }
+    this->queue.after(delay,
+                      [this, name, incarnation, rows]
+                      {
+                          this->deliver(
+                              name, incarnation,
+                              [this, name, rows](shard::entry_host& host,
+                                                 support::instant now)
+                              {
+                                  if (rows.config)
+                                      this->charge_decoding(
+                                          name, rows.config->routes.size());
+                                  host.rows_read(rows, now);
+                              });
+                      });
 }
 
 void shard_fleet::append_row(shard::table_rows& rows, const std::string& key,
@@ -1081,14 +1155,13 @@
 }
 
 support::microseconds shard_fleet::queue_in_link(const std::string& link,
-                                                 double bytes)
+                                                 double bytes, double rate)
 {
-    if (this->options.link_bytes_per_ms == 0)
+    if (rate == 0)
         return support::microseconds(0);
     support::instant& free_at = this->links_free_at[link];
-    free_at =
-        std::max(free_at, this->queue.now()) +
-        support::duration_from_ms(bytes / this->options.link_bytes_per_ms);
+    free_at = std::max(free_at, this->queue.now()) +
+              support::duration_from_ms(bytes / rate);
     return support::duration_cast<support::microseconds>(free_at -
                                                          this->queue.now());
 }
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -49,6 +49,12 @@
     /// Bytes that each host's link carries in a millisecond, each way; 0 for
     /// any number. Calls to endpoints queue in it.
     double link_bytes_per_ms = 0;
+    /// The same for messages between hosts and the store's answers with a
+    /// configuration.
+    double peer_bytes_per_ms = 0;
+    /// Time that a whole core takes to decode one route. A host has its
+    /// processor share of a core, and does nothing else meanwhile.
+    support::microseconds decode_time{0};
     /// Rows that the store's answer to a read of changes holds.
     std::size_t changes_per_answer = 500;
     /// Interval in which each endpoint reports to the store, which changes its
@@ -322,8 +328,14 @@
     void close_connections(const std::string& id);
     support::microseconds answer_delay(const std::string& endpoint);
     support::milliseconds peer_delay(const std::string& host) const;
-    /// Returns how long \p bytes that enter a link now take to leave it.
-    support::microseconds queue_in_link(const std::string& link, double bytes);
+    /// Returns how long \p bytes that enter a link now take to leave it, if it
+    /// carries \p rate bytes in a millisecond.
+    support::microseconds queue_in_link(const std::string& link, double bytes,
+                                        double rate);
+    /// Keeps \p host busy while it decodes \p routes of a configuration.
+    void charge_decoding(const std::string& host, std::size_t routes);
+    /// Defers the events of \p host until \p end.
+    void defer_events(const std::string& host, support::instant end);
     /// Returns the endpoint that listens at an address.
     virtual_endpoint& endpoint_at(const shard::endpoint_address& to);
     row_table& rows_of(shard::directory_table table)
@@ -334,6 +346,9 @@
     /// Adds a line to the log of a traced fleet.
     void trace(const std::string& what);
     void deliver_held_messages();
+    /// A message has arrived in the link of the host \p to.
+    void deliver_message(const std::string& from, const std::string& to,
+                         int incarnation, const schema::shard_message& message);
 
     fleet_options options;
     fleet::event_queue queue;
