Configurations are decoded in turns of the loop, and each route once

Cause: a document was parsed whole in one turn of the loop, within the answer that carried it and again for each copy of a peer, also when its version was known; the parser looks at each character of the base64 text as well.

Now a document is cut into its routes without parsing; a host decodes as many in a turn as take a part of its share, skips versions that it has, and takes over the routes whose text the active configuration has. A document that is no JSON is still refused whole. Long strings of the store's answer are not parsed.

The suite config_spread still fails: what floods the links is left. Tests: config_loader_suite, config_codec, long_values_are_read_whole.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorydrum/daemon/entry_metrics.hpp"
 #include "chicorydrum/daemon/shard_links.hpp"
+#include "chicorydrum/platform/config_codec.hpp"
 #include "chicorydrum/platform/job_codec.hpp"
 #include "chicorydrum/platform/order_codec.hpp"
 #include "chicorydrum/platform/table_codec.hpp"
@@ -91,6 +92,8 @@
     options.record.nonce = nonce;
     options.endpoints_per_shard =
         shard::endpoints_for_link(settings.limits.link_rate);
+    options.configs.routes_per_turn =
+        shard::routes_for_share(settings.limits.processor_share);
     const milliseconds longest(settings.bounds.longest_lease);
     options.shard.lease = {
         .longest = longest,
@@ -304,19 +307,7 @@
                                        now());
                                });
     };
-    hooks.decode_config =
-        [](const std::string& document) -> std::optional<shard::routing_config>
-    {
-        auto config = platform::decode_config(document);
-        if (!config)
-        {
-            support::write_log(
-                log_line("config_malformed", support::log_level::warning)
-                    .add("problem", config.error().detail));
-            return std::nullopt;
-        }
-        return std::move(*config);
-    };
+    hooks.open_config = platform::open_config;
     hooks.log = [](const log_line& line)
     {
         support::write_log(line);
--- a/shard/include/chicorydrum/shard/config_view.hpp
+++ b/shard/include/chicorydrum/shard/config_view.hpp
@@ -6,6 +6,8 @@
 #include "chicorydrum/support/error.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,7 +39,21 @@
     std::int64_t version = 0;
     std::vector<job_route> routes;
     /// The configuration as it was read, for sharing with peers.
-    std::string document;
+    std::shared_ptr<const std::string> document;
+    /// The part of the document that each route was decoded from, by index. A
+    /// later document with the same part has the same route.
+    std::vector<std::string_view> route_texts;
+};
+
+/// A document that is decoded in several steps.
+struct config_decoding
+{
+    std::int64_t version = 0;
+    /// Decodes up to that many routes that no earlier configuration has.
+    /// Returns nothing until the whole document is decoded. Must not be called
+    /// any more after that.
+    std::function<std::optional<support::result<routing_config>>(int routes)>
+        step;
 };
 
 /// A route and the rest of the path after its prefix.
@@ -62,16 +78,17 @@
     /// Returns 0 until a configuration is known.
     std::int64_t version() const
     {
-        return this->current.version;
+        return this->current->version;
     }
-    const std::string& document() const
+    const std::shared_ptr<const routing_config>& active() const
     {
-        return this->current.document;
+        return this->current;
     }
 
 private:
     // The version never decreases while the process runs.
-    routing_config current;
+    std::shared_ptr<const routing_config> current =
+        std::make_shared<const routing_config>();
 };
 
 } // namespace chicorydrum::shard
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -4,7 +4,6 @@
 /// the store.
 #pragma once
 
-#include "chicorydrum/shard/config_view.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/support/validation.hpp"
@@ -94,7 +93,8 @@
     /// A read of changes: there may be more than the answer holds. They are in
     /// the order in which they were made, so that the rows may be old.
     bool is_cut = false;
-    std::optional<routing_config> config;
+    /// The document of the configuration, not decoded.
+    std::optional<std::string> config;
     std::vector<host_row> hosts;
     std::vector<endpoint_row> endpoints;
     std::vector<malformed_row> malformed = {};
@@ -129,7 +129,7 @@
 {
     std::function<void(const table_read&)> read;
     std::function<void(const registration_write&)> write;
-    std::function<void(routing_config)> config_read;
+    std::function<void(std::string document)> config_read;
     /// A host is new or has changed.
     std::function<void(const std::string&, const schema::host_record&)>
         host_read;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "chicorydrum/shard/cancellations.hpp"
-#include "chicorydrum/shard/config_view.hpp"
+#include "chicorydrum/shard/config_loader.hpp"
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
@@ -44,9 +44,8 @@
     std::function<void(const std::string& host)> host_removed;
     std::function<void(const table_read&)> read;
     std::function<void(const registration_write&)> write;
-    /// Decodes a configuration that a peer has shared.
-    std::function<std::optional<routing_config>(const std::string& document)>
-        decode_config;
+    /// Begins to decode a configuration from the store or a peer.
+    config_opener open_config;
     std::function<void(const support::log_line&)> log;
     /// Reports the time between two ticks, pauses included. May be empty.
     std::function<void(support::decision_clock::duration)> tick_gap = {};
@@ -71,6 +70,7 @@
     directory_options table;
     intake_options intake;
     cancellation_options cancellations;
+    config_loader_options configs;
     /// Other hosts of the domain that keep each cancellation that is recorded
     /// here.
     std::size_t cancellation_keepers = 2;
@@ -157,7 +157,7 @@
     }
     const config_view& config() const
     {
-        return this->active_config;
+        return this->configs.active();
     }
     const std::map<int, std::unique_ptr<shard_owner>>& owned_shards() const
     {
@@ -186,10 +186,10 @@
                           const schema::shard_heartbeat& heartbeat,
                           std::optional<support::instant> sent,
                           support::instant now);
-    void handle_config(const schema::config_shared& shared,
-                       support::instant now);
-    void apply_config(routing_config config, const std::string& source);
+    config_loader_hooks loader_hooks();
     void share_config(const std::string& peer);
+    /// A document with a configuration has arrived from a peer or the store.
+    void load_config(std::string document, const std::string& source);
     void deliver_submission(const std::string& owner,
                             const schema::job_submitted& job,
                             support::instant now);
@@ -284,7 +284,7 @@
     support::instant woke_at;
     support::instant next_local_heartbeat;
     support::instant next_remote_heartbeat;
-    config_view active_config;
+    config_loader configs;
     host_view view;
     job_intake intake;
     shard::cancellations cancellations;
--- a/shard/lib/config_view.cpp
+++ b/shard/lib/config_view.cpp
@@ -39,9 +39,9 @@
 
 bool config_view::accept(routing_config config)
 {
-    if (config.version <= this->current.version)
+    if (config.version <= this->current->version)
         return false;
-    this->current = std::move(config);
+    this->current = std::make_shared<const routing_config>(std::move(config));
     return true;
 }
 
@@ -49,7 +49,7 @@
                                               std::string_view path) const
 {
     const job_route* best = nullptr;
-    for (const job_route& route : this->current.routes)
+    for (const job_route& route : this->current->routes)
     {
         if (route.host != host || !path.starts_with(route.prefix))
             continue;
@@ -66,7 +66,7 @@
 {
     schema::job_policy terms;
     set_terms(terms, route);
-    terms.config_version = this->current.version;
+    terms.config_version = this->current->version;
     return terms;
 }
 
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Events from callers, endpoints, peers and the store. Time and ownership are
-/// in entry_host_ownership.cpp.
+/// in entry_host_ownership.cpp, configurations in entry_host_config.cpp.
 #include "chicorydrum/shard/entry_host.hpp"
 
 #include "owned_job.hpp"
@@ -53,6 +53,7 @@
                        instant now)
     : options(std::move(opts)), hooks(std::move(callbacks)), current_time(now),
       last_tick(now), next_local_heartbeat(now), next_remote_heartbeat(now),
+      configs(this->options.configs, this->loader_hooks()),
       view(view_of(this->options), now),
       intake(intake_of(this->options),
              {.answer = this->hooks.answer,
@@ -84,8 +85,8 @@
       table(table_of(this->options),
             {.read = this->hooks.read,
              .write = this->hooks.write,
-             .config_read = [this](routing_config config)
-             { this->apply_config(std::move(config), "store"); },
+             .config_read = [this](std::string document)
+             { this->load_config(std::move(document), "store"); },
              .host_read =
                  [this](const std::string& host,
                         const schema::host_record& record)
@@ -141,17 +142,17 @@
                 .add("answer", name_of(kind))
                 .add("reason", reason)
                 .add("waited_ms", this->waiting_time(request, now).count())
-                .add("config", this->active_config.version()));
+                .add("config", this->configs.active().version()));
         this->hooks.answer({.call = request.call,
                             .kind = kind,
                             .retry_after = milliseconds(1000)});
     };
-    if (this->active_config.version() == 0)
+    if (this->configs.active().version() == 0)
     {
         refuse(answer_kind::no_config, "no_config");
         return;
     }
-    const auto match = this->active_config.match(request.host, request.path);
+    const auto match = this->configs.active().match(request.host, request.path);
     if (!match)
     {
         refuse(answer_kind::no_route, "no_route");
@@ -188,7 +189,7 @@
     work.id = match->rest;
     work.route = match->route->name;
     this->intake.submit(request.call, std::move(work),
-                        this->active_config.terms_of(*match->route), timeout,
+                        this->configs.active().terms_of(*match->route), timeout,
                         waited, now);
     this->deliver_local_results(now);
 }
@@ -197,8 +198,8 @@
 {
     this->begin_event(now);
     caller_answer answer{.call = query.call};
-    const auto match = this->active_config.match(query.host, query.path);
-    if (this->active_config.version() == 0)
+    const auto match = this->configs.active().match(query.host, query.path);
+    if (this->configs.active().version() == 0)
         answer.kind = answer_kind::no_config;
     else if (!match)
         answer.kind = answer_kind::no_route;
@@ -225,7 +226,7 @@
                         .add("path", query.path)
                         .add("cancels", query.cancels)
                         .add("answer", name_of(answer.kind))
-                        .add("config", this->active_config.version()));
+                        .add("config", this->configs.active().version()));
     this->hooks.answer(answer);
 }
 
@@ -406,7 +407,7 @@
     else if (message.__isset.not_owned)
         this->hooks.log(log_line("owner_declined").add("peer", peer));
     else if (message.__isset.config)
-        this->handle_config(message.config, now);
+        this->load_config(message.config.document, peer);
     this->deliver_local_results(now);
 }
 
@@ -474,7 +475,7 @@
 {
     const bool is_news =
         this->view.handle_heartbeat(peer, heartbeat, sent, now);
-    if (heartbeat.config_version < this->active_config.version())
+    if (heartbeat.config_version < this->configs.active().version())
         this->share_config(peer);
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
@@ -494,44 +495,6 @@
         this->update_ownership(now);
 }
 
-void entry_host::handle_config(const schema::config_shared& shared, instant now)
-{
-    this->current_time = now;
-    if (shared.version <= this->active_config.version())
-        return;
-    auto config = this->hooks.decode_config(shared.document);
-    if (config)
-        this->apply_config(std::move(*config), "peer");
-}
-
-void entry_host::apply_config(routing_config config, const std::string& source)
-{
-    const std::int64_t version = config.version;
-    const std::int64_t before = this->active_config.version();
-    const auto routes = static_cast<std::int64_t>(config.routes.size());
-    if (!this->active_config.accept(std::move(config)))
-        return;
-    this->hooks.log(log_line("config_activated")
-                        .add("version", version)
-                        .add("before", before)
-                        .add("routes", routes)
-                        .add("source", source));
-    // Peers that cannot reach the store get it with their next heartbeat.
-    for (const std::string& peer : this->view.connected_peers())
-        if (this->view.config_version_of(peer) < version && before > 0)
-            this->share_config(peer);
-}
-
-void entry_host::share_config(const std::string& peer)
-{
-    schema::config_shared shared;
-    shared.version = this->active_config.version();
-    shared.document = this->active_config.document();
-    schema::shard_message message;
-    message.__set_config(shared);
-    this->send(peer, message);
-}
-
 void entry_host::deliver_submission(const std::string& owner,
                                     const schema::job_submitted& job,
                                     instant now)
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -68,6 +68,7 @@
     this->table.set_relaying(!this->view.domains_without_endpoints().empty(),
                              now);
     this->table.tick(now);
+    this->configs.tick(now);
     this->update_shard_endpoints(now);
     this->begin_handover_if_due(now);
     this->update_owned();
@@ -456,7 +457,7 @@
     schema::shard_heartbeat heartbeat;
     heartbeat.is_ready = this->is_ready();
     heartbeat.is_stopping = this->stopping;
-    heartbeat.config_version = this->active_config.version();
+    heartbeat.config_version = this->configs.active().version();
     heartbeat.shard_count = this->view.shard_count();
     heartbeat.owned = this->owned_now();
     for (const auto& [number, shard] : this->shards)
@@ -553,7 +554,7 @@
                     [this](const auto& entry) {
                         return entry.first.domain == this->options.self.domain;
                     });
-    return !this->stopping && this->active_config.version() > 0 &&
+    return !this->stopping && this->configs.active().version() > 0 &&
            domain_has_owner;
 }
 
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -29,7 +29,7 @@
                  { this->reads.push_back(read); },
                  .write = [this](const registration_write& write)
                  { this->writes.push_back(write); },
-                 .config_read = [](const routing_config&) {},
+                 .config_read = [](const std::string&) {},
                  .host_read = [](const std::string&,
                                  const schema::host_record&) {},
                  .host_removed = [this](const std::string& host)
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -57,7 +57,8 @@
 
 double bytes_of(const schema::shard_message& message)
 {
-    return message_bytes + static_cast<double>(message.config.document.size());
+    return message_bytes +
+           static_cast<double>(message.config.document.size());
 }
 
 std::string host_name(int domain, int number)
@@ -155,6 +156,7 @@
     wanted.record.power = wanted.self.power;
     wanted.record.nonce = wanted.self.nonce;
     wanted.endpoints_per_shard = this->options.endpoints_per_shard;
+    wanted.configs.routes_per_turn = shard::routes_for_share(wanted.self.power);
     started.host = std::make_unique<shard::entry_host>(
         wanted, this->hooks_for(name, started.incarnation), this->queue.now());
     this->tick(name, started.incarnation);
@@ -291,13 +293,47 @@
     this->defer_events(name, this->queue.now() + span);
 }
 
-void shard_fleet::charge_decoding(const std::string& name, std::size_t routes)
+support::result<shard::config_decoding>
+shard_fleet::open_config(const std::string& name, const std::string& document,
+                         const shard::routing_config& known)
+{
+    const auto& all =
+        this->changes[static_cast<std::size_t>(directory_table::config)];
+    const auto found =
+        std::find_if(all.begin(), all.end(),
+                     [&document](const row_change& change)
+                     { return *change.row.config->document == document; });
+    if (found == all.end())
+        return support::fail(support::error_kind::bad_request,
+                             "not a stored document");
+    const shard::routing_config& config = *found->row.config;
+    std::set<std::string> known_names;
+    for (const shard::job_route& route : known.routes)
+        known_names.insert(route.name);
+    const auto new_routes =
+        std::count_if(config.routes.begin(), config.routes.end(),
+                      [&known_names](const shard::job_route& route)
+                      { return !known_names.contains(route.name); });
+    const auto step = [this, name, config,
+                       left = static_cast<int>(new_routes)](int routes) mutable
+        -> std::optional<support::result<shard::routing_config>>
+    {
+        this->charge_decoding(name, std::min(left, routes));
+        left -= std::min(left, routes);
+        if (left > 0)
+            return std::nullopt;
+        return config;
+    };
+    return shard::config_decoding{.version = config.version, .step = step};
+}
+
+void shard_fleet::charge_decoding(const std::string& name, int routes)
 {
     if (this->options.decode_time.count() == 0 || routes == 0)
         return;
     const double busy_us =
-        static_cast<double>(this->options.decode_time.count()) *
-        static_cast<double>(routes) / this->power_of(name);
+        static_cast<double>(this->options.decode_time.count()) * routes /
+        this->power_of(name);
     const support::instant begin =
         std::max(this->queue.now(), this->processes.at(name).paused_until);
     this->defer_events(name, begin + support::microseconds(
@@ -689,15 +725,11 @@
     {
         this->write(name, incarnation, wanted);
     };
-    hooks.decode_config = [this, name](const std::string& document)
+    hooks.open_config =
+        [this, name](const std::string& document,
+                     const std::shared_ptr<const shard::routing_config>& known)
     {
-        // The document of a simulated configuration is its version.
-        const auto& config =
-            this->rows_of(directory_table::config).at("config").config;
-        this->charge_decoding(name, config->routes.size());
-        return config && config->document == document
-                   ? config
-                   : std::optional<shard::routing_config>();
+        return this->open_config(name, document, *known);
     };
     hooks.log = [this, name](const support::log_line& line)
     {
@@ -822,8 +854,9 @@
 {
     shard::routing_config config;
     config.version = version;
-    config.document =
-        std::to_string(version) + std::string(routes.size() * route_bytes, ' ');
+    config.document = std::make_shared<const std::string>(
+        std::to_string(version) +
+        std::string(routes.size() * route_bytes, ' '));
     int priority = 0;
     for (const std::string& name : routes)
         config.routes.push_back({.name = name,
@@ -887,8 +920,7 @@
         if (rows.config)
             delay += this->queue_in_link(
                 name + " peers in",
-                static_cast<double>(rows.config->document.size()) *
-                    base64_growth,
+                static_cast<double>(rows.config->size()) * base64_growth,
                 this->options.peer_bytes_per_ms);
         if (delay > store_timeout)
         {
@@ -897,20 +929,14 @@
             rows.table = wanted.table;
         }
     }
-    this->queue.after(delay,
-                      [this, name, incarnation, rows]
-                      {
-                          this->deliver(
-                              name, incarnation,
-                              [this, name, rows](shard::entry_host& host,
-                                                 support::instant now)
-                              {
-                                  if (rows.config)
-                                      this->charge_decoding(
-                                          name, rows.config->routes.size());
-                                  host.rows_read(rows, now);
-                              });
-                      });
+    this->queue.after(
+        delay,
+        [this, name, incarnation, rows]
+        {
+            this->deliver(name, incarnation,
+                          [rows](shard::entry_host& host, support::instant now)
+                          { host.rows_read(rows, now); });
+        });
 }
 
 void shard_fleet::append_row(shard::table_rows& rows, const std::string& key,
@@ -919,7 +945,7 @@
     switch (rows.table)
     {
     case directory_table::config:
-        rows.config = row.config;
+        rows.config = *row.config->document;
         return;
     case directory_table::hosts:
         rows.hosts.push_back({.name = key,
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -333,7 +333,11 @@
     support::microseconds queue_in_link(const std::string& link, double bytes,
                                         double rate);
     /// Keeps \p host busy while it decodes \p routes of a configuration.
-    void charge_decoding(const std::string& host, std::size_t routes);
+    void charge_decoding(const std::string& host, int routes);
+    /// Opens a configuration that was stored before, at \p host.
+    support::result<shard::config_decoding>
+    open_config(const std::string& host, const std::string& document,
+                const shard::routing_config& known);
     /// Defers the events of \p host until \p end.
     void defer_events(const std::string& host, support::instant end);
     /// Returns the endpoint that listens at an address.
