Hosts pull a newer configuration from one peer, part by part

Cause: each host sent the whole document to each peer whose last heartbeat named an older version, and again with each such heartbeat, whatever was still unsent: hosts x hosts documents in front of heartbeats, orders and the store's own answer, which ran into its time-out and was read anew.

Now the store is how a configuration spreads. A host that has heard of a newer version for 500 ms, or at once if its own read fails, asks one peer for one part of 16 KB at a time; the peer sends as many parts in a tick as take a third of its link, to four hosts at most, and says so if it is busy. So at most one part is on its way to a host, the bytes of a change grow with the hosts that need it, and heartbeats and orders wait behind one part. A transfer keeps its document when the version changes, and goes on at another peer if one is late. Who is asked, when, and what is on its way is config_spread, without I/O.

Also sought here: a host cut off from the store but not from its peers.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -94,6 +94,8 @@
         shard::endpoints_for_link(settings.limits.link_rate);
     options.configs.routes_per_turn =
         shard::routes_for_share(settings.limits.processor_share);
+    options.spread.parts_per_tick =
+        shard::parts_for_link(settings.limits.link_rate);
     const milliseconds longest(settings.bounds.longest_lease);
     options.shard.lease = {
         .longest = longest,
--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -153,6 +153,8 @@
   /// The longest time since the sender has heard an entry host whose jobs its
   /// shards have; unset if it owns none.
   15: optional i64 callers_silent_us
+  /// The sender answers config_requested; false from hosts of earlier versions.
+  16: bool sends_config_parts
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
@@ -221,12 +223,33 @@
   5: bool was_open
 }
 
-/// The newest configuration, in the platform's encoding.
+/// The newest configuration, in the platform's encoding. Only hosts of earlier
+/// versions send it.
 struct config_shared {
   1: i64 version
   2: string document
 }
 
+/// Asks for the next part of the receiver's newest configuration.
+struct config_requested {
+  /// The newest version that has arrived at the sender.
+  1: i64 known_version
+  /// The version of the parts that the sender has; 0 without any.
+  2: i64 version
+  /// How many bytes of it the sender has.
+  3: i64 offset
+}
+
+/// A part of a configuration, in the platform's encoding.
+struct config_part {
+  1: i64 version
+  2: i64 offset
+  /// The size of the whole document; 0 if the sender has no newer one or sends
+  /// to enough others.
+  3: i64 total
+  4: binary bytes
+}
+
 /// One incarnation of an endpoint, as registered by the endpoint.
 struct endpoint_registration {
   1: string id
@@ -274,4 +297,6 @@
   9: optional cancellation_recorded recorded
   /// Unset by hosts of earlier versions.
   10: optional message_times times
+  11: optional config_requested config_request
+  12: optional config_part config_bytes
 }
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -236,6 +236,16 @@
     {
         return this->state_of(directory_table::endpoints).read_as_of;
     }
+    /// Returns the same for the configuration.
+    std::optional<support::instant> config_as_of() const
+    {
+        return this->state_of(directory_table::config).read_as_of;
+    }
+    /// Returns whether the last read of the configuration has failed.
+    bool config_reads_fail() const
+    {
+        return this->state_of(directory_table::config).backoff.count() > 0;
+    }
     /// Returns the number of the last news of a leaving endpoint.
     std::int64_t last_leaving() const
     {
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -5,6 +5,7 @@
 
 #include "chicorydrum/shard/cancellations.hpp"
 #include "chicorydrum/shard/config_loader.hpp"
+#include "chicorydrum/shard/config_spread.hpp"
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
@@ -71,6 +72,7 @@
     intake_options intake;
     cancellation_options cancellations;
     config_loader_options configs;
+    config_spread_options spread;
     /// Other hosts of the domain that keep each cancellation that is recorded
     /// here.
     std::size_t cancellation_keepers = 2;
@@ -180,6 +182,22 @@
             return std::nullopt;
         return this->current_time - *as_of;
     }
+    /// The same for the configuration.
+    std::optional<support::decision_clock::duration> config_age() const
+    {
+        const auto as_of = this->table.config_as_of();
+        if (!as_of)
+            return std::nullopt;
+        return this->current_time - *as_of;
+    }
+    /// Returns for how long a peer has had a configuration that has not arrived
+    /// here; 0 if none has.
+    support::decision_clock::duration config_lag() const
+    {
+        const auto since = this->spread.behind_since();
+        return since ? this->current_time - *since
+                     : support::decision_clock::duration(0);
+    }
 
 private:
     void handle_heartbeat(const std::string& peer,
@@ -187,9 +205,10 @@
                           std::optional<support::instant> sent,
                           support::instant now);
     config_loader_hooks loader_hooks();
-    void share_config(const std::string& peer);
+    config_spread_hooks spread_hooks();
     /// A document with a configuration has arrived from a peer or the store.
     void load_config(std::string document, const std::string& source);
+    void tick_configs(support::instant now);
     void deliver_submission(const std::string& owner,
                             const schema::job_submitted& job,
                             support::instant now);
@@ -285,6 +304,7 @@
     support::instant next_local_heartbeat;
     support::instant next_remote_heartbeat;
     config_loader configs;
+    config_spread spread;
     host_view view;
     job_intake intake;
     shard::cancellations cancellations;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -259,7 +259,6 @@
         return now - this->started;
     }
     std::string domain_of(const std::string& host) const;
-    std::int64_t config_version_of(const std::string& host) const;
     /// Returns how many jobs of \p route wait at live peers without having
     /// started.
     std::int64_t waiting_at_peers(const std::string& route) const;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -31,6 +31,13 @@
     return cancellations;
 }
 
+config_spread_options spread_of(const entry_host_options& options)
+{
+    config_spread_options spread = options.spread;
+    spread.seed = static_cast<std::uint64_t>(options.self.nonce);
+    return spread;
+}
+
 directory_options table_of(const entry_host_options& options)
 {
     directory_options table = options.table;
@@ -54,6 +61,7 @@
     : options(std::move(opts)), hooks(std::move(callbacks)), current_time(now),
       last_tick(now), next_local_heartbeat(now), next_remote_heartbeat(now),
       configs(this->options.configs, this->loader_hooks()),
+      spread(spread_of(this->options), this->spread_hooks()),
       view(view_of(this->options), now),
       intake(intake_of(this->options),
              {.answer = this->hooks.answer,
@@ -359,6 +367,7 @@
     this->hooks.log(log_line("peer_lost").add("peer", peer));
     this->links_have_changed = true;
     this->view.disconnected(peer, now);
+    this->spread.peer_lost(peer);
 }
 
 void entry_host::peer_message_received(const std::string& peer,
@@ -408,6 +417,10 @@
         this->hooks.log(log_line("owner_declined").add("peer", peer));
     else if (message.__isset.config)
         this->load_config(message.config.document, peer);
+    else if (message.__isset.config_request)
+        this->spread.requested(peer, message.config_request, now);
+    else if (message.__isset.config_bytes)
+        this->spread.part_received(peer, message.config_bytes, now);
     this->deliver_local_results(now);
 }
 
@@ -475,8 +488,10 @@
 {
     const bool is_news =
         this->view.handle_heartbeat(peer, heartbeat, sent, now);
-    if (heartbeat.config_version < this->configs.active().version())
-        this->share_config(peer);
+    if (heartbeat.sends_config_parts)
+        this->spread.heard(
+            peer, heartbeat.config_version,
+            this->view.domain_of(peer) == this->options.self.domain, now);
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
--- a/shard/lib/entry_host_config.cpp
+++ b/shard/lib/entry_host_config.cpp
@@ -15,29 +15,47 @@
             .activated =
                 [this](instant /*now*/)
             {
-                const std::int64_t version = this->configs.active().version();
-                // Peers that cannot reach the store get it with their next
-                // heartbeat.
-                for (const std::string& peer : this->view.connected_peers())
-                    if (this->view.config_version_of(peer) < version)
-                        this->share_config(peer);
+                const config_view& active = this->configs.active();
+                this->spread.set_active(active.version(),
+                                        active.active()->document);
             },
             .log = this->hooks.log};
 }
 
-void entry_host::share_config(const std::string& peer)
+config_spread_hooks entry_host::spread_hooks()
 {
-    schema::config_shared shared;
-    shared.version = this->configs.active().version();
-    shared.document = *this->configs.active().active()->document;
-    schema::shard_message message;
-    message.__set_config(shared);
-    this->send(peer, message);
+    return {.request =
+                [this](const std::string& peer,
+                       const schema::config_requested& request)
+            {
+                schema::shard_message message;
+                message.__set_config_request(request);
+                this->send(peer, std::move(message));
+            },
+            .send =
+                [this](const std::string& peer, const schema::config_part& part)
+            {
+                schema::shard_message message;
+                message.__set_config_bytes(part);
+                this->send(peer, std::move(message));
+            },
+            .received = [this](std::string document, const std::string& peer)
+            { this->load_config(std::move(document), peer); },
+            .log = this->hooks.log};
 }
 
 void entry_host::load_config(std::string document, const std::string& source)
 {
     this->configs.offer(std::move(document), source, this->current_time);
+    this->spread.set_arrived(this->configs.arrived_version());
+}
+
+void entry_host::tick_configs(instant now)
+{
+    this->configs.tick(now);
+    this->spread.set_arrived(this->configs.arrived_version());
+    this->spread.set_store_fails(this->table.config_reads_fail());
+    this->spread.tick(now);
 }
 
 } // namespace chicorydrum::shard
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -68,7 +68,7 @@
     this->table.set_relaying(!this->view.domains_without_endpoints().empty(),
                              now);
     this->table.tick(now);
-    this->configs.tick(now);
+    this->tick_configs(now);
     this->update_shard_endpoints(now);
     this->begin_handover_if_due(now);
     this->update_owned();
@@ -458,6 +458,7 @@
     heartbeat.is_ready = this->is_ready();
     heartbeat.is_stopping = this->stopping;
     heartbeat.config_version = this->configs.active().version();
+    heartbeat.sends_config_parts = true;
     heartbeat.shard_count = this->view.shard_count();
     heartbeat.owned = this->owned_now();
     for (const auto& [number, shard] : this->shards)
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -753,14 +753,6 @@
                                       : found->second.identity.domain;
 }
 
-std::int64_t host_view::config_version_of(const std::string& host) const
-{
-    const auto found = this->peers.find(host);
-    return found == this->peers.end()
-               ? 0
-               : found->second.last_heartbeat.config_version;
-}
-
 std::int64_t host_view::waiting_at_peers(const std::string& route) const
 {
     std::int64_t waiting = 0;
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -207,6 +207,24 @@
         .outcome();
 }
 
+result<void> check_config_request(const schema::config_requested& request)
+{
+    return range_check()
+        .integer("known_version", request.known_version, 0, max_exact_integer)
+        .integer("version", request.version, 0, max_exact_integer)
+        .integer("offset", request.offset, 0, max_exact_integer)
+        .outcome();
+}
+
+result<void> check_config_part(const schema::config_part& part)
+{
+    return range_check()
+        .integer("version", part.version, 0, max_exact_integer)
+        .integer("offset", part.offset, 0, max_exact_integer)
+        .integer("total", part.total, 0, max_exact_integer)
+        .outcome();
+}
+
 } // namespace
 
 bool is_job_id(std::string_view text)
@@ -305,6 +323,10 @@
         return check_cancellation(message.cancelled);
     if (message.__isset.recorded)
         return check_record(message.recorded);
+    if (message.__isset.config_request)
+        return check_config_request(message.config_request);
+    if (message.__isset.config_bytes)
+        return check_config_part(message.config_bytes);
     return {};
 }
 
--- a/test/shards/config_spread_test.cpp
+++ b/test/shards/config_spread_test.cpp
@@ -138,7 +138,7 @@
     fleet.run_for(warm_up);
     fleet.set_config(2, routes_with(many_routes));
     fleet.run_for(milliseconds(4000));
-    for (const std::string host : {"D1-h7", "D2-h6", "D3-h5"})
+    for (const char* const host : {"D1-h7", "D2-h6", "D3-h5"})
     {
         fleet.stop_gracefully(host);
         fleet.run_for(milliseconds(4000));
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -58,7 +58,7 @@
 double bytes_of(const schema::shard_message& message)
 {
     return message_bytes +
-           static_cast<double>(message.config.document.size());
+           static_cast<double>(message.config_bytes.bytes.size());
 }
 
 std::string host_name(int domain, int number)
--- a/transport/lib/peer_codec.cpp
+++ b/transport/lib/peer_codec.cpp
@@ -50,7 +50,8 @@
 {
     const auto& set = message.__isset;
     return set.hello + set.beat + set.submitted + set.withdrawn + set.ended +
-           set.not_owned + set.config + set.cancelled + set.recorded;
+           set.not_owned + set.config + set.cancelled + set.recorded +
+           set.config_request + set.config_bytes;
 }
 
 int count_members(const schema::host_record& /*record*/)
--- a/transport/unittests/odd_frames_test.cpp
+++ b/transport/unittests/odd_frames_test.cpp
@@ -246,6 +246,49 @@
                      }}});
 }
 
+// Guards against positions in a configuration that no document has.
+BOOST_AUTO_TEST_CASE(odd_parts_of_configurations_are_rejected)
+{
+    using message = schema::shard_message;
+    message request;
+    request.__set_config_request({});
+    check_rejected(request, {{"known version -1",
+                              [](message& m)
+                              {
+                                  m.config_request.known_version = -1;
+                              }},
+                             {"version 2^63",
+                              [](message& m)
+                              {
+                                  m.config_request.version = max64;
+                              }},
+                             {"offset -1", [](message& m)
+                              {
+                                  m.config_request.offset = -1;
+                              }}});
+    message part;
+    part.__set_config_bytes({});
+    check_rejected(part, {{"version -1",
+                           [](message& m)
+                           {
+                               m.config_bytes.version = -1;
+                           }},
+                          {"offset -1",
+                           [](message& m)
+                           {
+                               m.config_bytes.offset = -1;
+                           }},
+                          {"total -1",
+                           [](message& m)
+                           {
+                               m.config_bytes.total = -1;
+                           }},
+                          {"total 2^63", [](message& m)
+                           {
+                               m.config_bytes.total = max64;
+                           }}});
+}
+
 // Guards against counts that cannot be allocated, groups outside the job, and
 // texts that cannot be sent to an endpoint.
 BOOST_AUTO_TEST_CASE(odd_submissions_are_rejected)
