Metrics for configurations: their age, their lag, and what peers send of them

Tell a host that does not read the configuration (config_age_seconds) from one that has heard of a newer one and does not get it (config_lag_seconds), and show what configurations take of the links (peer_config_sent_bytes_total).

--- a/daemon/include/chicorydrum/daemon/entry_metrics.hpp
+++ b/daemon/include/chicorydrum/daemon/entry_metrics.hpp
@@ -14,6 +14,8 @@
 struct entry_counts
 {
     std::int64_t peer_bytes_sent = 0;
+    /// Of these, parts of configurations.
+    std::int64_t peer_config_bytes_sent = 0;
     std::int64_t peer_bytes_received = 0;
     std::size_t open_exchanges = 0;
 };
--- a/daemon/include/chicorydrum/daemon/shard_links.hpp
+++ b/daemon/include/chicorydrum/daemon/shard_links.hpp
@@ -69,6 +69,10 @@
     {
         return this->sent_bytes;
     }
+    std::int64_t config_bytes_sent() const
+    {
+        return this->sent_config_bytes;
+    }
     std::int64_t bytes_received() const
     {
         return this->received_bytes;
@@ -126,6 +130,7 @@
     bool checks_soon = false;
     std::int64_t dial_count = 0;
     std::int64_t sent_bytes = 0;
+    std::int64_t sent_config_bytes = 0;
     std::int64_t received_bytes = 0;
 };
 
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -427,6 +427,7 @@
 entry_counts entry_daemon::impl::counts() const
 {
     return {.peer_bytes_sent = this->links.bytes_sent(),
+            .peer_config_bytes_sent = this->links.config_bytes_sent(),
             .peer_bytes_received = this->links.bytes_received(),
             .open_exchanges = this->callers.open_exchanges()};
 }
--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -121,6 +121,9 @@
                   this->store_writes);
     all.set_total("peer_sent_bytes_total", "Bytes sent to entry hosts.",
                   counts.peer_bytes_sent);
+    all.set_total("peer_config_sent_bytes_total",
+                  "Bytes of configurations sent to entry hosts.",
+                  counts.peer_config_bytes_sent);
     all.set_total("peer_received_bytes_total",
                   "Bytes received from entry hosts.",
                   counts.peer_bytes_received);
@@ -138,6 +141,15 @@
         all.set("endpoints_age_seconds",
                 "Time since the last good read of the endpoints was asked for.",
                 support::in_seconds(*age));
+    if (const auto age = host.config_age())
+        all.set("config_age_seconds",
+                "Time since the last good read of the configuration was asked "
+                "for.",
+                support::in_seconds(*age));
+    all.set("config_lag_seconds",
+            "Time for which a peer has had a configuration that has not "
+            "arrived here.",
+            support::in_seconds(host.config_lag()));
     all.set("ready", "1 while new callers should come to this host.",
             host.is_ready() ? 1 : 0);
     all.set("owned_shards", "Shards that this host owns.",
--- a/daemon/lib/shard_links.cpp
+++ b/daemon/lib/shard_links.cpp
@@ -306,6 +306,8 @@
         return;
     const std::string frame = transport::encode_message(message);
     this->sent_bytes += static_cast<std::int64_t>(frame.size());
+    if (message.__isset.config_bytes)
+        this->sent_config_bytes += static_cast<std::int64_t>(frame.size());
     this->network.send(found->second, frame);
 }
 
