--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -462,18 +462,28 @@
 void fault_session::put_config()
 {
     this->config_version += 1 + this->pick(3);
-    this->put_row("op", "config",
-                  json{{"version", this->config_version},
-                       {"routes",
-                        {{{"name", "quote"},
+    json routes = json::array();
+    const auto add =
+        [&routes](const std::string& name, const std::string& prefix)
+    {
+        routes.push_back({{"name", name},
                           {"host", "shop"},
-                          {"prefix", "/q/"},
+                          {"prefix", prefix},
                           {"service", "workers"},
                           {"timeout_ms", 1500},
                           {"slo_ms", 60},
                           {"attempts", 3},
-                          {"stretch", 1.6}}}}}
-                      .dump());
+                          {"stretch", 1.6}});
+    };
+    add("quote", "/q/");
+    for (const auto& [number, route] : this->added_routes)
+        if (!route.removed_at)
+            add("added-" + std::to_string(number),
+                "/added/" + std::to_string(number) + "/");
+    this->put_row(
+        "op", "config",
+        json{{"version", this->config_version}, {"routes", std::move(routes)}}
+            .dump());
 }
 
 void fault_session::serve_store(transport::exchange_id id,
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -48,6 +48,9 @@
     bool loses_power = false;
     /// Endpoints that may join a domain in the session.
     int later_endpoints_per_domain = 0;
+    /// What the link of each host carries, in Mbit/s; 0 for any number. Needs
+    /// links of its own.
+    double host_link_rate = 0;
     /// Starts on leaving endpoints are checked by the host that ordered them,
     /// and not by the store alone.
     bool checks_contact = false;
@@ -60,6 +63,8 @@
 /// The users' installation: four domains of seven unequal hosts and several
 /// shards.
 session_shape whole_shape();
+/// The same without losses of power, on links of 19 Mbit/s.
+session_shape config_shape();
 
 /// How the store refuses a host that it does not serve.
 enum class store_refusal
@@ -90,6 +95,10 @@
     /// are restarted one by one, lost alone, in chains and all at once, and the
     /// store is in trouble; returns the violated guarantees.
     std::vector<std::string> run_whole();
+    /// Runs a session in which a configuration of 1,400 routes changes in
+    /// series, beside planned restarts and a store that refuses some hosts;
+    /// returns the violated guarantees.
+    std::vector<std::string> run_configs();
     /// Runs a session without faults in which another writer leaves odd rows in
     /// all tables; returns the violated guarantees.
     std::vector<std::string> run_odd_entries();
@@ -118,6 +127,8 @@
         support::instant calm_since;
         /// The store does not serve it until then.
         support::instant refused_until;
+        /// If the installation's links have a rate.
+        std::unique_ptr<link_rate> rate;
     };
     struct endpoint_server
     {
@@ -173,6 +184,8 @@
     /// Null if no host that may lose its power has it.
     entry_process* host_at(const std::string& address) const;
     void add_power_links(entry_process& host);
+    /// Gives the links of all hosts their rate.
+    void set_link_rates();
     /// Shows \p rows to the host that reads them at \p reader: with the
     /// addresses of its own links.
     void localize(nlohmann::json& rows, const std::string& reader) const;
@@ -252,6 +265,14 @@
                  const std::string& value);
     void remove_row(const std::string& table, const std::string& key);
     void put_config();
+    /// Adds \p added routes to the configuration and removes one that is there.
+    void change_config(int added);
+    void plan_config_changes(support::instant end);
+    void plan_renewal(entry_process& host, support::milliseconds when);
+    /// Asks a host for a route that was added or removed.
+    void probe_config();
+    /// Reports what says that a host took another one for lost.
+    void check_nobody_lost();
     /// Writes the endpoint's entry to the store.
     void put_entry(endpoint_server& server);
     /// Writes it again and again, as long as the endpoint is there.
@@ -316,6 +337,14 @@
     support::instant store_calm_since;
     std::int64_t store_version = 0;
     std::int64_t config_version = 0;
+    /// A route beside the one of the jobs, by the number in its name.
+    struct added_route
+    {
+        support::instant added_at;
+        std::optional<support::instant> removed_at = {};
+    };
+    std::map<int, added_route> added_routes;
+    int probes = 0;
     std::vector<std::unique_ptr<tcp_proxy>> proxies;
     /// All links with an end at a host, by its number; if hosts lose their
     /// power.
--- a/test/faults/main.cpp
+++ b/test/faults/main.cpp
@@ -14,7 +14,7 @@
 constexpr const char* usage = R"(Real entry hosts under faults, on loopback.
 
 Usage: fault_soak [--seeds RANGE] [--odd-entries] [--installation] [--power]
-                  [--whole]
+                  [--whole] [--configs]
 
 Options:
   --seeds RANGE   Seeds as FIRST..LAST [default: 1..3].
@@ -26,6 +26,8 @@
                   stall and are cut off, while endpoints restart or are late.
   --whole         Four domains of seven unequal hosts that are restarted and
                   lost, while endpoints come and go and the store is in trouble.
+  --configs       The same installation on links of 19 Mbit/s, with a
+                  configuration of 1,400 routes that changes in series.
 )";
 
 /// Tries other ports if another program has just taken some.
@@ -70,16 +72,19 @@
         const bool is_installation = arguments.at("--installation").asBool();
         const bool is_power = arguments.at("--power").asBool();
         const bool is_whole = arguments.at("--whole").asBool();
+        const bool is_configs = arguments.at("--configs").asBool();
         const auto opened =
             open_session(seed, is_installation ? installation_shape()
                                : is_power      ? power_shape()
                                : is_whole      ? whole_shape()
+                               : is_configs    ? config_shape()
                                                : session_shape());
         fault_session& session = *opened;
         const std::vector<std::string> violations =
             is_installation ? session.run_installation()
             : is_power      ? session.run_power()
             : is_whole      ? session.run_whole()
+            : is_configs    ? session.run_configs()
             : arguments.at("--odd-entries").asBool() ? session.run_odd_entries()
                                                      : session.run_session();
         if (violations.empty())
--- a/test/faults/power_session.cpp
+++ b/test/faults/power_session.cpp
@@ -108,6 +108,20 @@
     }
 }
 
+void fault_session::set_link_rates()
+{
+    constexpr double bytes_per_ms = 125;
+    for (const auto& host : this->hosts)
+    {
+        host->rate = std::make_unique<link_rate>(this->shape.host_link_rate *
+                                                 bytes_per_ms);
+        host->store_proxy->set_rates(host->rate.get(), nullptr);
+    }
+    for (const auto& [ends, link] : this->peer_links)
+        link->set_rates(this->hosts[ends.first]->rate.get(),
+                        this->hosts[ends.second]->rate.get());
+}
+
 void fault_session::localize(nlohmann::json& rows,
                              const std::string& reader) const
 {
--- a/test/faults/tcp_proxy.cpp
+++ b/test/faults/tcp_proxy.cpp
@@ -224,10 +224,9 @@
     const bool holds_to_client = this->fault == link_fault::held ||
                                  this->fault == link_fault::held_to_client;
     const bool is_open =
-        (holds_to_server || this->receive(one.client, one.to_server,
-                                          is_silent || drops_to_server, now)) &&
-        (holds_to_client ||
-         this->receive(one.server, one.to_client, is_silent, now));
+        (holds_to_server ||
+         this->receive(one, true, is_silent || drops_to_server, now)) &&
+        (holds_to_client || this->receive(one, false, is_silent, now));
     one.has_ended = one.has_ended || !is_open;
     const bool is_delivered = deliver(one.server, one.to_server, now) &&
                               deliver(one.client, one.to_client, now);
@@ -236,9 +235,11 @@
     return is_delivered && (!one.has_ended || has_more);
 }
 
-bool tcp_proxy::receive(int from, direction& into, bool drops,
+bool tcp_proxy::receive(connection& one, bool is_from_client, bool drops,
                         support::instant now)
 {
+    const int from = is_from_client ? one.client : one.server;
+    direction& into = is_from_client ? one.to_server : one.to_client;
     std::array<char, 65536> buffer{};
     while (true)
     {
@@ -248,8 +249,10 @@
         if (count > 0)
         {
             const bool is_delayed = this->fault == link_fault::delayed;
+            const support::instant passed = this->pass(
+                static_cast<std::size_t>(count), is_from_client, now);
             into.pending.push_back(
-                {.due = is_delayed ? now + injected_delay : now,
+                {.due = is_delayed ? passed + injected_delay : passed,
                  .bytes = std::string(buffer.data(),
                                       static_cast<std::size_t>(count))});
             continue;
@@ -260,6 +263,18 @@
     }
 }
 
+support::instant tcp_proxy::pass(std::size_t bytes, bool is_from_client,
+                                 support::instant now) const
+{
+    link_rate* const from =
+        is_from_client ? this->client_rate : this->server_rate;
+    link_rate* const to =
+        is_from_client ? this->server_rate : this->client_rate;
+    if (from != nullptr)
+        now = from->pass_out(bytes, now);
+    return to == nullptr ? now : to->pass_in(bytes, now);
+}
+
 bool tcp_proxy::deliver(int to, direction& from, support::instant now)
 {
     while (!from.pending.empty() && from.pending.front().due <= now)
--- a/test/faults/tcp_proxy.hpp
+++ b/test/faults/tcp_proxy.hpp
@@ -4,6 +4,7 @@
 
 #include "chicorydrum/support/clock.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
@@ -38,6 +39,39 @@
     int server_port = 0;
 };
 
+/// The rate of one machine's link, each way, which all its connections share.
+class link_rate
+{
+public:
+    explicit link_rate(double bytes_per_ms) : rate(bytes_per_ms)
+    {
+    }
+
+    /// Returns when \p bytes that enter the link at \p now have left it.
+    support::instant pass_out(std::size_t bytes, support::instant now)
+    {
+        return this->pass(this->out_free_at, bytes, now);
+    }
+    support::instant pass_in(std::size_t bytes, support::instant now)
+    {
+        return this->pass(this->in_free_at, bytes, now);
+    }
+
+private:
+    support::instant pass(support::instant& free_at, std::size_t bytes,
+                          support::instant now) const
+    {
+        free_at =
+            std::max(free_at, now) +
+            support::duration_from_ms(static_cast<double>(bytes) / this->rate);
+        return free_at;
+    }
+
+    double rate;
+    support::instant out_free_at;
+    support::instant in_free_at;
+};
+
 /// Relays one port to another. Has no thread: its owner polls it.
 class tcp_proxy
 {
@@ -48,6 +82,12 @@
     tcp_proxy& operator=(const tcp_proxy&) = delete;
 
     void set_fault(link_fault new_fault);
+    /// What is relayed passes the links of both ends; null for one of any rate.
+    void set_rates(link_rate* of_client, link_rate* of_server)
+    {
+        this->client_rate = of_client;
+        this->server_rate = of_server;
+    }
     /// Resets all open connections.
     void reset_all();
     /// One end has no power: nothing is read, and no end learns of a close.
@@ -85,13 +125,19 @@
     void watch(int descriptor);
     void accept_all();
     bool relay(connection& one, support::instant now);
-    bool receive(int from, direction& into, bool drops, support::instant now);
+    bool receive(connection& one, bool is_from_client, bool drops,
+                 support::instant now);
+    /// Returns when \p bytes that are read now have passed both links.
+    support::instant pass(std::size_t bytes, bool is_from_client,
+                          support::instant now) const;
     bool has_pending() const;
     static bool deliver(int to, direction& from, support::instant now);
     static void close_both(connection& one, bool resets);
 
     int listener;
     int server_port;
+    link_rate* client_rate = nullptr;
+    link_rate* server_rate = nullptr;
     link_fault fault = link_fault::none;
     /// Ends without power.
     int dark_ends = 0;
