A host that knows of a newer configuration denies no route

What callers saw: 404 for a route that had been added, from a host that had heard of the configuration with it and not got it yet; a caller takes 404 as final and does not come again.

Cause: what the active configuration lacks counted as not there, although the host knew that it was not the newest one.

Now such a request is answered with 503 and Retry-After, which is true: it has not run, and whether the route exists is known when the configuration is in force. Without a newer one, 404 stays.

Test: route_that_a_host_may_lack_is_not_denied fails before.

--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -210,6 +210,9 @@
     /// Returns its version, or 0 if it has none.
     std::int64_t load_config(std::string document, const std::string& source);
     void tick_configs(support::instant now);
+    /// Returns whether a configuration was heard of that is not in force here,
+    /// so that a route that is missing here may exist.
+    bool knows_newer_config() const;
     void deliver_submission(const std::string& owner,
                             const schema::job_submitted& job,
                             support::instant now);
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -167,7 +167,10 @@
     const auto match = this->configs.active().match(request.host, request.path);
     if (!match)
     {
-        refuse(answer_kind::no_route, "no_route");
+        if (this->knows_newer_config())
+            refuse(answer_kind::not_run, "config_behind");
+        else
+            refuse(answer_kind::no_route, "no_route");
         return;
     }
     if (!request.work || !support::is_job_id(match->rest))
@@ -213,6 +216,8 @@
     const auto match = this->configs.active().match(query.host, query.path);
     if (this->configs.active().version() == 0)
         answer.kind = answer_kind::no_config;
+    else if (!match && this->knows_newer_config())
+        answer.retry_after = milliseconds(1000);
     else if (!match)
         answer.kind = answer_kind::no_route;
     else if (match->rest.empty())
--- a/shard/lib/entry_host_config.cpp
+++ b/shard/lib/entry_host_config.cpp
@@ -54,6 +54,13 @@
     return version;
 }
 
+bool entry_host::knows_newer_config() const
+{
+    return std::max(this->configs.arrived_version(),
+                    this->spread.newest_heard()) >
+           this->configs.active().version();
+}
+
 void entry_host::tick_configs(instant now)
 {
     this->configs.tick(now);
--- a/test/shards/config_spread_test.cpp
+++ b/test/shards/config_spread_test.cpp
@@ -201,6 +201,31 @@
     check_no_violations(fleet);
 }
 
+// Guards against a final answer from a host that knows that its configuration
+// is not the newest one: its caller would not come again.
+BOOST_AUTO_TEST_CASE(route_that_a_host_may_lack_is_not_denied)
+{
+    shard_fleet fleet({.hosts_per_domain = 4});
+    fleet.run_for(warm_up);
+    const std::string late = other_host(fleet, fleet.owner_of("D1"));
+    fleet.set_read_delay(late, milliseconds(900));
+    fleet.run_for(milliseconds(2000));
+    fleet.set_config(2, {"quote", "check", "added"});
+    fleet.run_for(milliseconds(300));
+    BOOST_REQUIRE(fleet.host(late)->config().version() == 1);
+    const std::string job = fleet.submit(late, {.route = "added"});
+    fleet.run_for(milliseconds(50));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::not_run));
+    BOOST_TEST(fleet.caller(job).retry_after.count() > 0);
+    fleet.run_for(fleet.caller(job).retry_after);
+    fleet.submit_again(job);
+    const std::string unknown = fleet.submit(late, {.route = "nowhere"});
+    fleet.run_for(milliseconds(1000));
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST((fleet.caller(unknown).answer == answer_kind::no_route));
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
