--- a/shard/lib/config_spread.cpp
+++ b/shard/lib/config_spread.cpp
@@ -62,7 +62,9 @@
     source& one = this->sources[peer];
     one.version = version;
     one.is_near = is_near;
-    this->update_lag(now);
+    // Most heartbeats say nothing new; the rest is left to the next tick.
+    if (version > this->arrived_version && !this->behind_from)
+        this->update_lag(now);
 }
 
 void config_spread::peer_lost(const std::string& peer)
