Entries of endpoints whose counters alone have changed are not parsed again

Cause, of the class "parsed in one turn of the loop": each endpoint writes its entry every 1.5 s, so that a read of changes after 2 s holds some 466 entries of 350 endpoints, 20 us each: 9.2 to 9.9 ms of the 9 ms that such a host has in 100 ms. Half of it is the parsing of entries in which only the number of the report and the endpoint's clock have changed.

An entry that differs elsewhere, or whose counters are no plain numbers, is parsed as before.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -170,6 +170,7 @@
     support::socket_address store;
     transport::http_client endpoint_calls;
     transport::http_client store_calls;
+    platform::endpoint_cache known_entries;
     entry_metrics host_metrics;
     shard::entry_host host;
     shard_links links;
@@ -293,9 +294,11 @@
         ++this->host_metrics.store_reads;
         this->store_calls.send(
             platform::encode(read, this->store),
-            [this, now, read](transport::client_outcome outcome) {
-                this->host.rows_read(platform::decode_rows(read, outcome),
-                                     now());
+            [this, now, read](transport::client_outcome outcome)
+            {
+                this->host.rows_read(
+                    platform::decode_rows(read, outcome, this->known_entries),
+                    now());
             });
     };
     hooks.write = [this, now](const shard::registration_write& write)
