--- a/shard/include/chicorydrum/shard/config_loader.hpp
+++ b/shard/include/chicorydrum/shard/config_loader.hpp
@@ -27,7 +27,7 @@
 {
     config_opener open;
     /// The active configuration has changed.
-    std::function<void(support::instant now)> activated;
+    std::function<void()> activated;
     std::function<void(const support::log_line&)> log;
 };
 
--- a/shard/include/chicorydrum/shard/config_view.hpp
+++ b/shard/include/chicorydrum/shard/config_view.hpp
@@ -80,7 +80,7 @@
     {
         return this->current->version;
     }
-    const std::shared_ptr<const routing_config>& active() const
+    const std::shared_ptr<const routing_config>& config() const
     {
         return this->current;
     }
--- a/shard/lib/config_loader.cpp
+++ b/shard/lib/config_loader.cpp
@@ -35,7 +35,7 @@
 std::int64_t config_loader::offer(std::string document,
                                   const std::string& source, instant now)
 {
-    auto opened = this->hooks.open(std::move(document), this->view.active());
+    auto opened = this->hooks.open(std::move(document), this->view.config());
     if (!opened)
     {
         this->hooks.log(log_line("config_malformed", log_level::warning)
@@ -101,7 +101,7 @@
             .add("source", from.source)
             .add("turns", from.turns)
             .add("age_ms", support::whole_ms(now - from.arrived_at)));
-    this->hooks.activated(now);
+    this->hooks.activated();
 }
 
 } // namespace chicorydrum::shard
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -425,7 +425,11 @@
     else if (message.__isset.not_owned)
         this->hooks.log(log_line("owner_declined").add("peer", peer));
     else if (message.__isset.config)
-        this->load_config(message.config.document, peer);
+    {
+        // Hosts of earlier versions send it again and again.
+        if (message.config.version > this->configs.arrived_version())
+            this->load_config(message.config.document, peer);
+    }
     else if (message.__isset.config_request)
         this->spread.requested(peer, message.config_request, now);
     else if (message.__isset.config_bytes)
--- a/shard/lib/entry_host_config.cpp
+++ b/shard/lib/entry_host_config.cpp
@@ -14,11 +14,10 @@
 {
     return {.open = this->hooks.open_config,
             .activated =
-                [this](instant /*now*/)
+                [this]
             {
-                const config_view& active = this->configs.active();
-                this->spread.set_active(active.version(),
-                                        active.active()->document);
+                const routing_config& active = *this->configs.active().config();
+                this->spread.set_active(active.version, active.document);
             },
             .log = this->hooks.log};
 }
--- a/shard/unittests/config_loader_test.cpp
+++ b/shard/unittests/config_loader_test.cpp
@@ -28,7 +28,7 @@
                    [this](const std::string& document,
                           const std::shared_ptr<const routing_config>& known)
                { return this->open(document, known->version); },
-               .activated = [this](instant)
+               .activated = [this]
                { this->activated.push_back(this->loader.active().version()); },
                .log =
                    [](const support::log_line&) {
