A host waits for the part that it has asked for

What callers saw: nothing yet; found by reading the change.

Cause: each tick tells config_spread which version has arrived; it took that for news and forgot the peer that it had asked, so that a host asked a further peer with each tick of 25 ms until a first part came. Where a part takes longer than that, as behind other receivers, up to five were on their way to one host, and each answer was thrown away: the document did not arrive at all.

Now only a newer version ends what is under way.

--- a/shard/lib/config_spread.cpp
+++ b/shard/lib/config_spread.cpp
@@ -37,10 +37,12 @@
 
 void config_spread::set_arrived(std::int64_t version)
 {
-    // A still newer one has its own time to arrive.
-    if (version > this->arrived_version)
-        this->behind_from.reset();
+    const bool is_news = version > this->arrived_version;
     this->arrived_version = version;
+    if (!is_news)
+        return;
+    // A still newer one has its own time to arrive.
+    this->behind_from.reset();
     if (this->partial.version > version)
         return;
     // What is under way is not needed any more.
--- a/shard/unittests/config_spread_test.cpp
+++ b/shard/unittests/config_spread_test.cpp
@@ -56,7 +56,21 @@
                 if (other != name)
                     member->heard(other, version, true, this->time);
         for (const auto& [name, member] : this->members)
+        {
+            member->set_arrived(this->versions[name]);
             member->tick(this->time);
+        }
+        if (this->steps_in_link > 0)
+        {
+            // Each message takes several ticks.
+            this->delayed.push_back(std::exchange(this->queue, {}));
+            if (this->delayed.size() < this->steps_in_link)
+                return;
+            this->queue = std::move(this->delayed.front());
+            this->delayed.pop_front();
+            this->deliver();
+            return;
+        }
         for (int round = 0; round < 3; ++round)
             this->deliver();
     }
@@ -72,6 +86,8 @@
     std::map<std::string, int> arrivals;
     std::size_t bytes = 0;
     std::size_t most_parts_in_flight = 0;
+    /// How many steps a message takes; 0 if it arrives at once.
+    std::size_t steps_in_link = 0;
     /// Hosts that do not answer.
     std::set<std::string> silent;
 
@@ -125,6 +141,7 @@
     instant time{support::seconds(1)};
     std::map<std::string, std::unique_ptr<config_spread>> members;
     std::deque<message> queue;
+    std::deque<std::deque<message>> delayed;
     std::map<std::string, std::size_t> in_flight;
 };
 
@@ -178,6 +195,21 @@
     BOOST_TEST(group.bytes < 43 * part);
 }
 
+// Guards against a host that asks a further peer with each tick, as the answer
+// of the first one takes longer than that.
+BOOST_AUTO_TEST_CASE(answer_that_takes_several_ticks_is_waited_for)
+{
+    spread_group group(8);
+    group.run(milliseconds(200));
+    for (int i = 1; i < 8; ++i)
+        group.activate("h" + std::to_string(i), 2, 20 * part);
+    group.steps_in_link = 4;
+    group.run(milliseconds(8000));
+    BOOST_TEST(group.versions["h0"] == 2);
+    BOOST_TEST(group.most_parts_in_flight == 1U);
+    BOOST_TEST(group.bytes < 22 * part);
+}
+
 // A later version does not restart a transfer for ever.
 BOOST_AUTO_TEST_CASE(changes_in_series_reach_a_host_without_the_store)
 {
