Session of configurations: a dial between hosts of which one starts is no lost link

Traced: the lines are of dials that took longer than their 200 to 250 ms, from or to a host that was just renewed as planned, while the session's own loop, which relays them, was up to 219 ms late. No open link was closed. The check is of links that are lost when nothing was disturbed; it still counts each open link, and each dial between hosts that were not renewed.

--- a/test/faults/config_session.cpp
+++ b/test/faults/config_session.cpp
@@ -3,7 +3,6 @@
 /// changes in series, on links that have a rate.
 #include "fault_session.hpp"
 
-#include <array>
 #include <csignal>
 #include <utility>
 
@@ -79,6 +78,7 @@
                       [this, &host]
                       {
                           this->note("renewal of " + host.name);
+                          this->renewed_hosts.insert(host.name);
                           host.is_stopping = true;
                           host.child->signal(SIGTERM);
                           this->queue.after(milliseconds(1000), [this, &host]
@@ -137,18 +137,41 @@
         });
 }
 
+int fault_session::count_slow_dials(const entry_process& host) const
+{
+    const std::string dial = " event=link_silent peer=\"\" dialled=";
+    const bool was_renewed = this->renewed_hosts.contains(host.name);
+    std::ifstream log(this->work_directory + "/" + host.name + ".log");
+    int count = 0;
+    for (std::string line; std::getline(log, line);)
+    {
+        const std::size_t found = line.find(dial);
+        if (found == std::string::npos)
+            continue;
+        const std::string dialled = line.substr(found + dial.size());
+        if (was_renewed || this->renewed_hosts.contains(dialled))
+            ++count;
+    }
+    return count;
+}
+
 void fault_session::check_nobody_lost()
 {
-    // A renewed process starts a log of its own.
-    static constexpr std::array texts = {"event=link_silent",
-                                         "event=link_was_silent",
-                                         "event=host_isolated", "cause=silent"};
+    const std::string silent = "event=link_silent";
     for (const auto& host : this->hosts)
-        for (const char* const text : texts)
-            if (const int count = this->count_log_lines(*host, text))
+        for (const std::string& text :
+             {silent, std::string("event=link_was_silent"),
+              std::string("event=host_isolated"), std::string("cause=silent")})
+        {
+            int count = this->count_log_lines(*host, text);
+            // No link is lost by a dial between hosts of which one starts.
+            if (text == silent)
+                count -= this->count_slow_dials(*host);
+            if (count > 0)
                 this->report_violation(host->name + " has logged " +
                                        std::to_string(count) + " lines with " +
                                        text);
+        }
 }
 
 std::vector<std::string> fault_session::run_configs()
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -273,6 +273,9 @@
     void probe_config();
     /// Reports what says that a host took another one for lost.
     void check_nobody_lost();
+    /// Returns how many dials by \p host took too long where it or the dialled
+    /// host was renewed in the session.
+    int count_slow_dials(const entry_process& host) const;
     /// Writes the endpoint's entry to the store.
     void put_entry(endpoint_server& server);
     /// Writes it again and again, as long as the endpoint is there.
@@ -344,6 +347,8 @@
         std::optional<support::instant> removed_at = {};
     };
     std::map<int, added_route> added_routes;
+    /// Hosts that were stopped as planned and started again.
+    std::set<std::string> renewed_hosts;
     int probes = 0;
     std::vector<std::unique_ptr<tcp_proxy>> proxies;
     /// All links with an end at a host, by its number; if hosts lose their
