--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -21,10 +21,18 @@
     """The case could not be played."""
 
 
+given_ports = set()
+
+
 def free_port(address):
-    with socket.socket() as one:
-        one.bind((address, 0))
-        return one.getsockname()[1]
+    """Returns a port that is free at this address, another one at each call."""
+    while True:
+        with socket.socket() as one:
+            one.bind((address, 0))
+            port = one.getsockname()[1]
+        if port not in given_ports:
+            given_ports.add(port)
+            return port
 
 
 def lock_addresses():
@@ -431,11 +439,12 @@
         await self.store.server.listen(self.address, self.store_port)
         self.put_config(7)
 
-    def put_config(self, version):
+    def put_config(self, version, routes=("tags",)):
         self.store.put_json("op", "config", {
             "version": version,
-            "routes": [{"name": "tags", "host": "desk.example", "prefix": "/tags/", "service": "repair-desk",
-                        "timeout_ms": 30000, "priority": 1, "attempts": 3, "stretch": 3.0, "slo_ms": 20000}],
+            "routes": [{"name": name, "host": "desk.example", "prefix": f"/{name}/", "service": "repair-desk",
+                        "timeout_ms": 30000, "priority": 1, "attempts": 3, "stretch": 3.0, "slo_ms": 20000}
+                       for name in routes],
             "services": [{"name": "repair-desk", "admission_control": False}], "limits": {}})
 
     async def add_runner(self, name, zone, labels, cpu=16000):
@@ -450,6 +459,26 @@
         await host.start()
         return host
 
+    async def add_host_with_own_store(self, number, zone, share):
+        """Adds a host that reaches the store at a port of its own. Returns the host and a function that makes the store
+        give it no response any more."""
+        host, is_silent = Host(self, number, zone, share), []
+        host.store_port = free_port(self.address)
+        self.hosts.append(host)
+
+        async def handle(*call):
+            answer = await self.store.handle(*call)
+            if is_silent:
+                await asyncio.sleep(60)
+            return answer
+        await Server(handle).listen(self.address, host.store_port)
+        await host.start()
+
+        def silence():
+            self.note("store_silent", host=host.name)
+            is_silent.append(True)
+        return host, silence
+
     async def add_linked_hosts(self, zone, shares, link=750.0):
         """Adds hosts whose connections to each other lead through proxies, see `channels`. Each reads the store at a
         port of its own, which shows the others' addresses as those of the proxies."""
@@ -515,8 +544,8 @@
         self.note("client_gets", host=host.name, method=method, path=path, status=status, body=json.dumps(value))
         return status, value
 
-    def post(self, host, job, value, wait_ms=30000, label=""):
-        return self.spawn(self.call(host, "POST", f"/tags/{job}", value, {"deadline-ms": str(wait_ms)}, label))
+    def post(self, host, job, value, wait_ms=30000, label="", route="tags"):
+        return self.spawn(self.call(host, "POST", f"/{route}/{job}", value, {"deadline-ms": str(wait_ms)}, label))
 
     def runs_of(self, job):
         return [run for run in self.runs if run["task"].startswith(job)]
