--- a/review/6/case.py
+++ b/review/6/case.py
@@ -46,7 +46,7 @@
     await at(2.3)
     await restart(restarted)
     world.note("entry", runner=runner.name, listed=runner.is_listed())
-    await at(8)
+    await at(9)
     second = world.spawn(restart(owner))
     await at(14)
     await second
