--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -610,13 +610,16 @@
     folder = Path(sys.argv[0]).resolve().parent
 
     async def run(record):
-        world = World(record)
+        try:
+            world = World(record)
+        except CannotRun as error:
+            return NOT_RUN, repr(error)
         world.note("case", folder=folder.name, trouble=int(TROUBLE))
         try:
             broken, text = await asyncio.wait_for(case(world), 110)
             world.note("broken" if broken else "held", what=text)
             return (BROKEN if broken else HELD), text
-        except (CannotRun, asyncio.TimeoutError, OSError, KeyError, IndexError) as error:
+        except Exception as error:  # Anything else than the rule's breach is no result.
             world.note("not_run", what=repr(error))
             return NOT_RUN, repr(error)
         finally:
