--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -1,6 +1,6 @@
 """Stand-ins for the platform's store, the runners and the clients, as PROTOCOL.md has them, and real entry hosts as
 separate processes on loopback. A case is a coroutine that gets a World; `play` runs it and writes the record."""
-import asyncio, base64, hashlib, json, os, random, re, shutil, signal, socket, sys, tempfile, time, tomllib
+import asyncio, base64, ctypes, hashlib, json, os, random, re, shutil, signal, socket, sys, tempfile, time, tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -345,6 +345,11 @@
             state["silent"] = True
 
 
+def end_with_parent():
+    """The calling process gets SIGKILL when the case ends by a signal that it can't handle (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Host:
     """An entry host: the command of the deploy file with the settings of its template."""
 
@@ -374,7 +379,7 @@
         path.write_text(text)
         self.log = open(self.world.folder / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            *command.split(), cwd=ROOT, stdout=self.log, stderr=self.log,
+            *command.split(), cwd=ROOT, stdout=self.log, stderr=self.log, preexec_fn=end_with_parent,
             env={"PATH": os.environ["PATH"], "CHICORYDRUM_BOOT": str(path), **variables})
         self.started_at = time.monotonic()
         self.world.note("host_started", host=self.name)
@@ -615,11 +620,13 @@
         except CannotRun as error:
             return NOT_RUN, repr(error)
         world.note("case", folder=folder.name, trouble=int(TROUBLE))
+        for which in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(which, asyncio.current_task().cancel)
         try:
             broken, text = await asyncio.wait_for(case(world), 110)
             world.note("broken" if broken else "held", what=text)
             return (BROKEN if broken else HELD), text
-        except Exception as error:  # Anything else than the rule's breach is no result.
+        except (Exception, asyncio.CancelledError) as error:  # Anything else than the rule's breach is no result.
             world.note("not_run", what=repr(error))
             return NOT_RUN, repr(error)
         finally:
