A successor knows the endpoints that its predecessor has read later

The host that took the shard over had started while its reads of the store were behind. It did not know an endpoint that had been added shortly before and was at work, got the job from its entry host, and started the task elsewhere.

Cause: a new owner took its own table for the whole set of endpoints that earlier owners can have given orders to, 2.5 s after its process's first read. How far that read was behind was not looked at.

Fix: owners tell the other hosts of the domain, in heartbeats, of endpoints whose rows these have not read, and vouch to those that know all endpoints where tasks may run. While a vouch is in force (1.75 s after it was sent), the owner starts tasks at a new endpoint only once these hosts know it. A host that takes a shard over without a valid vouch, or after a pause of its own, waits until the earlier leases have lapsed. Where no live process of the domain has known an owner, nobody can vouch: there the endpoints must have been read at least as late as all hosts have registered.

Entry hosts that answer a new owner name the endpoints that it cannot have read, so that it goes on with runs also where nobody has vouched.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -11,6 +11,20 @@
   3: i64 accelerators
 }
 
+/// One incarnation of an endpoint, as registered by the endpoint.
+struct endpoint_registration {
+  1: string id
+  2: string pool
+  3: string address
+  4: i32 port
+  5: string domain
+  6: list<string> labels
+  7: resources capacity
+  8: bool is_draining
+  /// Distinguishes incarnations with the same id.
+  9: i64 born_ms
+}
+
 /// Tasks of one job with the same requirements.
 struct task_group {
   1: i32 count
@@ -122,6 +136,33 @@
   5: i64 time_left_us
 }
 
+/// An endpoint where an owner may have runs.
+struct held_endpoint {
+  1: endpoint_registration entry
+  /// The version at which the owner has first read this incarnation, or has
+  /// last seen that its row was missing.
+  2: i64 version
+  /// The owner has read a row of it lately.
+  3: bool is_listed
+}
+
+/// What a host must know to succeed the sender, to hosts of its domain.
+struct succession_state {
+  /// Endpoints of the sender's shards that the receiver may not find in the
+  /// store, in the order in which the sender numbers them.
+  1: optional list<held_endpoint> endpoints
+  /// The sender has told this link of all endpoints up to this number.
+  2: optional i64 told
+  /// The last `told` that the sender has received on this link.
+  3: optional i64 heard
+  /// The sender's tokens, by shard, if it starts tasks only at endpoints of the
+  /// shard that the receiver knows. Holds for a time after it was sent.
+  4: optional map<i32, i64> vouched
+  /// The shards of the domain that the sender's process has never known an
+  /// owner of, nor of the shards that they come from.
+  5: optional list<i32> never_owned
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -155,6 +196,8 @@
   15: optional i64 callers_silent_us
   /// The sender answers config_requested; false from hosts of earlier versions.
   16: bool sends_config_parts
+  /// To hosts of the sender's domain only; unset by hosts of earlier versions.
+  17: optional succession_state succession
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
@@ -250,20 +293,6 @@
   4: binary bytes
 }
 
-/// One incarnation of an endpoint, as registered by the endpoint.
-struct endpoint_registration {
-  1: string id
-  2: string pool
-  3: string address
-  4: i32 port
-  5: string domain
-  6: list<string> labels
-  7: resources capacity
-  8: bool is_draining
-  /// Distinguishes incarnations with the same id.
-  9: i64 born_ms
-}
-
 /// The row that a host writes about itself to the platform's table.
 struct host_record {
   1: string domain
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -267,6 +267,16 @@
     /// also those that are read later, say nothing against it.
     void note_leaving(const schema::leaving_endpoint& endpoint,
                       support::instant now);
+    /// An owner of this host's domain has runs at an endpoint, whose row may be
+    /// later than what was read here.
+    void note_held(const schema::held_endpoint& held, support::instant now);
+    /// Returns endpoints of \p domain that a host which has read the store up
+    /// to \p version may not know, as many as one message tells.
+    std::vector<schema::held_endpoint> unknown_to(const std::string& domain,
+                                                  std::int64_t version) const;
+    /// Returns the version at which the present incarnation of endpoint \p id
+    /// was first read or heard of, or 0 if that is not known.
+    std::int64_t known_since(const std::string& id) const;
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
     void refresh_endpoints();
@@ -300,6 +310,9 @@
         return this->endpoints_read_at && !this->endpoints_are_stale &&
                now - *this->endpoints_read_at >= this->options.missing_grace;
     }
+    /// Returns whether the endpoints were read since refresh_endpoints(), and
+    /// as they were when the hosts of the host table registered, or later.
+    bool endpoints_follow_registrations() const;
     bool is_available() const
     {
         return this->available;
@@ -350,6 +363,9 @@
         schema::endpoint_registration entry;
         /// The version of the last row that was used, or of its removal.
         std::int64_t version = 0;
+        /// The version of the first row of this incarnation that was used; 0 if
+        /// the store has counted from a lower version since.
+        std::int64_t since_version = 0;
         std::optional<support::instant> missing_since;
         /// Not none if and only if missing_since is set.
         entry_doubt doubt = entry_doubt::none;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -12,6 +12,7 @@
 #include "chicorydrum/shard/link_clock.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
+#include "chicorydrum/shard/succession.hpp"
 #include "chicorydrum/support/line_limit.hpp"
 #include "chicorydrum/support/validation.hpp"
 
@@ -73,6 +74,7 @@
     cancellation_options cancellations;
     config_loader_options configs;
     config_spread_options spread;
+    succession_options successors;
     /// Other hosts of the domain that keep each cancellation that is recorded
     /// here.
     std::size_t cancellation_keepers = 2;
@@ -84,6 +86,8 @@
     /// chooses.
     int endpoints_per_shard = max_endpoints_per_shard;
     int max_shards = support::max_shards;
+    /// Interval between looks at what the shards' endpoints are.
+    support::milliseconds succession_interval{500};
     /// How long a shard is offered to stronger hosts before the offer ends.
     support::milliseconds offer_time{1000};
     /// When the last tick is this long ago, the process was paused. Shorter
@@ -295,6 +299,25 @@
     /// jobs this host's shards have.
     std::int64_t longest_caller_silence() const;
     schema::shard_message make_heartbeat(bool to_own_domain) const;
+    /// Sends a heartbeat, with what \p peer must know to succeed this host, and
+    /// with endpoints that are \p known_here.
+    void
+    send_heartbeat(const std::string& peer, schema::shard_message message,
+                   const std::vector<schema::held_endpoint>& known_here = {});
+    /// Applies what \p peer tells of its endpoints. Returns whether it must be
+    /// answered at once.
+    bool apply_succession(const std::string& peer,
+                          const schema::shard_heartbeat& heartbeat,
+                          std::optional<support::instant> sent,
+                          support::instant now);
+    /// Returns whether this host knows all endpoints of shard \p number where
+    /// earlier owners may have runs.
+    bool knows_endpoints_of(int number, support::instant now) const;
+    /// Ends the wait of shards that no live process has known an owner of, once
+    /// the endpoints were read as late as an earlier owner can have read them.
+    void check_first_claims();
+    /// Notes at which endpoints this host's shards may have runs.
+    void update_succession(support::instant now);
     void update_shard_endpoints(support::instant now);
 
     entry_host_options options;
@@ -312,6 +335,8 @@
     /// The version that was last read from the store.
     std::int64_t stored_config_version = 0;
     host_view view;
+    succession successors;
+    support::instant next_succession_update;
     job_intake intake;
     shard::cancellations cancellations;
     directory table;
@@ -347,6 +372,8 @@
     bool lacked_endpoints = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
+    /// Owned shards that no live process had known an owner of at their claim.
+    std::set<int> first_claims;
     /// By shard: the last token under which it was not adopting.
     std::map<int, fencing_token> settled_tokens;
     struct peer_clock
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -77,6 +77,13 @@
     support::instant since = {};
 };
 
+/// A right to give orders to the endpoints of a shard of the own domain.
+struct shard_claim
+{
+    int shard = 0;
+    fencing_token token = 0;
+};
+
 struct host_view_options
 {
     host_identity self;
@@ -189,6 +196,14 @@
     std::vector<int> shards_to_claim(support::instant now);
     /// Returns why \p shard counts as without owner, or nothing if it does not.
     std::optional<claim_basis> claim_basis_of(int shard) const;
+    /// Returns the last known claim of \p shard, or of the shard that has
+    /// become \p shard by divisions; nothing if this process knows of none.
+    std::optional<shard_claim> last_claim_of(int shard) const;
+    /// Returns the shards of the own domain without any known claim.
+    std::vector<int> never_owned() const;
+    /// Returns whether no live process of the domain has known an owner of
+    /// \p shard: each host that the table lists is connected and says so.
+    bool was_never_owned(int shard) const;
     /// Returns a shard of this host that a much stronger host of the domain
     /// should claim, if any.
     std::optional<int> shard_to_offer(support::instant now) const;
@@ -215,6 +230,9 @@
     std::optional<std::int64_t>
     endpoints_version_of(const std::string& peer) const;
     bool is_live(const std::string& host) const;
+    /// Returns whether \p peer, of the own domain, is live and does not stop,
+    /// so that it may take this host's shards over.
+    bool may_succeed(const std::string& peer) const;
     /// Returns an owner of another shard than \p own that may have left runs of
     /// jobs whose copies arrive there, if any.
     std::optional<lost_owner> find_lost_owner(const shard_name& own,
@@ -349,6 +367,9 @@
     };
     /// The last known owner of each shard of the own domain.
     std::map<int, known_owner> last_owners;
+    /// The tokens of the last known claims in the own domain, by the number of
+    /// shards that it had then and the shard's number.
+    std::map<std::pair<int, int>, fencing_token> last_claims;
     support::instant silence_counts_from;
     owner_sightings sightings;
     /// When this host last gave each shard up.
--- a/shard/include/chicorydrum/shard/messages.hpp
+++ b/shard/include/chicorydrum/shard/messages.hpp
@@ -58,6 +58,10 @@
     }
 };
 
+/// Returns whether two entries of one id name the same process of an endpoint.
+bool is_same_incarnation(const schema::endpoint_registration& one,
+                         const schema::endpoint_registration& other);
+
 /// Returns which of \p shards an endpoint belongs to, or a job is sent to
 /// first, by its id. All hosts compute the same result.
 int shard_of(const std::string& id, int shards);
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -44,6 +44,9 @@
         report;
     /// Returns whether all live endpoints are listed.
     std::function<bool()> endpoints_are_complete;
+    /// Returns whether tasks may start at an endpoint: the hosts that may
+    /// succeed this owner know it. Without it they may start anywhere.
+    std::function<bool(const schema::endpoint_registration&)> may_start_at = {};
     /// Returns whether this process has read the platform's endpoints.
     std::function<bool()> has_read_endpoints;
     /// Returns an owner of another shard that was lost and may have left runs
@@ -67,6 +70,8 @@
     /// Tasks of a job from an earlier owner may run on endpoints of other
     /// shards, whose runs this owner cannot list.
     bool was_divided = false;
+    /// This process knows all endpoints where earlier owners may have runs.
+    bool knows_endpoints = false;
     fencing_token token = 0;
     lease_rules lease = {};
     /// Factor by which a task takes longer away from its data.
@@ -172,6 +177,23 @@
     /// assigned to jobs.
     bool is_adopting(support::instant now) const;
 
+    /// Returns whether this process knows all endpoints where earlier owners
+    /// may have runs; at the latest when their leases have lapsed.
+    bool knows_endpoints(support::instant now) const
+    {
+        return this->options.knows_endpoints ||
+               now >= this->predecessors_lapse();
+    }
+    /// This process has learned of all endpoints where earlier owners may have
+    /// runs.
+    void learned_endpoints()
+    {
+        this->options.knows_endpoints = true;
+    }
+    /// Returns the endpoints where this owner may have runs. Their versions are
+    /// not set.
+    std::vector<schema::held_endpoint> held_endpoints() const;
+
     /// Handles deadlines, leases and requests that are due.
     void tick(support::instant now);
 
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -233,6 +233,49 @@
                         .add("outcome", is_used ? "applied" : "remembered"));
 }
 
+void directory::note_held(const schema::held_endpoint& held, instant now)
+{
+    const endpoint_row row{
+        .id = held.entry.id, .entry = held.entry, .version = held.version};
+    if (held.is_listed && !this->is_outdated(row))
+        this->apply_entry(row, now);
+}
+
+bool directory::endpoints_follow_registrations() const
+{
+    const bool follow_others =
+        std::all_of(this->known_hosts.begin(), this->known_hosts.end(),
+                    [this](const auto& host)
+                    { return host.second <= this->endpoints_read_version; });
+    return this->hosts_are_complete && this->endpoints_read_at &&
+           !this->endpoints_are_stale && this->is_registered &&
+           this->own_version <= this->endpoints_read_version && follow_others;
+}
+
+std::vector<schema::held_endpoint>
+directory::unknown_to(const std::string& domain, std::int64_t version) const
+{
+    std::vector<schema::held_endpoint> found;
+    for (const auto& [id, endpoint] : this->known)
+    {
+        if (endpoint.entry.domain != domain ||
+            endpoint.since_version <= version ||
+            found.size() >= support::max_held)
+            continue;
+        schema::held_endpoint& one = found.emplace_back();
+        one.entry = endpoint.entry;
+        one.version = endpoint.since_version;
+        one.is_listed = true;
+    }
+    return found;
+}
+
+std::int64_t directory::known_since(const std::string& id) const
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? 0 : found->second.since_version;
+}
+
 void directory::refresh_endpoints()
 {
     table_state& table = this->state_of(directory_table::endpoints);
@@ -259,7 +302,7 @@
     this->endpoints_read_version = 0;
     // Later rows may have lower versions now.
     for (auto& [id, endpoint] : this->known)
-        endpoint.version = 0;
+        endpoint.version = endpoint.since_version = 0;
     for (auto& [id, endpoint] : this->dropped)
         endpoint.version = 0;
     for (auto& [id, one] : this->news)
@@ -615,6 +658,9 @@
     else if (told != this->news.end())
         this->news.erase(told);
     known_endpoint& endpoint = this->known[row.id];
+    if (endpoint.since_version == 0 ||
+        !is_same_incarnation(endpoint.entry, entry))
+        endpoint.since_version = row.version;
     endpoint.version = version;
     endpoint.missing_since.reset();
     endpoint.is_odd = false;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -63,6 +63,8 @@
       configs(this->options.configs, this->loader_hooks()),
       spread(spread_of(this->options), this->spread_hooks()),
       view(view_of(this->options), now),
+      successors(this->options.successors, {.log = this->hooks.log}),
+      next_succession_update(now),
       intake(intake_of(this->options),
              {.answer = this->hooks.answer,
               .submit = [this](const std::string& owner,
@@ -364,6 +366,7 @@
     this->answered_tokens.erase(peer.name);
     this->answered_by.erase(peer.name);
     this->told_peers.erase(peer.name);
+    this->successors.link_opened(peer.name);
     this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
@@ -376,6 +379,7 @@
     this->hooks.log(log_line("peer_lost").add("peer", peer));
     this->links_have_changed = true;
     this->view.disconnected(peer, now);
+    this->successors.link_closed(peer, now);
     this->spread.peer_lost(peer);
 }
 
@@ -513,8 +517,13 @@
             shard->note_elsewhere(peer, job, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
         this->table.note_leaving(endpoint, now);
+    const bool has_told = heartbeat.__isset.succession &&
+                          this->apply_succession(peer, heartbeat, sent, now);
     this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
+    // The peer may wait for the answer before it uses an endpoint.
+    if (has_told)
+        this->send_heartbeat(peer, this->make_heartbeat(true));
     if (heartbeat.__isset.known_tokens)
         this->answered_by[peer] = heartbeat.known_tokens;
     // Loads are taken over by the next tick.
@@ -606,6 +615,7 @@
         shard->update_doubts(this->table.doubts());
         shard->update_endpoints(listed, now);
     }
+    this->update_succession(now);
     this->deliver_local_results(now);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -70,6 +70,9 @@
     this->table.tick(now);
     this->tick_configs(now);
     this->update_shard_endpoints(now);
+    this->check_first_claims();
+    if (now >= this->next_succession_update)
+        this->update_succession(now);
     this->begin_handover_if_due(now);
     this->update_owned();
     this->offer_shard(now);
@@ -85,6 +88,8 @@
     const bool begins_to_lack =
         !std::exchange(this->lacked_endpoints, lacks_endpoints) &&
         lacks_endpoints;
+    if (this->successors.take_news())
+        this->next_local_heartbeat = now;
     this->send_heartbeats(now, begins_to_lack || this->has_settled_shard());
 }
 
@@ -136,6 +141,7 @@
     this->hooks.log(log_line("pause_detected", support::log_level::warning)
                         .add("gap_ms", support::whole_ms(gap)));
     this->view.reset_silence_timers(now);
+    this->successors.forget_vouches();
     // Others may own the shards by now, and have reached fewer endpoints than
     // this host does. The next owner takes a higher token and lists them all.
     while (!this->shards.empty())
@@ -255,7 +261,13 @@
     const auto answered = this->answered_tokens.find(owner);
     if (answered != this->answered_tokens.end())
         message.beat.__set_known_tokens(answered->second);
-    this->send(owner, message);
+    // It may own shards whose earlier owner could not tell it.
+    const auto version = this->view.endpoints_version_of(owner);
+    std::vector<schema::held_endpoint> known_here;
+    if (version)
+        known_here =
+            this->table.unknown_to(this->view.domain_of(owner), *version);
+    this->send_heartbeat(owner, std::move(message), known_here);
 }
 
 void entry_host::end_answered_adoptions()
@@ -297,6 +309,11 @@
         { this->report_end(host, end); },
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
+        .may_start_at =
+            [this, number](const schema::endpoint_registration& entry) {
+                return this->successors.may_start_at(number, entry,
+                                                     this->current_time);
+            },
         .has_read_endpoints = [this]
         { return this->table.has_read_endpoints(); },
         .find_lost_owner =
@@ -338,6 +355,7 @@
     opts.shard = number;
     opts.shards = this->view.shard_count();
     opts.was_divided = this->view.was_divided_recently(now);
+    opts.knows_endpoints = this->knows_endpoints_of(number, now);
     opts.token = *token;
     auto new_shard =
         std::make_unique<shard_owner>(opts, this->hooks_for_shard(number), now);
@@ -353,6 +371,73 @@
     claimed.update_doubts(this->table.doubts());
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
+    if (this->view.was_never_owned(number))
+        this->first_claims.insert(number);
+    this->update_succession(now);
+}
+
+void entry_host::check_first_claims()
+{
+    if (this->first_claims.empty() ||
+        !this->table.endpoints_follow_registrations())
+        return;
+    for (const int number : std::exchange(this->first_claims, {}))
+        this->shards.at(number)->learned_endpoints();
+}
+
+bool entry_host::knows_endpoints_of(int number, instant now) const
+{
+    const auto last = this->view.last_claim_of(number);
+    return last && this->successors.is_vouched(last->shard, last->token, now);
+}
+
+void entry_host::update_succession(instant now)
+{
+    this->next_succession_update = now + this->options.succession_interval;
+    for (const auto& [number, shard] : this->shards)
+    {
+        std::vector<schema::held_endpoint> held = shard->held_endpoints();
+        for (schema::held_endpoint& endpoint : held)
+            endpoint.version = this->table.known_since(endpoint.entry.id);
+        this->successors.update_shard(number, shard->token(),
+                                      shard->knows_endpoints(now), held);
+    }
+}
+
+void entry_host::send_heartbeat(
+    const std::string& peer, schema::shard_message message,
+    const std::vector<schema::held_endpoint>& known_here)
+{
+    if (this->view.domain_of(peer) == this->options.self.domain)
+    {
+        schema::succession_state state = this->successors.state_for(
+            peer, this->view.may_succeed(peer), this->current_time);
+        for (const schema::held_endpoint& held : known_here)
+            if (state.endpoints.size() < support::max_held)
+                state.endpoints.push_back(held);
+        state.__isset.endpoints = !state.endpoints.empty();
+        std::vector<int> never_owned = this->view.never_owned();
+        if (!never_owned.empty())
+            state.__set_never_owned(std::move(never_owned));
+        message.beat.__set_succession(std::move(state));
+    }
+    this->send(peer, std::move(message));
+}
+
+bool entry_host::apply_succession(const std::string& peer,
+                                  const schema::shard_heartbeat& heartbeat,
+                                  std::optional<instant> sent, instant now)
+{
+    if (this->view.domain_of(peer) != this->options.self.domain)
+        return false;
+    for (const schema::held_endpoint& held : heartbeat.succession.endpoints)
+    {
+        if (held.entry.domain != this->options.self.domain)
+            continue;
+        this->table.note_held(held, now);
+    }
+    return this->successors.heard(peer, heartbeat.succession,
+                                  heartbeat.endpoints_version, sent, now);
 }
 
 void entry_host::log_claim(int number, fencing_token token, instant now)
@@ -384,14 +469,19 @@
                  ms_since(this->table.last_endpoint_read()))
             .add("endpoints",
                  static_cast<std::int64_t>(this->table.endpoint_count()))
-            .add("endpoints_complete",
-                 this->table.endpoints_are_complete(now)));
+            .add("endpoints_complete", this->table.endpoints_are_complete(now))
+            .add("endpoints_vouched", this->knows_endpoints_of(number, now)));
 }
 
 void entry_host::release_shard(int number, const std::string& reason,
                                instant now)
 {
     const shard_owner& shard = *this->shards.at(number);
+    // In other cases another owner may have followed that is not known here.
+    if (reason == "shards_divided" && shard.knows_endpoints(now))
+        this->successors.vouch_for_own(number, shard.token(), now);
+    this->successors.release_shard(number);
+    this->first_claims.erase(number);
     this->hooks.log(
         log_line("shard_released")
             .add("shard", number)
@@ -493,16 +583,16 @@
             is_local || holders.contains(peer) ? local_is_due : remote_is_due;
         if (!is_due)
             continue;
-        const schema::shard_message& usual = is_local ? local : remote;
         std::vector<schema::leaving_endpoint> news = this->news_for(peer, now);
-        if (news.empty())
+        const schema::shard_message& usual = is_local ? local : remote;
+        if (!is_local && news.empty())
         {
             this->send(peer, usual);
             continue;
         }
-        schema::shard_message with_leaving = usual;
-        with_leaving.beat.leaving = std::move(news);
-        this->send(peer, with_leaving);
+        schema::shard_message with_news = usual;
+        with_news.beat.leaving = std::move(news);
+        this->send_heartbeat(peer, std::move(with_news));
     }
     if (local_is_due)
         this->next_local_heartbeat =
@@ -543,7 +633,7 @@
         schema::shard_message message = this->make_heartbeat(
             this->view.domain_of(peer) == this->options.self.domain);
         message.beat.leaving = std::move(news);
-        this->send(peer, message);
+        this->send_heartbeat(peer, std::move(message));
     }
 }
 
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -300,6 +300,10 @@
         const auto peer = this->peers.find(found->second.host);
         const bool is_peer = peer != this->peers.end();
         owner.host = found->second.host;
+        const int shards_there =
+            is_peer ? peer->second.last_heartbeat.shard_count : this->shards;
+        this->last_claims[{std::max(shards_there, 1), shard}] =
+            found->second.token;
         owner.nonce = is_peer ? peer->second.identity.nonce : 0;
         owner.heard_at = is_peer ? peer->second.last_received : now;
     }
@@ -400,6 +404,14 @@
     return found != this->peers.end() && this->is_live(found->second);
 }
 
+bool host_view::may_succeed(const std::string& peer) const
+{
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() && found->second.has_heartbeat &&
+           !found->second.last_heartbeat.is_stopping &&
+           this->is_live(found->second);
+}
+
 bool host_view::is_isolated() const
 {
     // The longest time between the losses of two peers in one cut.
@@ -585,6 +597,57 @@
                : std::optional<claim_basis>(found->second);
 }
 
+std::optional<shard_claim> host_view::last_claim_of(int shard) const
+{
+    // Counts of shards are powers of two, and an endpoint's shard is the
+    // remainder of its digest.
+    for (int count = this->shards; count > 0; count /= 2)
+    {
+        const int number = shard % count;
+        const auto found = this->last_claims.find({count, number});
+        if (found != this->last_claims.end())
+            return shard_claim{.shard = number, .token = found->second};
+    }
+    return std::nullopt;
+}
+
+std::vector<int> host_view::never_owned() const
+{
+    std::vector<int> found;
+    for (int shard = 0; shard < this->shards; ++shard)
+        if (!this->last_claim_of(shard))
+            found.push_back(shard);
+    return found;
+}
+
+bool host_view::was_never_owned(int shard) const
+{
+    const auto says_so = [shard](const peer_state& peer)
+    {
+        const schema::shard_heartbeat& heartbeat = peer.last_heartbeat;
+        const int number = shard % std::max(heartbeat.shard_count, 1);
+        const auto& never = heartbeat.succession.never_owned;
+        return peer.is_connected && peer.has_heartbeat &&
+               std::find(never.begin(), never.end(), number) != never.end();
+    };
+    const bool all_listed_say_so = std::all_of(
+        this->listed.begin(), this->listed.end(),
+        [this, &says_so](const std::string& host)
+        {
+            const auto found = this->peers.find(host);
+            return found != this->peers.end() && says_so(found->second);
+        });
+    return all_listed_say_so && !this->last_claim_of(shard) &&
+           std::all_of(this->peers.begin(), this->peers.end(),
+                       [this, &says_so](const auto& entry)
+                       {
+                           const peer_state& peer = entry.second;
+                           return peer.identity.domain !=
+                                      this->options.self.domain ||
+                                  says_so(peer);
+                       });
+}
+
 double host_view::best_share_of_others(instant now,
                                        support::milliseconds span) const
 {
--- a/shard/lib/messages.cpp
+++ b/shard/lib/messages.cpp
@@ -7,6 +7,13 @@
 namespace chicorydrum::shard
 {
 
+bool is_same_incarnation(const schema::endpoint_registration& one,
+                         const schema::endpoint_registration& other)
+{
+    return one.born_ms == other.born_ms && one.address == other.address &&
+           one.port == other.port;
+}
+
 int shard_of(const std::string& id, int shards)
 {
     if (shards <= 1)
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -112,7 +112,8 @@
     // the predecessor can have given.
     if (now >= this->predecessors_lapse())
         return true;
-    return this->inquiry_has_ended && this->hooks.has_read_endpoints() &&
+    return this->options.knows_endpoints && this->inquiry_has_ended &&
+           this->hooks.has_read_endpoints() &&
            std::none_of(this->endpoints.begin(), this->endpoints.end(),
                         [this, now](const auto& entry)
                         {
@@ -153,7 +154,8 @@
     const bool was_divided =
         this->options.was_divided ||
         job.first_shards.value_or(this->options.shards) != this->options.shards;
-    return !was_divided && this->hooks.endpoints_are_complete() &&
+    return !was_divided && this->knows_endpoints(now) &&
+           this->hooks.endpoints_are_complete() &&
            this->has_listed_all_since(job.received, now);
 }
 
@@ -241,7 +243,10 @@
             (group.max_per_endpoint > 0 &&
              record->lease.runs_of_group(job.id(), task.group) >=
                  group.max_per_endpoint);
-        if (is_full)
+        const bool is_withheld =
+            this->hooks.may_start_at &&
+            !this->hooks.may_start_at(record->lease.entry());
+        if (is_full || is_withheld)
             continue;
         // An endpoint where the task did not complete is chosen last.
         if (id == state.endpoint)
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -131,6 +131,20 @@
     }
 }
 
+std::vector<schema::held_endpoint> shard_owner::held_endpoints() const
+{
+    std::vector<schema::held_endpoint> held;
+    for (const auto& [id, record] : this->endpoints)
+    {
+        if (!record->is_listed)
+            continue;
+        schema::held_endpoint& one = held.emplace_back();
+        one.entry = record->lease.entry();
+        one.is_listed = record->is_listed;
+    }
+    return held;
+}
+
 endpoint_record&
 shard_owner::add_endpoint(const schema::endpoint_registration& entry,
                           instant now)
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -929,6 +929,64 @@
     BOOST_TEST(this->table.leaving("D1", 0, 0, this->now).endpoints.empty());
 }
 
+// An owner has read a later row than this host, whose reads are behind.
+BOOST_FIXTURE_TEST_CASE(endpoint_that_an_owner_has_told_is_used,
+                        directory_fixture)
+{
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 10;
+    this->answer(rows);
+    schema::held_endpoint held;
+    held.entry.id = "e1";
+    held.entry.domain = "D1";
+    held.entry.born_ms = 1;
+    held.version = 20;
+    held.is_listed = true;
+    this->table.note_held(held, this->now);
+    BOOST_TEST(this->table.endpoints().size() == 1);
+    BOOST_TEST(this->table.known_since("e1") == 20);
+    // A read of earlier rows does not show that it has left.
+    rows.version = 19;
+    this->answer(rows);
+    this->run_for(milliseconds(5000));
+    BOOST_TEST(this->table.endpoints().size() == 1);
+    rows.version = 21;
+    this->answer(rows);
+    this->run_for(milliseconds(5000));
+    BOOST_TEST(this->table.endpoints().empty());
+    // What is told late does not bring it back.
+    this->table.note_held(held, this->now);
+    BOOST_TEST(this->table.endpoints().empty());
+}
+
+// Each report of an endpoint is a later row of the same incarnation.
+BOOST_FIXTURE_TEST_CASE(known_since_counts_incarnations, directory_fixture)
+{
+    schema::endpoint_registration entry;
+    entry.id = "e1";
+    entry.born_ms = 1;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 10;
+    rows.endpoints = {{.id = "e1", .entry = entry, .version = 10}};
+    this->answer(rows);
+    rows.version = 11;
+    rows.endpoints = {{.id = "e1", .entry = entry, .version = 11}};
+    this->answer(rows);
+    BOOST_TEST(this->table.known_since("e1") == 10);
+    entry.born_ms = 2;
+    rows.version = 12;
+    rows.endpoints = {{.id = "e1", .entry = entry, .version = 12}};
+    this->answer(rows);
+    BOOST_TEST(this->table.known_since("e1") == 12);
+    BOOST_TEST(this->table.known_since("e2") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -84,6 +84,25 @@
         .outcome();
 }
 
+result<void> check_succession(const schema::succession_state& state)
+{
+    range_check checked;
+    checked.integer("told", state.told, 0, max_exact_integer)
+        .integer("heard", state.heard, 0, max_exact_integer)
+        .require(state.endpoints.size() <= max_held, "endpoints",
+                 "a short list")
+        .require(state.vouched.size() <= max_shards, "vouched", "a short list")
+        .require(state.never_owned.size() <= max_shards, "never_owned",
+                 "a short list");
+    for (const schema::held_endpoint& held : state.endpoints)
+        checked.include(check(held.entry))
+            .integer("version", held.version, 0, max_exact_integer);
+    for (const auto& [shard, token] : state.vouched)
+        checked.integer("shard", shard, 0, max_shards - 1)
+            .integer("token", token, 1, max_owner_token);
+    return checked.outcome();
+}
+
 result<void> check_heartbeat(const schema::shard_heartbeat& heartbeat)
 {
     range_check checked;
@@ -134,6 +153,8 @@
                 .integer("born_ms", endpoint.born_ms, 0, max_exact_integer)
                 .integer("version", endpoint.version, 0, max_exact_integer)
                 .outcome());
+    if (heartbeat.__isset.succession)
+        checked.include(check_succession(heartbeat.succession));
     for (const auto& [route, count] : heartbeat.waiting)
         checked.require(count >= 0, "waiting", "a count");
     return checked.outcome();
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -41,7 +41,10 @@
 {
 public:
     explicit scripted_owner(milliseconds settling_time = milliseconds(0))
-        : owner({.domain = "D1", .token = 5, .settling_time = settling_time},
+        : owner({.domain = "D1",
+                 .knows_endpoints = true,
+                 .token = 5,
+                 .settling_time = settling_time},
                 {.next_order = [this] { return ++this->last_order; },
                  .start = [this](const shard::start_order& order)
                  { this->starts.push_back(order); },
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -803,7 +803,21 @@
 {
     this->trace("read_lag ms=" + std::to_string(lag.count()));
     this->read_lag = lag;
-    this->set_store_disturbed(lag.count() > 0 || !this->store_is_up);
+    this->set_store_disturbed(lag.count() > 0 || !this->host_lags.empty() ||
+                              !this->store_is_up);
+}
+
+void shard_fleet::set_read_lag(const std::string& host, milliseconds lag)
+{
+    this->trace("read_lag " + host + " ms=" + std::to_string(lag.count()));
+    this->host_lags[host] = {.lag = lag, .history_from = this->store_version};
+    this->set_store_disturbed(true);
+}
+
+void shard_fleet::end_read_lags()
+{
+    this->host_lags.clear();
+    this->set_read_lag(milliseconds(0));
 }
 
 void shard_fleet::set_read_delay(const std::string& host, milliseconds delay)
@@ -841,7 +855,8 @@
 void shard_fleet::set_store_up(bool is_up)
 {
     this->store_is_up = is_up;
-    this->set_store_disturbed(!is_up || this->read_lag.count() > 0);
+    this->set_store_disturbed(!is_up || this->read_lag.count() > 0 ||
+                              !this->host_lags.empty());
 }
 
 void shard_fleet::discard_history()
@@ -885,6 +900,14 @@
     auto delay = support::duration_cast<support::microseconds>(store_timeout);
     if (reaches)
     {
+        const auto own_lag = this->host_lags.find(name);
+        const bool has_own_lag = own_lag != this->host_lags.end();
+        const milliseconds lag =
+            has_own_lag ? own_lag->second.lag : this->read_lag;
+        const std::int64_t first_change =
+            has_own_lag
+                ? std::max(this->history_from, own_lag->second.history_from)
+                : this->history_from;
         delay = usual;
         const bool is_new =
             std::any_of(this->rows_of(wanted.table).begin(),
@@ -905,16 +928,15 @@
             return;
         }
         rows.status = shard::read_status::read;
-        rows.version = wanted.wants_all ? this->version_before(this->read_lag)
-                                        : this->store_version;
+        rows.version =
+            wanted.wants_all ? this->version_before(lag) : this->store_version;
         rows.is_whole = wanted.wants_all;
-        if (!rows.is_whole && wanted.after < this->history_from)
+        if (!rows.is_whole && wanted.after < first_change)
             rows.status = shard::read_status::history_lost;
         else if (!wanted.wants_all)
             this->append_changes(rows, wanted.after);
         else
-            for (const auto& [key, row] :
-                 this->rows_before(wanted.table, this->read_lag))
+            for (const auto& [key, row] : this->rows_before(wanted.table, lag))
                 if (!row.is_removed)
                     append_row(rows, key, row);
         delay +=
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -183,6 +183,11 @@
     void discard_history();
     /// Makes reads of whole tables show the rows as they were \p lag ago.
     void set_read_lag(support::milliseconds lag);
+    /// The same for the reads of one host, which has lost the history of
+    /// changes.
+    void set_read_lag(const std::string& host, support::milliseconds lag);
+    /// Ends the lag of the reads of all hosts.
+    void end_read_lags();
     /// Makes the store take \p delay for each read of \p host; the answer shows
     /// the rows as they were when it was asked for.
     void set_read_delay(const std::string& host, support::milliseconds delay);
@@ -397,6 +402,13 @@
     /// All changes of each table, for reads of earlier rows.
     std::array<std::vector<row_change>, shard::directory_tables> changes;
     support::milliseconds read_lag{0};
+    struct host_lag
+    {
+        support::milliseconds lag{0};
+        /// Changes up to this version are lost for the host.
+        std::int64_t history_from = 0;
+    };
+    std::map<std::string, host_lag> host_lags;
     /// By host; other reads take the usual time.
     std::map<std::string, support::milliseconds> read_delays;
     std::map<std::string, support::milliseconds> peer_delays;
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -2,6 +2,7 @@
 /// Seeded random sessions of entry hosts in virtual time, with mixed faults.
 #include "losses_session.hpp"
 #include "shard_fleet.hpp"
+#include "successor_session.hpp"
 
 #include <algorithm>
 #include <array>
@@ -892,7 +893,8 @@
     const std::string wanted = arguments.at("--mix").asString();
     const auto named = std::find(mix_names.begin(), mix_names.end(), wanted);
     const bool are_losses = wanted == "losses";
-    if (named == mix_names.end() && !are_losses)
+    const bool are_successors = wanted == "successors";
+    if (named == mix_names.end() && !are_losses && !are_successors)
     {
         std::cerr << usage;
         return 2;
@@ -905,6 +907,9 @@
         if (are_losses)
             has_failed =
                 fails(losses_session(seed, is_verbose), seed, is_verbose);
+        else if (are_successors)
+            has_failed =
+                fails(successor_session(seed, is_verbose), seed, is_verbose);
         else
         {
             const auto mix = static_cast<fault_mix>(named - mix_names.begin());
