A successor knows the endpoints that have lost their entries

An endpoint lost the store for some seconds while it was at work, so that its entry lapsed; its owner went on with the run. Another host was restarted meanwhile, took the shard over (planned stop, kill or silence of the owner), and started the task elsewhere.

Cause: endpoints without an entry were known to the processes that had seen the entry leave, for 30 s, and to nobody else. A process that started later, or a task that ran longer, had none. Three related paths had the same cause, and are shown by their own cases: a task that runs for longer than the 30 s; an owner that has lost the store itself and does not see the entry lapse; a second successor that follows before the first has listed anything.

Fix: owners also tell of the endpoints that they hold without an entry, again every 10 s, and vouch only to hosts that have acknowledged them. An owner whose own reads are older than 10 s tells of all its endpoints. Hosts keep what they are told for 30 s, list it when they take the shard over, and name it to new owners, which list it also after their claim while they wait.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -170,7 +170,8 @@
     support::milliseconds stable_registration{5000};
     /// Malformed rows of each table that are logged, each of them once.
     std::size_t max_logged_rows = 100;
-    /// How long a task that was started before may run at a dropped endpoint.
+    /// How long a task that was started before may run at a dropped endpoint
+    /// without its owner telling of it, which owners do more often.
     support::milliseconds dropped_lately{30000};
     /// Dropped endpoints that are remembered.
     std::size_t max_dropped = 4096;
@@ -267,15 +268,17 @@
     /// also those that are read later, say nothing against it.
     void note_leaving(const schema::leaving_endpoint& endpoint,
                       support::instant now);
-    /// An owner of this host's domain has runs at an endpoint, whose row may be
-    /// later than what was read here.
+    /// An owner of this host's domain may have runs at an endpoint. Its row may
+    /// be later than what was read here, or gone.
     void note_held(const schema::held_endpoint& held, support::instant now);
     /// Returns endpoints of \p domain that a host which has read the store up
     /// to \p version may not know, as many as one message tells.
     std::vector<schema::held_endpoint> unknown_to(const std::string& domain,
-                                                  std::int64_t version) const;
+                                                  std::int64_t version,
+                                                  support::instant now) const;
     /// Returns the version at which the present incarnation of endpoint \p id
-    /// was first read or heard of, or 0 if that is not known.
+    /// was first read or heard of, or its row was last seen missing; 0 if that
+    /// is not known.
     std::int64_t known_since(const std::string& id) const;
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
@@ -438,6 +441,9 @@
     bool remember_leaving(const schema::leaving_endpoint& endpoint,
                           support::instant now);
     void drop_missing_endpoints(support::instant now);
+    /// Keeps the entry of an endpoint that is not in the store for a time.
+    void remember_dropped(const schema::endpoint_registration& entry,
+                          std::int64_t version, support::instant now);
     void write_registration(support::instant now);
     /// Writes the registration again: at once after a stable registration, then
     /// with an increasing delay.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -88,6 +88,9 @@
     int max_shards = support::max_shards;
     /// Interval between looks at what the shards' endpoints are.
     support::milliseconds succession_interval{500};
+    /// An owner whose last read of the endpoints is this old tells of all of
+    /// them: others forget endpoints that they have dropped 30 s ago.
+    support::milliseconds old_reads{10000};
     /// How long a shard is offered to stronger hosts before the offer ends.
     support::milliseconds offer_time{1000};
     /// When the last tick is this long ago, the process was paused. Shorter
--- a/shard/include/chicorydrum/shard/succession.hpp
+++ b/shard/include/chicorydrum/shard/succession.hpp
@@ -35,6 +35,9 @@
     /// Endpoints that one message tells, about 2 KB, so that heartbeats do not
     /// queue for long in a link of 1 Mbit/s.
     std::size_t max_told = 16;
+    /// Interval at which endpoints that the store does not list are told again.
+    /// Hosts remember them for three times as long.
+    support::milliseconds repeat_interval{10000};
 };
 
 struct succession_hooks
@@ -52,7 +55,8 @@
     /// Sets the endpoints of an owned shard. \p knows_predecessors if this
     /// owner knows all those where earlier owners may have runs.
     void update_shard(int shard, fencing_token token, bool knows_predecessors,
-                      const std::vector<schema::held_endpoint>& held);
+                      const std::vector<schema::held_endpoint>& held,
+                      support::instant now);
     void release_shard(int shard);
     /// Returns whether tasks may start at an endpoint of an owned shard: all
     /// hosts that were vouched to know this incarnation.
@@ -97,6 +101,8 @@
         schema::held_endpoint held;
         /// Unique among all endpoints that this process has had.
         std::int64_t number = 0;
+        /// When it got its number.
+        support::instant numbered_at = {};
         /// Tasks may have been started there.
         bool is_used = false;
     };
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -237,8 +237,34 @@
 {
     const endpoint_row row{
         .id = held.entry.id, .entry = held.entry, .version = held.version};
-    if (held.is_listed && !this->is_outdated(row))
+    const auto found = this->known.find(row.id);
+    const bool is_known = found != this->known.end();
+    // An incarnation that this host has not read may be gone from the store.
+    const bool is_later = is_known && row.version > found->second.version &&
+                          !is_same_incarnation(found->second.entry, held.entry);
+    if (is_later || (held.is_listed && !this->is_outdated(row)))
         this->apply_entry(row, now);
+    else if (!is_known)
+        this->remember_dropped(held.entry, held.version, now);
+}
+
+void directory::remember_dropped(const schema::endpoint_registration& entry,
+                                 std::int64_t version, instant now)
+{
+    const auto found = this->dropped.find(entry.id);
+    if (found != this->dropped.end())
+    {
+        dropped_endpoint& before = found->second;
+        if (version >= before.version)
+            before.entry = entry;
+        before.version = std::max(before.version, version);
+        before.dropped_at = now;
+        return;
+    }
+    if (this->dropped.size() >= this->options.max_dropped)
+        this->dropped.clear();
+    this->dropped[entry.id] = {
+        .entry = entry, .version = version, .dropped_at = now};
 }
 
 bool directory::endpoints_follow_registrations() const
@@ -253,9 +279,20 @@
 }
 
 std::vector<schema::held_endpoint>
-directory::unknown_to(const std::string& domain, std::int64_t version) const
+directory::unknown_to(const std::string& domain, std::int64_t version,
+                      instant now) const
 {
     std::vector<schema::held_endpoint> found;
+    for (const auto& [id, endpoint] : this->dropped)
+    {
+        if (endpoint.entry.domain != domain ||
+            now - endpoint.dropped_at >= this->options.dropped_lately ||
+            found.size() >= support::max_held)
+            continue;
+        schema::held_endpoint& one = found.emplace_back();
+        one.entry = endpoint.entry;
+        one.version = endpoint.version;
+    }
     for (const auto& [id, endpoint] : this->known)
     {
         if (endpoint.entry.domain != domain ||
@@ -273,7 +310,10 @@
 std::int64_t directory::known_since(const std::string& id) const
 {
     const auto found = this->known.find(id);
-    return found == this->known.end() ? 0 : found->second.since_version;
+    if (found != this->known.end())
+        return found->second.since_version;
+    const auto gone = this->dropped.find(id);
+    return gone == this->dropped.end() ? 0 : gone->second.version;
 }
 
 void directory::refresh_endpoints()
@@ -763,11 +803,7 @@
                 now - *endpoint.missing_since > this->options.missing_grace;
             if (!is_gone)
                 return false;
-            if (this->dropped.size() >= this->options.max_dropped)
-                this->dropped.clear();
-            this->dropped[entry.first] = {.entry = endpoint.entry,
-                                          .version = endpoint.version,
-                                          .dropped_at = now};
+            this->remember_dropped(endpoint.entry, endpoint.version, now);
             const auto told = this->news.find(entry.first);
             if (told != this->news.end())
                 told->second.as_of = now;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -265,8 +265,8 @@
     const auto version = this->view.endpoints_version_of(owner);
     std::vector<schema::held_endpoint> known_here;
     if (version)
-        known_here =
-            this->table.unknown_to(this->view.domain_of(owner), *version);
+        known_here = this->table.unknown_to(this->view.domain_of(owner),
+                                            *version, this->current_time);
     this->send_heartbeat(owner, std::move(message), known_here);
 }
 
@@ -394,13 +394,26 @@
 void entry_host::update_succession(instant now)
 {
     this->next_succession_update = now + this->options.succession_interval;
+    // Entries that have lapsed since the last read are dropped by others.
+    const auto read_as_of = this->table.endpoints_as_of();
+    const bool has_old_reads =
+        !read_as_of || now - *read_as_of >= this->options.old_reads;
     for (const auto& [number, shard] : this->shards)
     {
         std::vector<schema::held_endpoint> held = shard->held_endpoints();
         for (schema::held_endpoint& endpoint : held)
+        {
             endpoint.version = this->table.known_since(endpoint.entry.id);
+            if (!endpoint.is_listed)
+                this->table.note_held(endpoint, now);
+            if (!has_old_reads || !endpoint.is_listed)
+                continue;
+            endpoint.is_listed = false;
+            // Whoever finds a row of it may use that.
+            endpoint.version = 0;
+        }
         this->successors.update_shard(number, shard->token(),
-                                      shard->knows_endpoints(now), held);
+                                      shard->knows_endpoints(now), held, now);
     }
 }
 
@@ -436,6 +449,11 @@
             continue;
         this->table.note_held(held, now);
     }
+    // Until then, runs may be found there that this host does not know of.
+    const bool is_told = !heartbeat.succession.endpoints.empty();
+    for (const auto& [number, shard] : this->shards)
+        if (is_told && !shard->knows_endpoints(now))
+            shard->list_leftovers(this->table.lately_dropped(now), now);
     return this->successors.heard(peer, heartbeat.succession,
                                   heartbeat.endpoints_version, sent, now);
 }
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -136,8 +136,6 @@
     std::vector<schema::held_endpoint> held;
     for (const auto& [id, record] : this->endpoints)
     {
-        if (!record->is_listed)
-            continue;
         schema::held_endpoint& one = held.emplace_back();
         one.entry = record->lease.entry();
         one.is_listed = record->is_listed;
--- a/shard/lib/succession.cpp
+++ b/shard/lib/succession.cpp
@@ -41,7 +41,8 @@
 
 void succession::update_shard(int shard, fencing_token token,
                               bool knows_predecessors,
-                              const std::vector<schema::held_endpoint>& held)
+                              const std::vector<schema::held_endpoint>& held,
+                              instant now)
 {
     held_shard& state = this->shards[shard];
     if (state.token != token)
@@ -55,11 +56,14 @@
         const bool is_same =
             endpoint.number > 0 &&
             is_same_incarnation(endpoint.held.entry, one.entry);
-        if (is_same && endpoint.held.is_listed == one.is_listed)
+        const bool is_due = !one.is_listed && now - endpoint.numbered_at >=
+                                                  this->options.repeat_interval;
+        if (is_same && endpoint.held.is_listed == one.is_listed && !is_due)
             continue;
         endpoint.is_used = is_same && endpoint.is_used;
         endpoint.held = one;
         endpoint.number = ++this->last_number;
+        endpoint.numbered_at = now;
         this->has_news = true;
     }
     std::erase_if(state.endpoints, [&present](const auto& entry)
--- a/shard/unittests/succession_test.cpp
+++ b/shard/unittests/succession_test.cpp
@@ -65,7 +65,7 @@
 BOOST_AUTO_TEST_CASE(owner_vouches_for_endpoints_that_the_peer_has_read)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {held("e1", read_to)});
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to)}, start);
     BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
     // The first message of a link precedes the peer's.
     hosts.exchange(start);
@@ -83,7 +83,7 @@
 {
     pair_of_hosts hosts;
     hosts.exchange(start);
-    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)});
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)}, start);
     BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
     BOOST_TEST(hosts.owner.take_news());
     BOOST_TEST(!hosts.owner.take_news());
@@ -100,19 +100,19 @@
 BOOST_AUTO_TEST_CASE(new_endpoint_is_not_used_before_it_is_known)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {held("e1", 1)});
+    hosts.owner.update_shard(0, token, true, {held("e1", 1)}, start);
     hosts.owner.may_start_at(0, held("e1", 0).entry, start);
     hosts.exchange(start);
     hosts.exchange(start);
     hosts.owner.update_shard(0, token, true,
-                             {held("e1", 1), held("e2", read_to + 1)});
+                             {held("e1", 1), held("e2", read_to + 1)}, start);
     BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
     BOOST_TEST(!hosts.owner.may_start_at(0, held("e2", 0).entry, start));
     hosts.exchange(start);
     BOOST_TEST(hosts.owner.may_start_at(0, held("e2", 0).entry, start));
     // A new incarnation is a new endpoint.
-    hosts.owner.update_shard(0, token, true,
-                             {held("e1", 1), held("e2", read_to + 2, 2)});
+    hosts.owner.update_shard(
+        0, token, true, {held("e1", 1), held("e2", read_to + 2, 2)}, start);
     BOOST_TEST(!hosts.owner.may_start_at(0, held("e2", 0, 1).entry, start));
     BOOST_TEST(!hosts.owner.may_start_at(0, held("e2", 0, 2).entry, start));
 }
@@ -122,12 +122,12 @@
 BOOST_AUTO_TEST_CASE(vouch_runs_out_at_the_successor_first)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {});
+    hosts.owner.update_shard(0, token, true, {}, start);
     hosts.exchange(start);
     hosts.exchange(start);
     const milliseconds span = succession_options().vouch_time;
     const milliseconds margin = succession_options().vouch_margin;
-    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)});
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)}, start);
     const auto may_start = [&hosts](instant now)
     {
         return hosts.owner.may_start_at(0, held("e1", 0).entry, now);
@@ -145,7 +145,7 @@
 BOOST_AUTO_TEST_CASE(vouch_counts_from_when_it_was_sent)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {});
+    hosts.owner.update_shard(0, token, true, {}, start);
     hosts.exchange(start);
     const auto state = hosts.owner.state_for("successor", true, start);
     const milliseconds span = succession_options().vouch_time;
@@ -160,7 +160,7 @@
 BOOST_AUTO_TEST_CASE(paused_process_forgets_vouches)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {});
+    hosts.owner.update_shard(0, token, true, {}, start);
     hosts.exchange(start);
     hosts.exchange(start);
     BOOST_TEST(hosts.successor.is_vouched(0, token, start));
@@ -171,11 +171,11 @@
 BOOST_AUTO_TEST_CASE(no_vouch_of_an_owner_without_knowledge)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, false, {});
+    hosts.owner.update_shard(0, token, false, {}, start);
     hosts.exchange(start);
     hosts.exchange(start);
     BOOST_TEST(!hosts.successor.is_vouched(0, token, start));
-    hosts.owner.update_shard(0, token, true, {});
+    hosts.owner.update_shard(0, token, true, {}, start);
     hosts.exchange(start, false);
     BOOST_TEST(!hosts.successor.is_vouched(0, token, start));
 }
@@ -184,7 +184,7 @@
 BOOST_AUTO_TEST_CASE(new_link_starts_with_nothing_told)
 {
     pair_of_hosts hosts;
-    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)});
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)}, start);
     hosts.owner.may_start_at(0, held("e1", 0).entry, start);
     hosts.exchange(start);
     hosts.owner.link_opened("successor");
@@ -203,7 +203,7 @@
     const std::size_t part = succession_options().max_told;
     for (std::size_t i = 0; i < 2 * part + 1; ++i)
         many.push_back(held("e" + std::to_string(i), read_to + 1));
-    hosts.owner.update_shard(0, token, true, many);
+    hosts.owner.update_shard(0, token, true, many, start);
     for (const auto& one : many)
         hosts.owner.may_start_at(0, one.entry, start);
     BOOST_TEST(hosts.exchange(start).endpoints.size() == part);
--- a/test/shards/successor_test.cpp
+++ b/test/shards/successor_test.cpp
@@ -31,39 +31,52 @@
 {
     const char* name;
     std::function<void(shard_fleet& fleet, const std::string& owner)> apply;
+    /// Its links stay open, so that it takes longer to be succeeded.
+    bool is_silent = false;
 };
 
 const std::vector<owner_end>& owner_ends()
 {
     static const std::vector<owner_end> ends = {
-        {"planned stop",
-         [](shard_fleet& fleet, const std::string& owner)
+        {.name = "planned stop",
+         .apply =
+             [](shard_fleet& fleet, const std::string& owner)
          {
              fleet.stop_gracefully(owner);
          }},
-        {"kill",
-         [](shard_fleet& fleet, const std::string& owner)
+        {.name = "kill",
+         .apply =
+             [](shard_fleet& fleet, const std::string& owner)
          {
              fleet.kill(owner);
          }},
-        {"silence", [](shard_fleet& fleet, const std::string& owner)
-         {
-             fleet.lose_power(owner);
-         }}};
+        {.name = "silence",
+         .apply = [](shard_fleet& fleet, const std::string& owner)
+         { fleet.lose_power(owner); },
+         .is_silent = true}};
     return ends;
 }
 
 /// An installation of one domain, and the parts that its hosts play.
 struct succession
 {
-    explicit succession(int endpoints)
-        : fleet({.endpoints_per_domain = endpoints})
+    explicit succession(int endpoints, int hosts = 3)
+        : fleet({.hosts_per_domain = hosts, .endpoints_per_domain = endpoints})
     {
         this->fleet.run_for(long_after_start);
         this->owner = this->fleet.owner_of("D1");
         BOOST_TEST(this->owner == "D1-h1");
     }
 
+    /// Starts the successor's process again in a planned restart.
+    void restart_successor()
+    {
+        this->fleet.stop_gracefully(this->successor);
+        this->fleet.run_for(milliseconds(2600));
+        BOOST_TEST(this->fleet.host(this->successor) == nullptr);
+        this->fleet.start(this->successor);
+    }
+
     shard_fleet fleet;
     std::string owner;
     /// Of hosts with equal power the first by name claims the shard.
@@ -109,6 +122,179 @@
             }
 }
 
+// The entry of an endpoint lapses while it is at work, and a host that starts
+// afterwards takes the shard over. It must not start the task elsewhere.
+BOOST_AUTO_TEST_CASE(successor_started_after_an_entry_has_lapsed)
+{
+    for (const owner_end& end : owner_ends())
+        for (int offset = 0; offset <= 5000; offset += 250)
+            BOOST_TEST_CONTEXT(end.name << " offset " << offset)
+            {
+                succession hosts(2);
+                shard_fleet& fleet = hosts.fleet;
+                const std::string job =
+                    fleet.submit(hosts.entry, very_long_task);
+                fleet.run_for(milliseconds(100));
+                BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 1);
+                fleet.remove_endpoint("D1-e1");
+                hosts.restart_successor();
+                fleet.run_for(milliseconds(offset));
+                end.apply(fleet, hosts.owner);
+                fleet.run_for(milliseconds(20000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                // The endpoint itself ends the run if the owner falls silent
+                // just when the successor starts.
+                const bool may_lapse = end.is_silent && offset == 0;
+                BOOST_TEST((fleet.starts_of(job) == 1 || may_lapse));
+                check_no_violations(fleet);
+            }
+}
+
+// The entry host is lost, then the owner before it has stopped the run, and the
+// caller sends the job again to the successor. A copy must not run beside the
+// first run.
+BOOST_AUTO_TEST_CASE(copy_at_a_successor_without_the_entry)
+{
+    for (const owner_end& end : owner_ends())
+        for (int offset = 1000; offset <= 4000; offset += 500)
+            for (int later = 0; later <= 600; later += 50)
+                BOOST_TEST_CONTEXT(end.name << " offset " << offset << " later "
+                                            << later)
+                {
+                    succession hosts(2);
+                    shard_fleet& fleet = hosts.fleet;
+                    const std::string job =
+                        fleet.submit(hosts.entry, very_long_task);
+                    fleet.run_for(milliseconds(100));
+                    fleet.remove_endpoint("D1-e1");
+                    hosts.restart_successor();
+                    fleet.run_for(milliseconds(offset));
+                    fleet.send_copies_to(hosts.successor);
+                    fleet.lose_power(hosts.entry);
+                    fleet.run_for(milliseconds(later));
+                    end.apply(fleet, hosts.owner);
+                    fleet.run_for(milliseconds(25000));
+                    BOOST_TEST(
+                        (fleet.caller(job).answer == answer_kind::completed));
+                    check_no_violations(fleet);
+                }
+}
+
+// A task runs for longer than hosts keep dropped entries, at an endpoint that
+// has lost the store for as long.
+BOOST_AUTO_TEST_CASE(entry_lapsed_long_before_the_takeover)
+{
+    for (const owner_end& end : owner_ends())
+        for (const bool restarts : {false, true})
+            BOOST_TEST_CONTEXT(end.name << " restarts " << restarts)
+            {
+                succession hosts(2);
+                shard_fleet& fleet = hosts.fleet;
+                const std::string job =
+                    fleet.submit(hosts.entry, {.tasks = 1,
+                                               .millicores = 12000,
+                                               .work = milliseconds(45000),
+                                               .timeout = milliseconds(90000)});
+                fleet.run_for(milliseconds(100));
+                fleet.remove_endpoint("D1-e1");
+                fleet.run_for(milliseconds(36000));
+                if (restarts)
+                    hosts.restart_successor();
+                fleet.run_for(milliseconds(1000));
+                end.apply(fleet, hosts.owner);
+                fleet.run_for(milliseconds(60000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                BOOST_TEST(fleet.starts_of(job) == 1);
+                check_no_violations(fleet);
+            }
+}
+
+// The owner alone has lost the store, and does not see that an entry lapses.
+// The other hosts drop it, and forget it in time.
+BOOST_AUTO_TEST_CASE(owner_without_the_store_keeps_an_endpoint)
+{
+    for (const owner_end& end : owner_ends())
+        BOOST_TEST_CONTEXT(end.name)
+        {
+            succession hosts(2);
+            shard_fleet& fleet = hosts.fleet;
+            const std::string job =
+                fleet.submit(hosts.entry, {.tasks = 1,
+                                           .millicores = 12000,
+                                           .work = milliseconds(50000),
+                                           .timeout = milliseconds(99000)});
+            fleet.run_for(milliseconds(100));
+            fleet.partition({hosts.owner}, {"store"});
+            fleet.remove_endpoint("D1-e1");
+            fleet.run_for(milliseconds(40000));
+            end.apply(fleet, hosts.owner);
+            fleet.run_for(milliseconds(70000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            BOOST_TEST(fleet.starts_of(job) == 1);
+            check_no_violations(fleet);
+        }
+}
+
+// A host that has started without the store takes the shard over.
+BOOST_AUTO_TEST_CASE(successor_started_without_the_store)
+{
+    for (const owner_end& end : owner_ends())
+        for (int offset = 250; offset <= 3000; offset += 250)
+            BOOST_TEST_CONTEXT(end.name << " offset " << offset)
+            {
+                succession hosts(2);
+                shard_fleet& fleet = hosts.fleet;
+                const std::string job =
+                    fleet.submit(hosts.entry, very_long_task);
+                fleet.run_for(milliseconds(100));
+                fleet.partition({hosts.successor}, {"store"});
+                hosts.restart_successor();
+                fleet.run_for(milliseconds(offset));
+                end.apply(fleet, hosts.owner);
+                fleet.run_for(milliseconds(4000));
+                fleet.heal();
+                fleet.run_for(milliseconds(16000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                check_no_violations(fleet);
+            }
+}
+
+// A successor is lost before it has listed anything, and the next one takes the
+// shard over from it.
+BOOST_AUTO_TEST_CASE(two_successors_in_turn)
+{
+    for (const owner_end& end : owner_ends())
+        for (int offset = 0; offset <= 3000; offset += 500)
+            for (int next = 100; next <= 1900; next += 150)
+                BOOST_TEST_CONTEXT(end.name << " offset " << offset << " next "
+                                            << next)
+                {
+                    succession hosts(2, 4);
+                    shard_fleet& fleet = hosts.fleet;
+                    const std::string job =
+                        fleet.submit("D1-h4", very_long_task);
+                    fleet.run_for(milliseconds(100));
+                    fleet.remove_endpoint("D1-e1");
+                    fleet.run_for(milliseconds(3000));
+                    for (const char* const host : {"D1-h2", "D1-h3"})
+                        fleet.kill(host);
+                    fleet.run_for(milliseconds(300));
+                    for (const char* const host : {"D1-h2", "D1-h3"})
+                        fleet.start(host);
+                    fleet.run_for(milliseconds(offset));
+                    end.apply(fleet, hosts.owner);
+                    fleet.run_for(milliseconds(next));
+                    fleet.kill("D1-h2");
+                    fleet.run_for(milliseconds(20000));
+                    BOOST_TEST(
+                        (fleet.caller(job).answer == answer_kind::completed));
+                    check_no_violations(fleet);
+                }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
