--- a/shard/include/chicorydrum/shard/succession.hpp
+++ b/shard/include/chicorydrum/shard/succession.hpp
@@ -105,6 +105,8 @@
         support::instant numbered_at = {};
         /// Tasks may have been started there.
         bool is_used = false;
+        /// It was logged that no task may start there yet.
+        bool was_withheld = false;
     };
     struct held_shard
     {
--- a/shard/lib/succession.cpp
+++ b/shard/lib/succession.cpp
@@ -61,6 +61,7 @@
         if (is_same && endpoint.held.is_listed == one.is_listed && !is_due)
             continue;
         endpoint.is_used = is_same && endpoint.is_used;
+        endpoint.was_withheld = is_same && endpoint.was_withheld;
         endpoint.held = one;
         endpoint.number = ++this->last_number;
         endpoint.numbered_at = now;
@@ -91,15 +92,22 @@
     told_endpoint& endpoint = found->second;
     if (endpoint.is_used)
         return true;
-    endpoint.is_used =
-        std::all_of(this->peers.begin(), this->peers.end(),
-                    [shard, now, &endpoint](const auto& peer_entry)
-                    {
-                        const peer_state& peer = peer_entry.second;
-                        const auto vouched = peer.vouched_until.find(shard);
-                        return vouched == peer.vouched_until.end() ||
-                               now >= vouched->second || knows(peer, endpoint);
-                    });
+    const auto lacking =
+        std::find_if(this->peers.begin(), this->peers.end(),
+                     [shard, now, &endpoint](const auto& peer_entry)
+                     {
+                         const peer_state& peer = peer_entry.second;
+                         const auto vouched = peer.vouched_until.find(shard);
+                         return vouched != peer.vouched_until.end() &&
+                                now < vouched->second && !knows(peer, endpoint);
+                     });
+    endpoint.is_used = lacking == this->peers.end();
+    if (!endpoint.is_used && !std::exchange(endpoint.was_withheld, true))
+        this->hooks.log(log_line("endpoint_withheld")
+                            .add("shard", shard)
+                            .add("endpoint", entry.id)
+                            .add("peer", lacking->first)
+                            .add("version", endpoint.held.version));
     return endpoint.is_used;
 }
 
--- a/test/shards/successor_test.cpp
+++ b/test/shards/successor_test.cpp
@@ -295,6 +295,25 @@
                 }
 }
 
+// Where all hosts know the same endpoints, a takeover waits for no lease.
+BOOST_AUTO_TEST_CASE(takeover_among_hosts_that_agree)
+{
+    for (const owner_end& end : owner_ends())
+        for (int phase = 0; phase < 500; phase += 20)
+            BOOST_TEST_CONTEXT(end.name << " phase " << phase)
+            {
+                succession hosts(2);
+                shard_fleet& fleet = hosts.fleet;
+                fleet.run_for(milliseconds(phase));
+                end.apply(fleet, hosts.owner);
+                // A planned stop hands over within 2 s.
+                fleet.run_for(milliseconds(2200));
+                BOOST_TEST(fleet.owner_of("D1") == hosts.successor);
+                BOOST_TEST(fleet.has_logged("endpoints_vouched=true"));
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
