Sessions of real processes in which successors know different endpoints

Hosts are stopped or killed and started in turn, endpoints join, entries of endpoints at work lapse, and the store's history is lost while whole reads are behind, so that hosts that have just started read the endpoints as they were. Checked: two runs of one task, capacity, exits, service after recovery.

Sessions without links of their own took only one of the two ports of an endpoint that joins, so that the second one found its port in use.

Also a virtual course: all hosts of the domain are lost after an entry has lapsed, and nobody is left who knows the endpoint.

--- a/test/faults/fault_session.cpp
+++ b/test/faults/fault_session.cpp
@@ -162,7 +162,7 @@
     this->queue.run_until(support::instant(support::seconds(1)));
     this->store_calm_since = this->queue.now();
     // The links of hosts that may lose their power have addresses of their own.
-    const int ports_per_endpoint = this->shape.loses_power ? 1 : 2;
+    const int ports_per_endpoint = this->shape.ports_per_endpoint();
     const int ports_per_domain =
         this->shape.hosts_per_domain * ports_per_host +
         ports_per_endpoint * (this->shape.endpoints_per_domain +
@@ -428,7 +428,7 @@
 {
     if (server.has_exited)
         return;
-    if (this->store_is_up)
+    if (this->store_is_up && this->queue.now() >= server.silent_until)
         this->put_entry(server);
     this->queue.after(report_interval,
                       [this, &server] { this->report_endpoint(server); });
--- a/test/faults/fault_session.hpp
+++ b/test/faults/fault_session.hpp
@@ -54,6 +54,13 @@
     /// Starts on leaving endpoints are checked by the host that ordered them,
     /// and not by the store alone.
     bool checks_contact = false;
+
+    /// An endpoint and the link to it, or its address alone if each host has a
+    /// link of its own.
+    int ports_per_endpoint() const
+    {
+        return this->loses_power ? 1 : 2;
+    }
 };
 
 /// Four domains of two shards each.
@@ -66,6 +73,9 @@
 /// The same without losses of power, on links of 19 Mbit/s.
 session_shape config_shape();
 
+/// One domain of three hosts, with tasks that outlast a takeover.
+session_shape successor_shape();
+
 /// How the store refuses a host that it does not serve.
 enum class store_refusal
 {
@@ -99,6 +109,9 @@
     /// series, beside planned restarts and a store that refuses some hosts;
     /// returns the violated guarantees.
     std::vector<std::string> run_configs();
+    /// Runs a session in which hosts are restarted in turn while their reads of
+    /// the endpoints differ; returns the violated guarantees.
+    std::vector<std::string> run_successors();
     /// Runs a session without faults in which another writer leaves odd rows in
     /// all tables; returns the violated guarantees.
     std::vector<std::string> run_odd_entries();
@@ -141,6 +154,8 @@
         /// The end of the last fault of its links.
         support::instant calm_since;
         std::int64_t reports = 0;
+        /// It does not reach the store until then.
+        support::instant silent_until;
         bool has_exited = false;
     };
     struct caller_state
@@ -220,6 +235,8 @@
     void plan_refusal(entry_process& host, store_refusal kind,
                       support::milliseconds when, support::milliseconds span);
     void plan_refusals(support::milliseconds when);
+    /// Plans that an endpoint at work loses the store, and its entry.
+    void plan_lapse(support::milliseconds when);
     void plan_absence(support::milliseconds when);
     void plan_outage(support::milliseconds when);
     void plan_isolation(support::milliseconds when);
--- a/test/faults/main.cpp
+++ b/test/faults/main.cpp
@@ -14,7 +14,7 @@
 constexpr const char* usage = R"(Real entry hosts under faults, on loopback.
 
 Usage: fault_soak [--seeds RANGE] [--odd-entries] [--installation] [--power]
-                  [--whole] [--configs]
+                  [--whole] [--configs] [--successors]
 
 Options:
   --seeds RANGE   Seeds as FIRST..LAST [default: 1..3].
@@ -28,6 +28,8 @@
                   lost, while endpoints come and go and the store is in trouble.
   --configs       The same installation on links of 19 Mbit/s, with a
                   configuration of 1,400 routes that changes in series.
+  --successors    One domain with long tasks, whose hosts are restarted in turn
+                  while their reads differ and entries lapse.
 )";
 
 /// Tries other ports if another program has just taken some.
@@ -73,11 +75,13 @@
         const bool is_power = arguments.at("--power").asBool();
         const bool is_whole = arguments.at("--whole").asBool();
         const bool is_configs = arguments.at("--configs").asBool();
+        const bool is_successors = arguments.at("--successors").asBool();
         const auto opened =
             open_session(seed, is_installation ? installation_shape()
                                : is_power      ? power_shape()
                                : is_whole      ? whole_shape()
                                : is_configs    ? config_shape()
+                               : is_successors ? successor_shape()
                                                : session_shape());
         fault_session& session = *opened;
         const std::vector<std::string> violations =
@@ -85,6 +89,7 @@
             : is_power      ? session.run_power()
             : is_whole      ? session.run_whole()
             : is_configs    ? session.run_configs()
+            : is_successors ? session.run_successors()
             : arguments.at("--odd-entries").asBool() ? session.run_odd_entries()
                                                      : session.run_session();
         if (violations.empty())
--- a/test/faults/whole_session.cpp
+++ b/test/faults/whole_session.cpp
@@ -128,8 +128,9 @@
     if (all == this->shape.endpoints_per_domain +
                    this->shape.later_endpoints_per_domain)
         return;
-    this->add_endpoint("i-" + std::to_string(number), domain,
-                       this->next_endpoint_port[domain]++);
+    int& port = this->next_endpoint_port[domain];
+    this->add_endpoint("i-" + std::to_string(number), domain, port);
+    port += this->shape.ports_per_endpoint();
     std::size_t link = 0;
     for (const std::size_t host : this->hosts_of(domain))
     {
--- a/test/shards/successor_test.cpp
+++ b/test/shards/successor_test.cpp
@@ -314,6 +314,37 @@
             }
 }
 
+// An entry has lapsed, and all hosts of the domain are lost and start anew, the
+// entry host some time before the others. Nobody is left who knows the
+// endpoint, whose lease is still in force when the caller's copy arrives.
+BOOST_AUTO_TEST_CASE(all_hosts_lost_after_an_entry_has_lapsed)
+{
+    for (int later = 300; later <= 600; later += 10)
+        for (const int gap : {50, 100, 200})
+            BOOST_TEST_CONTEXT("later " << later << " gap " << gap)
+            {
+                succession hosts(2);
+                shard_fleet& fleet = hosts.fleet;
+                const std::string job =
+                    fleet.submit(hosts.entry, very_long_task);
+                fleet.run_for(milliseconds(100));
+                fleet.remove_endpoint("D1-e1");
+                // At different times since the lease was last extended.
+                fleet.run_for(milliseconds(5000 + later * 3 % 300));
+                fleet.lose_power(hosts.entry);
+                fleet.run_for(milliseconds(later));
+                for (const std::string& host : fleet.host_names())
+                    fleet.lose_power(host);
+                fleet.run_for(milliseconds(gap));
+                for (const std::string& host : fleet.host_names())
+                    fleet.start(host);
+                fleet.run_for(milliseconds(25000));
+                BOOST_TEST(
+                    (fleet.caller(job).answer == answer_kind::completed));
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
