One forecast of an endpoint's free capacity

Load shedding, placement, offers and Retry-After each had a view of free capacity of their own: units of the mean need, free millicores, and the quotient of waiting core time and cores. The plan of the backlog takes its units from it, with the same result as before.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -30,6 +30,7 @@
 struct endpoint_record;
 struct planned_job;
 struct capacity_unit;
+struct endpoint_forecast;
 
 struct shard_hooks
 {
@@ -270,6 +271,10 @@
     static double decayed_use(const recent_use& use, support::instant now);
     void record_use(const std::string& route, double core_ms,
                     support::instant now);
+    /// Returns what may run on the endpoints of a pool that can be given new
+    /// tasks, and for how long it is expected to.
+    std::vector<endpoint_forecast> forecast(const std::string& pool,
+                                            support::instant now) const;
     /// Returns when capacity for tasks of \p millicores is expected to be free
     /// in a pool.
     std::vector<capacity_unit> expected_capacity(const std::string& pool,
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -4,6 +4,7 @@
 #include "chicorydrum/shard/shard_owner.hpp"
 
 #include "backlog_plan.hpp"
+#include "capacity_forecast.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 
@@ -43,11 +44,10 @@
     use.as_of = now;
 }
 
-std::vector<capacity_unit>
-shard_owner::expected_capacity(const std::string& pool, double millicores,
-                               instant now) const
+std::vector<endpoint_forecast> shard_owner::forecast(const std::string& pool,
+                                                     instant now) const
 {
-    std::vector<capacity_unit> units;
+    std::vector<endpoint_forecast> found;
     for (const auto& [id, record] : this->endpoints)
     {
         const schema::endpoint_registration& endpoint = record->lease.entry();
@@ -58,13 +58,12 @@
             endpoint.pool == pool && now >= record->quarantined_until;
         if (!is_usable)
             continue;
-        const double slowness = this->run_times.slowness(id);
-        const auto count = static_cast<std::size_t>(
-            static_cast<double>(endpoint.capacity.millicores) / millicores);
-        std::size_t used = 0;
+        endpoint_forecast& added = found.emplace_back(
+            endpoint_forecast{.id = id,
+                              .capacity = endpoint.capacity,
+                              .slowness = this->run_times.slowness(id)});
         for (const auto& [task, run] : record->lease.runs())
         {
-            ++used;
             const auto job = this->jobs.find(task.job);
             const bool has_length = job != this->jobs.end() && run.need &&
                                     run.state != run_state::stopping;
@@ -73,11 +72,29 @@
                                  support::duration_from_ms(this->expected_ms(
                                      *job->second, task.group, endpoint))
                            : now;
-            units.push_back({.free_at = std::max(end, now + min_remaining),
-                             .slowness = slowness});
+            // A run of unknown need may take all that the endpoint has.
+            added.occupied.push_back(
+                {.need = run.need.value_or(endpoint.capacity),
+                 .ends = std::max(end, now + min_remaining)});
         }
-        for (; used < count; ++used)
-            units.push_back({.free_at = now, .slowness = slowness});
+    }
+    return found;
+}
+
+std::vector<capacity_unit>
+shard_owner::expected_capacity(const std::string& pool, double millicores,
+                               instant now) const
+{
+    std::vector<capacity_unit> units;
+    for (const endpoint_forecast& endpoint : this->forecast(pool, now))
+    {
+        const auto count = static_cast<std::size_t>(
+            static_cast<double>(endpoint.capacity.millicores) / millicores);
+        for (const occupied_capacity& run : endpoint.occupied)
+            units.push_back(
+                {.free_at = run.ends, .slowness = endpoint.slowness});
+        for (std::size_t used = endpoint.occupied.size(); used < count; ++used)
+            units.push_back({.free_at = now, .slowness = endpoint.slowness});
     }
     return units;
 }
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -4,6 +4,7 @@
 /// shard_orders.cpp.
 #include "chicorydrum/shard/shard_owner.hpp"
 
+#include "capacity_forecast.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 #include "round_trip.hpp"
@@ -47,13 +48,6 @@
     return "unknown";
 }
 
-bool fits(const schema::resources& need, const schema::resources& available)
-{
-    return need.millicores <= available.millicores &&
-           need.memory_mb <= available.memory_mb &&
-           need.accelerators <= available.accelerators;
-}
-
 /// Returns why no owner ever starts \p work, or an empty string.
 std::string unsupported_reason(const schema::job& work)
 {
