The owner weighs how long a wait for a better place pays

Callers saw tasks wait for a faster endpoint, or one beside their data, without anybody knowing when that would be free: `choose` held a task back whenever the fastest endpoint would meet the target if it were free now, also if it was busy for seconds. A task whose data were on a busy rack ran away from them at once where the target allowed that, although the rack was free in a tenth of a second; and groups that want one rack were spread over all.

`place_wait` weighs the end there, from the forecast of capacity, against the end on the endpoint that is free: it waits for a place near data or group if that ends sooner by more than the forecast's error, and for a faster endpoint only while that has a fair chance to meet a target that is missed now. Tasks that wait in a pass over the queue are booked in the forecast, so that a queue for a hot rack ends where other places end sooner. A group that wants one rack gets the one where it ends first, if that is sooner than anywhere.

`late_orders/raised_tokens_run_out` holds, as a task whose run did not complete on the only free endpoint is left for others as before. The virtual fleet names the kind before the rack in its labels, as the platform does.

--- a/daemon/include/chicorydrum/daemon/entry_metrics.hpp
+++ b/daemon/include/chicorydrum/daemon/entry_metrics.hpp
@@ -32,6 +32,9 @@
 
     /// Records the time from a run's stop to the list that shows its end.
     void observe_stop(support::decision_clock::duration took);
+    /// Records the start of a task for which places were weighed.
+    void observe_place(shard::place_outcome outcome,
+                       support::decision_clock::duration waited);
     /// Records the time between two ticks.
     void observe_tick_gap(support::decision_clock::duration gap);
 
--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -321,6 +321,11 @@
     {
         this->host_metrics.observe_stop(took);
     };
+    hooks.placed = [this](shard::place_outcome outcome,
+                          support::decision_clock::duration waited)
+    {
+        this->host_metrics.observe_place(outcome, waited);
+    };
     hooks.tick_gap = [this](support::decision_clock::duration gap)
     {
         this->host_metrics.observe_tick_gap(gap);
--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -17,6 +17,9 @@
 /// A stopped run ends within 0.05, and the list that shows it follows at once.
 const prometheus::Histogram::BucketBoundaries stop_seconds = {
     0.01, 0.02, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1};
+/// Tasks take 0.06 to some seconds, and wait for less than that.
+const prometheus::Histogram::BucketBoundaries place_wait_seconds = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2};
 /// Ticks are due every 25 ms; 0.1 counts as late, 0.4 as a pause.
 const prometheus::Histogram::BucketBoundaries gap_seconds = {
     0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 1};
@@ -47,6 +50,13 @@
             .Register(this->registry)
             .Add({}, gap_seconds);
 
+    prometheus::Family<prometheus::Histogram>& place_waits =
+        prometheus::BuildHistogram()
+            .Name("chicorydrum_place_wait_seconds")
+            .Help("How long tasks have waited for a place near their data or "
+                  "group, or for a faster endpoint, by how it ended.")
+            .Register(this->registry);
+
     void set(const std::string& name, const std::string& help, double value)
     {
         prometheus::BuildGauge()
@@ -91,6 +101,15 @@
     this->pimpl->stops.Observe(support::in_seconds(took));
 }
 
+void entry_metrics::observe_place(shard::place_outcome outcome,
+                                  support::decision_clock::duration waited)
+{
+    this->pimpl->place_waits
+        .Add({{"outcome", std::string(shard::name_of(outcome))}},
+             place_wait_seconds)
+        .Observe(support::in_seconds(waited));
+}
+
 void entry_metrics::observe_tick_gap(support::decision_clock::duration gap)
 {
     this->pimpl->tick_gaps.Observe(support::in_seconds(gap));
--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -18,6 +18,7 @@
   3: string address
   4: i32 port
   5: string domain
+  /// Its kind, then its rack.
   6: list<string> labels
   7: resources capacity
   8: bool is_draining
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -53,6 +53,10 @@
     std::function<void(support::decision_clock::duration)> tick_gap = {};
     /// Reports how long the stop of a run took; see shard_hooks. May be empty.
     std::function<void(support::decision_clock::duration)> stop_took = {};
+    /// Reports the start of a task for which places were weighed; see
+    /// shard_hooks. May be empty.
+    std::function<void(place_outcome, support::decision_clock::duration)>
+        placed = {};
 };
 
 /// Larger shards allow better placement but cost their owner more; see
--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -107,6 +107,9 @@
 bool has_label(const schema::endpoint_registration& endpoint,
                const std::string& label);
 
+/// Returns the rack of \p endpoint, or an empty string if it names none.
+std::string rack_of(const schema::endpoint_registration& endpoint);
+
 class leased_endpoint
 {
 public:
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -25,6 +25,7 @@
 {
 
 class owned_job;
+class place_bookings;
 class round_trip;
 struct owned_task;
 struct endpoint_record;
@@ -32,6 +33,20 @@
 struct capacity_unit;
 struct endpoint_forecast;
 
+/// How the start of a task turned out for which a place near its data or its
+/// group, or a faster one, was weighed.
+enum class place_outcome
+{
+    /// It has waited, and starts where it is expected to end as soon as there.
+    reached,
+    /// It has waited, and starts elsewhere: the wait does not pay any more.
+    given_up,
+    /// It starts away from its data or group at once: no wait would pay.
+    started_far,
+};
+
+std::string_view name_of(place_outcome outcome);
+
 struct shard_hooks
 {
     /// Returns an order number that is unique in this process.
@@ -60,6 +75,10 @@
     /// Reports the time from the first order to stop a run until a list shows
     /// that it is over. May be empty.
     std::function<void(support::decision_clock::duration)> stop_took = {};
+    /// Reports the start of a task for which places were weighed, and for how
+    /// long it has waited for one. May be empty.
+    std::function<void(place_outcome, support::decision_clock::duration)>
+        placed = {};
 };
 
 struct shard_options
@@ -311,10 +330,26 @@
     bool is_held(const owned_job& job, support::instant now) const;
     /// Returns the endpoint where a task is expected to end first, or null. May
     /// return null although one is free if a faster one is worth the wait.
-    endpoint_record* choose(const owned_job& job, const task_key& task,
+    endpoint_record* choose(owned_job& job, const task_key& task,
                             support::instant now);
     double expected_ms(const owned_job& job, int group,
                        const schema::endpoint_registration& endpoint) const;
+    /// Returns whether tasks of \p group take longer on \p endpoint, since
+    /// their data or the rest of the group is elsewhere.
+    static bool is_far(const owned_job& job, int group,
+                       const schema::endpoint_registration& endpoint);
+    /// Chooses the rack where a group that wants one rack ends first, if that
+    /// is sooner than on any endpoints.
+    void choose_rack(owned_job& job, int group, support::instant now);
+    /// Returns whether a task waits for an endpoint that is expected to be free
+    /// later, rather than to start on \p best.
+    bool waits_for_place(owned_job& job, const task_key& task,
+                         const endpoint_record& best, double best_ms,
+                         double fastest_ms, support::instant now);
+    /// Reports the start of a task on \p where if places were weighed for it.
+    void note_place(const owned_job& job, owned_task& state,
+                    const task_key& task, const endpoint_record& where,
+                    support::instant now);
     bool has_active_run(const task_key& task) const;
     void start(owned_job& job, const task_key& task, endpoint_record& where,
                support::instant now);
@@ -409,6 +444,9 @@
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
+    /// Of the pass of place() that is under way; null between passes.
+    std::unique_ptr<place_bookings> bookings;
+    support::line_limit place_lines;
     support::line_limit slow_stops;
     bool needs_placing = false;
     bool adoption_has_ended = false;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -334,7 +334,8 @@
                                 .add("endpoint", endpoint));
         },
         .log = this->hooks.log,
-        .stop_took = this->hooks.stop_took};
+        .stop_took = this->hooks.stop_took,
+        .placed = this->hooks.placed};
 }
 
 void entry_host::claim(int number, instant now)
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -54,6 +54,13 @@
            endpoint.labels.end();
 }
 
+std::string rack_of(const schema::endpoint_registration& endpoint)
+{
+    constexpr std::size_t rack_label = 1;
+    return endpoint.labels.size() > rack_label ? endpoint.labels[rack_label]
+                                               : std::string();
+}
+
 leased_endpoint::leased_endpoint(schema::endpoint_registration initial_entry,
                                  lease_rules lease, fencing_token owner,
                                  fencing_token first_raises)
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -67,6 +67,10 @@
     {
         this->tasks.emplace_back(static_cast<std::size_t>(group.count));
         this->waiting += group.count;
+        if (group.wants_one_rack && group.count > 1 &&
+            group.preferred_rack.empty())
+            this->without_rack.insert(static_cast<int>(this->racks.size()));
+        this->racks.push_back(group.preferred_rack);
     }
     const auto longest = static_cast<double>(this->longest_estimate_ms());
     this->target = this->arrived + target_span(this->terms, longest);
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -5,6 +5,7 @@
 #include "chicorydrum/shard/messages.hpp"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
     /// Where the task was last placed. After a run that did not complete there,
     /// other endpoints are preferred.
     std::string endpoint;
+    /// Since when it waits for an endpoint that is expected to be free later,
+    /// although another one is free.
+    std::optional<support::instant> waits_since = {};
 };
 
 /// A call at an entry host that waits for a job's result.
@@ -121,6 +125,11 @@
     support::instant deadline;
     /// By group and index.
     std::vector<std::vector<owned_task>> tasks;
+    /// The rack that each group should run on: the one that holds its data, or
+    /// that was chosen for a group that wants one rack. Empty if any will do.
+    std::vector<std::string> racks;
+    /// Groups that want one rack and for which none was chosen yet.
+    std::set<int> without_rack;
 
 private:
     int& count_of(task_state state);
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -4,8 +4,10 @@
 
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
+#include "place_wait.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorydrum::shard
 {
@@ -50,11 +52,23 @@
     const double estimate = group.estimate_ms > 0
                                 ? static_cast<double>(group.estimate_ms)
                                 : default_estimate_ms;
-    const bool is_off_rack = !group.preferred_rack.empty() &&
-                             !has_label(endpoint, group.preferred_rack);
     return estimate * this->run_times.kind_seconds(job.work.route, 1.0) *
            this->run_times.slowness(endpoint.id) *
-           (is_off_rack ? this->options.far_factor : 1.0);
+           (is_far(job, group_index, endpoint) ? this->options.far_factor
+                                               : 1.0);
+}
+
+bool shard_owner::is_far(const owned_job& job, int group,
+                         const schema::endpoint_registration& endpoint)
+{
+    const auto index = static_cast<std::size_t>(group);
+    const std::string& rack = job.racks[index];
+    if (!rack.empty())
+        return !has_label(endpoint, rack);
+    // No rack was chosen for the group, so its tasks are apart anywhere.
+    return job.work.groups[index].wants_one_rack &&
+           job.work.groups[index].count > 1 &&
+           !job.without_rack.contains(group);
 }
 
 std::vector<owned_job*> shard_owner::waiting_queue(instant now) const
@@ -87,8 +101,14 @@
 void shard_owner::place(instant now)
 {
     this->needs_placing = false;
+    // An order that fails at once may begin a pass within this one.
+    auto outer = std::exchange(this->bookings,
+                               std::make_unique<place_bookings>(
+                                   [this, now](const std::string& pool)
+                                   { return this->forecast(pool, now); }));
     for (owned_job* const job : this->waiting_queue(now))
         this->place_job(*job, now);
+    this->bookings = std::move(outer);
 }
 
 bool shard_owner::has_listed_all_since(instant since, instant now) const
@@ -192,6 +212,11 @@
         const auto group_index = static_cast<int>(group);
         if (!job.is_ready(group_index))
             continue;
+        if (job.without_rack.contains(group_index))
+        {
+            this->choose_rack(job, group_index, now);
+            job.without_rack.erase(group_index);
+        }
         for (std::size_t index = 0; index < job.tasks[group].size(); ++index)
         {
             if (job.tasks[group][index].state != task_state::waiting)
@@ -218,7 +243,7 @@
                        { return entry.second->lease.runs().contains(task); });
 }
 
-endpoint_record* shard_owner::choose(const owned_job& job, const task_key& task,
+endpoint_record* shard_owner::choose(owned_job& job, const task_key& task,
                                      instant now)
 {
     const schema::task_group& group =
@@ -264,11 +289,14 @@
     }
     if (best == nullptr)
         return nullptr;
-    const bool meets_target =
-        now + support::duration_from_ms(best_ms) <= job.target;
-    const bool faster_could =
-        now + support::duration_from_ms(fastest_ms) < job.target;
-    return meets_target || !faster_could ? best : nullptr;
+    const bool waits =
+        best->lease.entry().id == state.endpoint
+            // Its last run did not complete there: it is left for others while
+            // these could still meet the target.
+            ? now + support::duration_from_ms(best_ms) > job.target &&
+                  now + support::duration_from_ms(fastest_ms) < job.target
+            : this->waits_for_place(job, task, *best, best_ms, fastest_ms, now);
+    return waits ? nullptr : best;
 }
 
 void shard_owner::start(owned_job& job, const task_key& task,
@@ -290,10 +318,14 @@
                                .last_order = order});
     state.endpoint = where.lease.entry().id;
     job.set_state(state, task_state::placed);
-    this->record_use(job.work.route,
-                     this->expected_ms(job, task.group, where.lease.entry()) *
-                         static_cast<double>(group.need.millicores) / 1000.0,
-                     now);
+    const double run_ms =
+        this->expected_ms(job, task.group, where.lease.entry());
+    this->record_use(
+        job.work.route,
+        run_ms * static_cast<double>(group.need.millicores) / 1000.0, now);
+    this->bookings->book(job.terms.pool, state.endpoint, group.need,
+                         now + support::duration_from_ms(run_ms));
+    this->note_place(job, state, task, where, now);
     this->orders[order] = {.to = where.lease.address(),
                            .task = task,
                            .token = where.lease.token(),
@@ -306,8 +338,7 @@
             .add("endpoint", state.endpoint)
             .add("born_ms", where.lease.last_listed_incarnation())
             .add("token", where.lease.token())
-            .add("expected_ms",
-                 this->expected_ms(job, task.group, where.lease.entry()))
+            .add("expected_ms", run_ms)
             .add("free_millicores", where.lease.free_capacity().millicores)
             .add("age_ms", support::whole_ms(now - job.arrived)));
     this->hooks.start({.order = order,
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -7,6 +7,7 @@
 #include "capacity_forecast.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
+#include "place_wait.hpp"
 #include "round_trip.hpp"
 
 #include <algorithm>
@@ -476,10 +477,10 @@
     // The model observes the ratio of run time to estimate, so that routes and
     // endpoints of any size are comparable.
     const schema::endpoint_registration& endpoint = where.lease.entry();
-    const bool is_off_rack = !group.preferred_rack.empty() &&
-                             !has_label(endpoint, group.preferred_rack);
-    const double nominal_ms = static_cast<double>(group.estimate_ms) *
-                              (is_off_rack ? this->options.far_factor : 1.0);
+    const double nominal_ms =
+        static_cast<double>(group.estimate_ms) *
+        (is_far(job, ended.task.group, endpoint) ? this->options.far_factor
+                                                 : 1.0);
     const double ratio =
         support::in_seconds(now - ended.started_at) * 1000.0 / nominal_ms;
     this->run_times.observe(
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -519,7 +519,7 @@
                 fleet.restart_endpoint(
                     "D1-e1", milliseconds(listed_after),
                     new_incarnation{.millicores = 8000,
-                                    .labels = {{"rack-1", "kind-a"}},
+                                    .labels = {{"kind-a", "rack-1"}},
                                     .closes_connections = true});
                 fleet.run_for(milliseconds(50));
                 fleet.submit("D1-h1", {.tasks = 9,
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -1076,8 +1076,8 @@
     entry.address = "10.1." + domain.substr(1) + ".1";
     entry.port = number;
     entry.domain = domain;
-    entry.labels = {"rack-" + std::to_string(number % 2),
-                    number % 2 == 0 ? "kind-a" : "kind-b"};
+    entry.labels = {number % 2 == 0 ? "kind-a" : "kind-b",
+                    "rack-" + std::to_string(number % 2)};
     const auto& profiles = this->options.profiles;
     const endpoint_profile& profile =
         profiles[static_cast<std::size_t>(number - 1) % profiles.size()];
@@ -1091,9 +1091,12 @@
         [this](const std::string& what) { this->report_violation(what); },
         this->options.seed * 100 + static_cast<std::uint64_t>(number));
     virtual_endpoint& added = *created;
-    added.work_of = [this](const shard::task_key& task)
+    added.work_of = [this, labels = entry.labels](const shard::task_key& task)
     {
-        return this->shapes.at(task.job).work;
+        const job_shape& shape = this->shapes.at(task.job);
+        const bool is_far = !shape.preferred_rack.empty() &&
+                            labels.at(1) != shape.preferred_rack;
+        return is_far ? shape.work * far_factor : shape.work;
     };
     added.need_of = [this](const shard::task_key& task)
     {
@@ -1349,6 +1352,8 @@
     group.estimate_ms =
         (shape.estimate.count() > 0 ? shape.estimate : shape.work).count();
     group.required_label = shape.required_label;
+    group.preferred_rack = shape.preferred_rack;
+    group.wants_one_rack = shape.wants_one_rack;
     work.groups.push_back(group);
     request.work = work;
     target.calls[request.call] = job;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -88,6 +88,9 @@
     }
 };
 
+/// How much longer a task takes away from its data; the product's default.
+constexpr int far_factor = 2;
+
 struct job_shape
 {
     int tasks = 4;
@@ -102,6 +105,10 @@
     std::string id_suffix = {};
     /// The label that an endpoint must have, if any.
     std::string required_label = {};
+    /// The rack that holds the data, if any; elsewhere a task takes far_factor
+    /// times as long.
+    std::string preferred_rack = {};
+    bool wants_one_rack = false;
     /// How long the request waits in its connection before it is read.
     support::milliseconds waited{0};
 };
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -677,7 +677,7 @@
     {
         const new_incarnation next{
             .millicores = number % 3 == 0 ? 8000 : 16000,
-            .labels = {{"rack-0", number % 2 == 0 ? "kind-a" : "kind-b"}},
+            .labels = {{number % 2 == 0 ? "kind-a" : "kind-b", "rack-0"}},
             .closes_connections = true};
         this->fleet.at(when, [this, id, span, next]
                        { this->fleet.restart_endpoint(id, span, next); });
