An owner counts a peer's reads only up to its own

A peer's version now shows that it has read an endpoint only up to the version of the owner's own reads; otherwise the peer is told, and its acknowledgement stands for the link. An endpoint whose row is missing counts as not listed at once, and one that is back is known since the row with which it is back, so that peers which read in between are told again.

The fixture of succession_test sets how far the owner itself has read, as the owner needs that now; no check is changed.

--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -277,9 +277,11 @@
                                                   std::int64_t version,
                                                   support::instant now) const;
     /// Returns the version at which the present incarnation of endpoint \p id
-    /// was first read or heard of, or its row was last seen missing; 0 if that
-    /// is not known.
+    /// was first read or heard of without a gap since, or its row was last seen
+    /// missing; 0 if that is not known.
     std::int64_t known_since(const std::string& id) const;
+    /// Returns whether the last good read of endpoint \p id found a usable row.
+    bool lists(const std::string& id) const;
     /// Reads the endpoints anew at once: a new owner of a shard must know all
     /// those that the earlier one could use.
     void refresh_endpoints();
@@ -366,8 +368,9 @@
         schema::endpoint_registration entry;
         /// The version of the last row that was used, or of its removal.
         std::int64_t version = 0;
-        /// The version of the first row of this incarnation that was used; 0 if
-        /// the store has counted from a lower version since.
+        /// The version of the first row of this incarnation that was used since
+        /// its row was last missing; 0 if the store has counted from a lower
+        /// version since.
         std::int64_t since_version = 0;
         std::optional<support::instant> missing_since;
         /// Not none if and only if missing_since is set.
--- a/shard/include/chicorydrum/shard/succession.hpp
+++ b/shard/include/chicorydrum/shard/succession.hpp
@@ -52,6 +52,12 @@
 
     // The owner's side.
 
+    /// This host has read the endpoints up to version \p version of the store.
+    /// Called before update_shard() with what was read then.
+    void set_read_to(std::int64_t version)
+    {
+        this->read_to = version;
+    }
     /// Sets the endpoints of an owned shard. \p knows_predecessors if this
     /// owner knows all those where earlier owners may have runs.
     void update_shard(int shard, fencing_token token, bool knows_predecessors,
@@ -137,14 +143,18 @@
         support::instant until;
     };
 
-    static bool has_read(const peer_state& peer, const told_endpoint& endpoint);
-    static bool knows(const peer_state& peer, const told_endpoint& endpoint);
+    /// Returns whether \p peer has read a row of \p endpoint. What it has read
+    /// beyond this host's own reads tells nothing: the row may be gone there.
+    bool has_read(const peer_state& peer, const told_endpoint& endpoint) const;
+    bool knows(const peer_state& peer, const told_endpoint& endpoint) const;
     /// Returns whether \p peer knows all endpoints of \p shard that are used.
-    static bool knows_all(const peer_state& peer, const held_shard& shard);
+    bool knows_all(const peer_state& peer, const held_shard& shard) const;
     void tell(peer_state& peer, schema::succession_state& state) const;
 
     succession_options options;
     succession_hooks hooks;
+    /// The version of the store that the endpoints of the shards are as of.
+    std::int64_t read_to = 0;
     std::int64_t last_number = 0;
     bool has_news = false;
     /// The owned shards.
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -311,11 +311,18 @@
 {
     const auto found = this->known.find(id);
     if (found != this->known.end())
-        return found->second.since_version;
+        return found->second.missing_since ? found->second.version
+                                           : found->second.since_version;
     const auto gone = this->dropped.find(id);
     return gone == this->dropped.end() ? 0 : gone->second.version;
 }
 
+bool directory::lists(const std::string& id) const
+{
+    const auto found = this->known.find(id);
+    return found != this->known.end() && !found->second.missing_since;
+}
+
 void directory::refresh_endpoints()
 {
     table_state& table = this->state_of(directory_table::endpoints);
@@ -698,7 +705,7 @@
     else if (told != this->news.end())
         this->news.erase(told);
     known_endpoint& endpoint = this->known[row.id];
-    if (endpoint.since_version == 0 ||
+    if (endpoint.since_version == 0 || endpoint.missing_since ||
         !is_same_incarnation(endpoint.entry, entry))
         endpoint.since_version = row.version;
     endpoint.version = version;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -398,11 +398,14 @@
     const auto read_as_of = this->table.endpoints_as_of();
     const bool has_old_reads =
         !read_as_of || now - *read_as_of >= this->options.old_reads;
+    this->successors.set_read_to(this->table.endpoints_read_to());
     for (const auto& [number, shard] : this->shards)
     {
         std::vector<schema::held_endpoint> held = shard->held_endpoints();
         for (schema::held_endpoint& endpoint : held)
         {
+            endpoint.is_listed =
+                endpoint.is_listed && this->table.lists(endpoint.entry.id);
             endpoint.version = this->table.known_since(endpoint.entry.id);
             if (!endpoint.is_listed)
                 this->table.note_held(endpoint, now);
--- a/shard/lib/succession.cpp
+++ b/shard/lib/succession.cpp
@@ -15,27 +15,32 @@
 {
 }
 
-bool succession::has_read(const peer_state& peer, const told_endpoint& endpoint)
+bool succession::has_read(const peer_state& peer,
+                          const told_endpoint& endpoint) const
 {
     // Without a version the store has begun to count anew.
     return endpoint.held.is_listed && endpoint.held.version > 0 &&
-           endpoint.held.version <= peer.endpoints_version;
+           endpoint.held.version <= peer.endpoints_version &&
+           peer.endpoints_version <= this->read_to;
 }
 
-bool succession::knows(const peer_state& peer, const told_endpoint& endpoint)
+bool succession::knows(const peer_state& peer,
+                       const told_endpoint& endpoint) const
 {
-    return endpoint.number <= peer.acknowledged || has_read(peer, endpoint);
+    return endpoint.number <= peer.acknowledged ||
+           this->has_read(peer, endpoint);
 }
 
-bool succession::knows_all(const peer_state& peer, const held_shard& shard)
+bool succession::knows_all(const peer_state& peer,
+                           const held_shard& shard) const
 {
     return std::all_of(shard.endpoints.begin(), shard.endpoints.end(),
-                       [&peer](const auto& entry)
+                       [this, &peer](const auto& entry)
                        {
                            const told_endpoint& endpoint = entry.second;
                            const bool is_unused =
                                !endpoint.is_used && endpoint.held.is_listed;
-                           return is_unused || knows(peer, endpoint);
+                           return is_unused || this->knows(peer, endpoint);
                        });
 }
 
@@ -56,9 +61,13 @@
         const bool is_same =
             endpoint.number > 0 &&
             is_same_incarnation(endpoint.held.entry, one.entry);
+        // A later version of the same incarnation: its row was missing.
+        const bool is_unchanged =
+            is_same && endpoint.held.is_listed == one.is_listed &&
+            (!one.is_listed || endpoint.held.version == one.version);
         const bool is_due = !one.is_listed && now - endpoint.numbered_at >=
                                                   this->options.repeat_interval;
-        if (is_same && endpoint.held.is_listed == one.is_listed && !is_due)
+        if (is_unchanged && !is_due)
             continue;
         endpoint.is_used = is_same && endpoint.is_used;
         endpoint.was_withheld = is_same && endpoint.was_withheld;
@@ -94,12 +103,13 @@
         return true;
     const auto lacking =
         std::find_if(this->peers.begin(), this->peers.end(),
-                     [shard, now, &endpoint](const auto& peer_entry)
+                     [this, shard, now, &endpoint](const auto& peer_entry)
                      {
                          const peer_state& peer = peer_entry.second;
                          const auto vouched = peer.vouched_until.find(shard);
                          return vouched != peer.vouched_until.end() &&
-                                now < vouched->second && !knows(peer, endpoint);
+                                now < vouched->second &&
+                                !this->knows(peer, endpoint);
                      });
     endpoint.is_used = lacking == this->peers.end();
     if (!endpoint.is_used && !std::exchange(endpoint.was_withheld, true))
@@ -138,7 +148,7 @@
     std::vector<const told_endpoint*> later;
     for (const auto& [shard, held] : this->shards)
         for (const auto& [id, endpoint] : held.endpoints)
-            if (endpoint.number > peer.told && !has_read(peer, endpoint))
+            if (endpoint.number > peer.told && !this->has_read(peer, endpoint))
                 later.push_back(&endpoint);
     std::sort(later.begin(), later.end(),
               [](const told_endpoint* one, const told_endpoint* other)
@@ -170,7 +180,7 @@
     std::map<std::int32_t, std::int64_t> vouched;
     for (const auto& [shard, held] : this->shards)
     {
-        if (!held.knows_predecessors || !knows_all(known, held))
+        if (!held.knows_predecessors || !this->knows_all(known, held))
             continue;
         vouched[shard] = held.token;
         const bool is_first = !known.vouched_until.contains(shard);
--- a/shard/unittests/directory_test.cpp
+++ b/shard/unittests/directory_test.cpp
@@ -987,6 +987,34 @@
     BOOST_TEST(this->table.known_since("e2") == 0);
 }
 
+// Hosts that have read the store while an entry was missing lack the endpoint.
+BOOST_FIXTURE_TEST_CASE(known_since_counts_from_the_last_gap, directory_fixture)
+{
+    schema::endpoint_registration entry;
+    entry.id = "e1";
+    entry.born_ms = 1;
+    table_rows rows;
+    rows.table = directory_table::endpoints;
+    rows.status = read_status::read;
+    rows.is_whole = true;
+    rows.version = 10;
+    rows.endpoints = {{.id = "e1", .entry = entry, .version = 10}};
+    this->answer(rows);
+    BOOST_TEST(this->table.lists("e1"));
+    rows.version = 12;
+    rows.endpoints.clear();
+    this->answer(rows);
+    BOOST_TEST(!this->table.lists("e1"));
+    BOOST_TEST(this->table.known_since("e1") == 12);
+    BOOST_TEST(this->table.endpoints().size() == 1);
+    rows.version = 14;
+    rows.endpoints = {{.id = "e1", .entry = entry, .version = 14}};
+    this->answer(rows);
+    BOOST_TEST(this->table.lists("e1"));
+    BOOST_TEST(this->table.known_since("e1") == 14);
+    BOOST_TEST(!this->table.lists("e2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shard
--- a/shard/unittests/succession_test.cpp
+++ b/shard/unittests/succession_test.cpp
@@ -36,6 +36,7 @@
 {
     pair_of_hosts()
     {
+        this->owner.set_read_to(read_to);
         this->owner.link_opened("successor");
         this->successor.link_opened("owner");
     }
@@ -96,6 +97,54 @@
     BOOST_TEST(hosts.successor.is_vouched(0, token, start));
 }
 
+// The owner's reads are behind: it lists an endpoint whose entry has lapsed,
+// and a host that started after that has read further, but never found it.
+BOOST_AUTO_TEST_CASE(read_beyond_the_owners_own_shows_no_knowledge)
+{
+    pair_of_hosts hosts;
+    hosts.owner.set_read_to(read_to - 1);
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to - 2)}, start);
+    BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
+    hosts.exchange(start);
+    hosts.exchange(start);
+    hosts.owner.update_shard(0, token, true,
+                             {held("e1", read_to - 2), held("e2", read_to - 1)},
+                             start);
+    BOOST_TEST(!hosts.owner.may_start_at(0, held("e2", 0).entry, start));
+    const auto told = hosts.exchange(start);
+    BOOST_REQUIRE(told.endpoints.size() == 1);
+    BOOST_TEST(told.endpoints.front().entry.id == "e2");
+    BOOST_TEST(hosts.owner.may_start_at(0, held("e2", 0).entry, start));
+}
+
+// The link keeps what the peer knows while their reads pass each other.
+BOOST_AUTO_TEST_CASE(knowledge_of_a_peer_that_reads_on_is_kept)
+{
+    pair_of_hosts hosts;
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to)}, start);
+    BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
+    hosts.exchange(start);
+    hosts.exchange(start);
+    hosts.owner.set_read_to(read_to - 1);
+    const instant later = start + milliseconds(1000);
+    BOOST_TEST(hosts.exchange(later).endpoints.empty());
+    BOOST_TEST(hosts.successor.is_vouched(
+        0, token, later + succession_options().vouch_time - milliseconds(1)));
+}
+
+// Its entry was missing for a while: a peer that read in between lacks it.
+BOOST_AUTO_TEST_CASE(endpoint_that_is_back_is_told_again)
+{
+    pair_of_hosts hosts;
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to - 1)}, start);
+    BOOST_TEST(hosts.owner.may_start_at(0, held("e1", 0).entry, start));
+    hosts.exchange(start);
+    BOOST_TEST(hosts.exchange(start).endpoints.empty());
+    hosts.owner.update_shard(0, token, true, {held("e1", read_to + 1)}, start);
+    BOOST_TEST(hosts.owner.take_news());
+    BOOST_TEST(hosts.exchange(start).endpoints.size() == 1);
+}
+
 // An owner has vouched to a host, and reads of a new endpoint.
 BOOST_AUTO_TEST_CASE(new_endpoint_is_not_used_before_it_is_known)
 {
--- a/test/shards/successor_test.cpp
+++ b/test/shards/successor_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <functional>
 
 namespace chicorydrum::shards
@@ -151,6 +152,46 @@
             }
 }
 
+// The owner's reads are behind: it starts tasks at an endpoint whose entry has
+// lapsed before its successor started, and that successor has read further.
+BOOST_AUTO_TEST_CASE(reads_of_the_owner_list_a_lapsed_endpoint)
+{
+    for (const owner_end& end : owner_ends())
+        for (int offset = 200; offset <= 1000; offset += 200)
+            BOOST_TEST_CONTEXT(end.name << " offset " << offset)
+            {
+                succession hosts(2, 4);
+                shard_fleet& fleet = hosts.fleet;
+                const std::string owner = "D1-h2";
+                const std::string successor = "D1-h3";
+                fleet.remove_endpoint("D1-e1");
+                fleet.set_read_lag(owner, milliseconds(6000));
+                fleet.stop_gracefully(successor);
+                // The others have dropped it by then.
+                fleet.run_for(milliseconds(3300));
+                BOOST_TEST(fleet.host(successor) == nullptr);
+                fleet.start(successor);
+                fleet.run_for(milliseconds(400));
+                fleet.kill(hosts.owner);
+                fleet.run_for(milliseconds(400));
+                BOOST_TEST(fleet.owner_of("D1") == owner);
+                const std::array jobs = {fleet.submit("D1-h4", very_long_task),
+                                         fleet.submit("D1-h4", very_long_task)};
+                fleet.run_for(milliseconds(1200));
+                BOOST_TEST(fleet.endpoint("D1-e1").running_count() == 1);
+                fleet.run_for(milliseconds(offset));
+                end.apply(fleet, owner);
+                fleet.run_for(milliseconds(20000));
+                for (const std::string& job : jobs)
+                {
+                    BOOST_TEST(
+                        (fleet.caller(job).answer == answer_kind::completed));
+                    BOOST_TEST(fleet.starts_of(job) == 1);
+                }
+                check_no_violations(fleet);
+            }
+}
+
 // The entry host is lost, then the owner before it has stopped the run, and the
 // caller sends the job again to the successor. A copy must not run beside the
 // first run.
