--- a/test/shards/load_simulation.cpp
+++ b/test/shards/load_simulation.cpp
@@ -28,6 +28,7 @@
     const load_kind* kind = nullptr;
     double work_ms = 0;
     double core_ms = 0;
+    std::int64_t millicores = 0;
     instant sent;
     std::string domain;
 };
@@ -58,8 +59,9 @@
     {
         const double work =
             this->vary(kind.mean_work_ms, this->options.size_deviation);
-        const double cores = std::min(this->vary(kind.mean_millicores, 0.2),
-                                      kind.mean_millicores * 1.47);
+        const double cores =
+            std::min(this->vary(kind.mean_millicores, kind.need_deviation),
+                     kind.mean_millicores * 1.47);
         const double declared = this->vary(work, this->options.estimate_error);
         return {.tasks = std::max(
                     1, static_cast<int>(std::lround(this->vary(
@@ -116,6 +118,37 @@
     }
 }
 
+/// Returns the ranks of \p jobs within their kinds, by index: "tenth" for the
+/// largest tenth by core time, "fifth" for the fifth below it, or "rest".
+std::vector<std::string> size_ranks(const std::vector<sent_job>& jobs)
+{
+    std::map<const load_kind*, std::vector<std::size_t>> by_kind;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+        by_kind[jobs[i].kind].push_back(i);
+    std::vector<std::string> ranks(jobs.size(), "rest");
+    for (auto& [kind, indexes] : by_kind)
+    {
+        std::sort(indexes.begin(), indexes.end(),
+                  [&jobs](std::size_t left, std::size_t right)
+                  { return jobs[left].core_ms > jobs[right].core_ms; });
+        const std::size_t tenth = indexes.size() / 10;
+        for (std::size_t rank = 0; rank < 3 * tenth; ++rank)
+            ranks[indexes[rank]] = rank < tenth ? "tenth" : "fifth";
+    }
+    return ranks;
+}
+
+/// Returns whether two tasks of \p job fit on the smallest endpoint.
+std::string width_of(const sent_job& job, const load_options& options)
+{
+    const auto& profiles = options.fleet.profiles;
+    const auto smallest = std::min_element(
+        profiles.begin(), profiles.end(),
+        [](const endpoint_profile& left, const endpoint_profile& right)
+        { return left.millicores < right.millicores; });
+    return 2 * job.millicores <= smallest->millicores ? "half" : "wide";
+}
+
 } // namespace
 
 double load_result::worst_window_share() const
@@ -157,6 +190,38 @@
     return options;
 }
 
+load_options wide_task_load(std::uint64_t seed)
+{
+    load_options options;
+    options.fleet = {.domains = 3,
+                     .hosts_per_domain = 2,
+                     .endpoints_per_domain = 29,
+                     .seed = seed,
+                     .keeps_log = false,
+                     .profiles = {{.millicores = 64000, .slowness = 1 / 0.7},
+                                  {.millicores = 64000, .slowness = 1 / 0.7},
+                                  {.millicores = 96000, .slowness = 1 / 1.7}}};
+    options.kinds = {{.route = "symbols",
+                      .per_second = 56,
+                      .mean_tasks = 8,
+                      .mean_work_ms = 60,
+                      .mean_millicores = 32000,
+                      .worth = 0.00485},
+                     {.route = "previews",
+                      .per_second = 164,
+                      .mean_tasks = 2,
+                      .mean_work_ms = 200,
+                      .mean_millicores = 32000,
+                      .worth = 0.00167},
+                     {.route = "scans",
+                      .per_second = 10.2,
+                      .mean_tasks = 4,
+                      .mean_work_ms = 900,
+                      .mean_millicores = 32000,
+                      .worth = 0.0267}};
+    return options;
+}
+
 load_result simulate_load(const load_options& options)
 {
     shard_fleet fleet(options.fleet);
@@ -189,6 +254,7 @@
                             .core_ms = work_ms * shape.tasks *
                                        static_cast<double>(shape.millicores) /
                                        1000.0,
+                            .millicores = shape.millicores,
                             .sent = fleet.now(),
                             .domain = host.substr(0, host.find('-'))});
             const auto now = support::duration_cast<milliseconds>(
@@ -199,8 +265,10 @@
     }
     fleet.run_for(options.length + settling);
     load_result result;
-    for (const sent_job& job : sent)
+    const std::vector<std::string> ranks = size_ranks(sent);
+    for (std::size_t i = 0; i < sent.size(); ++i)
     {
+        const sent_job& job = sent[i];
         const load_kind& kind = *job.kind;
         const caller_record& caller = fleet.caller(job.id);
         const double mean_core_ms =
@@ -211,7 +279,9 @@
             support::duration_cast<milliseconds>(job.sent - start) / window;
         for (credit* const group :
              {&result.total, &result.by_kind[kind.route],
-              &result.by_domain[job.domain], &result.by_window[slot * 2]})
+              &result.by_domain[job.domain], &result.by_window[slot * 2],
+              &result.by_size[kind.route + "/" + ranks[i]],
+              &result.by_width[kind.route + "/" + width_of(job, options)]})
             count(*group, job, caller, worth, options.late_share);
     }
     result.violations = fleet.violations();
--- a/test/shards/load_simulation.hpp
+++ b/test/shards/load_simulation.hpp
@@ -20,6 +20,8 @@
     double mean_tasks = 1;
     double mean_work_ms = 100;
     double mean_millicores = 6800;
+    /// Standard deviation of the logarithm of a task's need.
+    double need_deviation = 0.2;
     /// Credit of a job that is answered within its target.
     double worth = 1;
 };
@@ -68,6 +70,12 @@
     credit total;
     std::map<std::string, credit> by_kind;
     std::map<std::string, credit> by_domain;
+    /// Keyed by kind and the rank of a job's core time within it: "tenth" for
+    /// the largest tenth, "fifth" for the fifth below it, and "rest".
+    std::map<std::string, credit> by_size;
+    /// Keyed by kind and "half" if two of the job's tasks fit on the smallest
+    /// endpoint, else "wide".
+    std::map<std::string, credit> by_width;
     /// Windows of two seconds, keyed by the first second of the send times.
     std::map<std::int64_t, credit> by_window;
     std::vector<std::string> violations;
@@ -79,6 +87,11 @@
 /// Returns kinds, rates and endpoints like those of the smaller installations.
 load_options small_installation_load(std::uint64_t seed);
 
+/// Returns a load whose tasks need about half of the smaller endpoints, so that
+/// whether two fit beside each other depends on which two. One shard of 29
+/// endpoints in each of three domains.
+load_options wide_task_load(std::uint64_t seed);
+
 load_result simulate_load(const load_options& options);
 
 } // namespace chicorydrum::shards
--- a/test/shards/measure.cpp
+++ b/test/shards/measure.cpp
@@ -16,19 +16,23 @@
 constexpr const char* usage =
     R"(Load days of entry hosts in virtual time, and the credit that they earn.
 
-Usage: shard_measure [--seeds RANGE] [--burst ROUTE] [--factor F] [--windows]
+Usage: shard_measure [--load NAME] [--seeds RANGE] [--burst ROUTE]
+                     [--factor F] [--rate F] [--windows]
 
 Options:
+  --load NAME    small: tasks that need less than half of an endpoint; wide:
+                 tasks that need about half of one [default: small].
   --seeds RANGE  Seeds as FIRST..LAST [default: 1..3].
-  --burst ROUTE  Kind that floods from second 6 to 12: quote, print, check,
-                 all or none [default: check].
+  --burst ROUTE  Kind that floods from second 6 to 12, all or none
+                 [default: check].
   --factor F     How many times its rate [default: 2.4].
+  --rate F       Factor of all rates at all times [default: 1].
   --windows      Print the credit of each two seconds of the first seed.
 )";
 
 void print_row(const std::string& name, const credit& group)
 {
-    std::printf("%-10s jobs=%-6d share=%.3f in_time=%.3f late=%.3f "
+    std::printf("%-14s jobs=%-6d share=%.3f in_time=%.3f late=%.3f "
                 "refused=%.3f\n",
                 name.c_str(), group.jobs, group.share(),
                 static_cast<double>(group.in_time) / group.jobs,
@@ -62,21 +66,33 @@
     const std::uint64_t last = std::stoull(range.substr(dots + 2));
     const std::string burst = arguments.at("--burst").asString();
     const double factor = std::stod(arguments.at("--factor").asString());
+    const double rate = std::stod(arguments.at("--rate").asString());
+    const std::string name = arguments.at("--load").asString();
     load_result sum;
     double worst = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        load_options options = small_installation_load(seed);
-        for (const load_kind& kind : options.kinds)
+        load_options options = name == "wide" ? wide_task_load(seed)
+                                              : small_installation_load(seed);
+        for (load_kind& kind : options.kinds)
+        {
+            kind.per_second *= rate;
             if (burst == kind.route || burst == "all")
                 options.bursts.push_back({.route = kind.route,
                                           .from = milliseconds(6000),
                                           .length = milliseconds(6000),
                                           .factor = factor});
+        }
         const load_result result = simulate_load(options);
         add(sum.total, result.total);
-        for (const auto& [name, group] : result.by_kind)
-            add(sum.by_kind[name], group);
+        for (const auto& [key, group] : result.by_kind)
+            add(sum.by_kind[key], group);
+        for (const auto& [key, group] : result.by_size)
+            add(sum.by_size[key], group);
+        for (const auto& [key, group] : result.by_width)
+            add(sum.by_width[key], group);
+        for (const auto& [key, group] : result.by_domain)
+            add(sum.by_domain[key], group);
         worst += result.worst_window_share();
         for (const std::string& line : result.violations)
             std::cout << "violation " << line << "\n";
@@ -84,8 +100,10 @@
             for (const auto& [start, group] : result.by_window)
                 print_row("second " + std::to_string(start), group);
     }
-    for (const auto& [name, group] : sum.by_kind)
-        print_row(name, group);
+    for (const auto* const groups :
+         {&sum.by_kind, &sum.by_size, &sum.by_width, &sum.by_domain})
+        for (const auto& [key, group] : *groups)
+            print_row(key, group);
     print_row("all", sum.total);
     std::printf("worst_windows=%.3f\n",
                 worst / static_cast<double>(last - first + 1));
