A wait for a place does not put the target at risk

Now a task waits for a sooner end only as long as the free endpoint would still meet the target, and tasks that name no place wait as before.

--- a/shard/lib/place_choice.cpp
+++ b/shard/lib/place_choice.cpp
@@ -113,9 +113,20 @@
     const auto group_index = static_cast<std::size_t>(task.group);
     const schema::task_group& group = job.work.groups[group_index];
     const bool seeks_place = !job.racks[group_index].empty();
-    const instant end_now = now + support::duration_from_ms(best_ms);
-    if (fastest_ms >= best_ms || (end_now <= job.target && !seeks_place))
+    const bool meets_target =
+        now + support::duration_from_ms(best_ms) <= job.target;
+    const bool has_better = fastest_ms < best_ms;
+    if (!has_better || (meets_target && !seeks_place))
         return false;
+    owned_task& state = job.task(task);
+    if (!seeks_place)
+    {
+        const bool waits =
+            now + support::duration_from_ms(fastest_ms) <= job.target;
+        if (waits && !state.waits_since)
+            state.waits_since = now;
+        return waits;
+    }
     std::vector<place_option> later;
     for (const auto& [id, record] : this->endpoints)
     {
@@ -141,14 +152,13 @@
     const place_option free_now{
         .endpoint = best.lease.entry().id, .free_at = now, .run_ms = best_ms};
     const place_choice choice =
-        choose_place(free_now, later, job.target, seeks_place, now, {});
+        choose_place(free_now, later, job.target, now, {});
     if (!choice.wait_for)
         return false;
     const place_option& place = later[*choice.wait_for];
     this->bookings->book(job.terms.pool, place.endpoint, group.need,
                          place.free_at +
                              support::duration_from_ms(place.run_ms));
-    owned_task& state = job.task(task);
     if (state.waits_since)
         return true;
     state.waits_since = now;
--- a/shard/lib/place_wait.cpp
+++ b/shard/lib/place_wait.cpp
@@ -30,55 +30,58 @@
 
 std::string_view name_of(place_reason reason)
 {
-    static constexpr std::array<std::string_view, 5> names = {
-        "ends_first", "meets_target", "late_anywhere", "target_needs_wait",
+    static constexpr std::array<std::string_view, 4> names = {
+        "ends_first", "late_anywhere", "target_needs_wait",
         "ends_sooner_after_wait"};
     return names[static_cast<std::size_t>(reason)];
 }
 
 place_choice choose_place(const place_option& free_now,
                           const std::vector<place_option>& later,
-                          instant target, bool seeks_place, instant now,
+                          instant target, instant now,
                           const place_wait_options& options)
 {
     const instant end_now = now + run_time(free_now);
     const bool meets_target = end_now <= target;
-    if (meets_target && !seeks_place)
-        return {.reason = place_reason::meets_target};
     std::optional<std::size_t> soonest;
     instant soonest_end = instant::max();
     for (std::size_t i = 0; i < later.size(); ++i)
     {
+        const bool is_worse = meets_target ? later[i].run_ms >= free_now.run_ms
+                                           : now + run_time(later[i]) > target;
         const instant end = end_after_wait(later[i], 1, now);
-        if (end >= soonest_end)
+        if (is_worse || end >= soonest_end)
             continue;
         soonest = i;
         soonest_end = end;
     }
-    if (!soonest || soonest_end >= end_now)
+    if (!soonest)
         return {.reason = meets_target ? place_reason::ends_first
                                        : place_reason::late_anywhere};
     const place_option& place = later[*soonest];
-    // A late answer is worth little, so that a fair chance of one in time is
-    // better than a start that is certain to be late.
-    const instant hopeful_end =
-        end_after_wait(place, 1 - options.forecast_error, now);
-    if (!meets_target && hopeful_end <= target)
+    if (!meets_target)
+    {
+        if (end_after_wait(place, 1 - options.forecast_error, now) > target)
+            return {.reason = place_reason::late_anywhere};
         return {.reason = place_reason::target_needs_wait,
                 .wait_for = soonest,
                 .pays_until = target - run_time(place)};
-    const instant cautious_end =
-        end_after_wait(place, 1 + options.forecast_error, now);
+    }
     const auto min_gain = std::max<support::decision_clock::duration>(
         options.min_gain_time,
         support::duration_from_ms(free_now.run_ms * options.min_gain));
-    const bool keeps_target = !meets_target || cautious_end <= target;
-    if (!seeks_place || !keeps_target || end_now - cautious_end < min_gain)
-        return {.reason = meets_target ? place_reason::meets_target
-                                       : place_reason::late_anywhere};
+    // Until then a start on the free endpoint, if it is still free, meets the
+    // target, and one on the other ends clearly sooner than a start now.
+    const instant pays_until = std::min(target - run_time(free_now),
+                                        end_now - min_gain - run_time(place));
+    const instant cautious_start =
+        end_after_wait(place, 1 + options.forecast_error, now) -
+        run_time(place);
+    if (cautious_start > pays_until)
+        return {.reason = place_reason::ends_first};
     return {.reason = place_reason::ends_sooner_after_wait,
             .wait_for = soonest,
-            .pays_until = end_now - min_gain - run_time(place)};
+            .pays_until = pays_until};
 }
 
 place_bookings::place_bookings(forecast_source from) : source(std::move(from))
--- a/shard/lib/place_wait.hpp
+++ b/shard/lib/place_wait.hpp
@@ -42,13 +42,11 @@
 
 enum class place_reason
 {
-    /// The free endpoint is where the task ends first.
+    /// The free endpoint meets the target, and no wait pays.
     ends_first,
-    /// The free endpoint meets the target, and no other is worth a wait.
-    meets_target,
-    /// No endpoint meets the target, or ends clearly sooner after a wait.
+    /// No endpoint would meet the target any more.
     late_anywhere,
-    /// Only an endpoint that is free later meets the target.
+    /// Only an endpoint that is not free yet can meet the target.
     target_needs_wait,
     /// Waiting and running there ends sooner than starting now.
     ends_sooner_after_wait,
@@ -65,14 +63,15 @@
     support::instant pays_until = {};
 };
 
-/// Weighs a start on the free endpoint \p free_now against a wait for one of
-/// \p later. A task whose target \p free_now meets waits only if it
-/// \p seeks_place, that is, if its job asks for a place; others wait only for
-/// their target.
+/// Weighs a start on the endpoint \p free_now against a wait for one of
+/// \p later. If \p free_now misses the target, the wait pays while another
+/// endpoint has a fair chance to meet it: a late answer is worth no less if it
+/// comes a little later. Else it pays if the end there is sooner by more than
+/// the forecast's error, and as long as \p free_now still meets the target, so
+/// that a wait in vain does not make the task late.
 place_choice choose_place(const place_option& free_now,
                           const std::vector<place_option>& later,
-                          support::instant target, bool seeks_place,
-                          support::instant now,
+                          support::instant target, support::instant now,
                           const place_wait_options& options);
 
 /// The expected use of endpoints during one pass over the queue. Tasks that
--- a/test/shards/load_simulation.hpp
+++ b/test/shards/load_simulation.hpp
@@ -47,6 +47,10 @@
     double estimate_error = 0.4;
     /// Fraction of a job's credit that a late answer still earns.
     double late_share = 0.2;
+    /// Share of the jobs whose data are on a rack, one of the two of a domain;
+    /// the one with odd endpoints is asked for by this part of them.
+    double rack_share = 0;
+    double hot_rack_part = 0.5;
 };
 
 /// Attainable and earned credit of a group of jobs.
@@ -58,7 +62,14 @@
     int in_time = 0;
     int late = 0;
     int refused = 0;
+    /// Sum of the times to the answers of completed jobs.
+    double answer_ms = 0;
 
+    double mean_answer_ms() const
+    {
+        const int completed = this->in_time + this->late;
+        return completed > 0 ? this->answer_ms / completed : 0;
+    }
     double share() const
     {
         return this->attainable > 0 ? this->earned / this->attainable : 1;
@@ -70,6 +81,8 @@
     credit total;
     std::map<std::string, credit> by_kind;
     std::map<std::string, credit> by_domain;
+    /// By whether the job's data are on a rack.
+    std::map<std::string, credit> by_place;
     /// Keyed by kind and the rank of a job's core time within it: "tenth" for
     /// the largest tenth, "fifth" for the fifth below it, and "rest".
     std::map<std::string, credit> by_size;
--- a/test/shards/place_test.cpp
+++ b/test/shards/place_test.cpp
@@ -24,6 +24,16 @@
     return {.hosts_per_domain = 2, .endpoints_per_domain = endpoints};
 }
 
+/// Lets the owner learn the speeds of its endpoints: it expects the first tasks
+/// on an endpoint to be faster, so that it is tried.
+void learn_speeds(shard_fleet& fleet)
+{
+    fleet.run_for(warm_up);
+    submit_load(fleet, 40, milliseconds(110),
+                {.tasks = 4, .work = milliseconds(100)});
+    fleet.run_for(milliseconds(1000));
+}
+
 support::decision_clock::duration time_of(const shard_fleet& fleet,
                                           const std::string& id)
 {
@@ -53,7 +63,7 @@
 BOOST_AUTO_TEST_CASE(task_waits_for_its_busy_rack)
 {
     shard_fleet fleet(one_domain(2));
-    fleet.run_for(warm_up);
+    learn_speeds(fleet);
     const std::string host = fleet.host_names().front();
     const job_shape near{
         .tasks = 2, .work = milliseconds(300), .preferred_rack = "rack-1"};
