A first owner asks again whether its shard was ever owned

Hosts now tell for 2 s the token of a claim that is the only one they have ever known of a shard (succession_state 6), and an owner that knew no earlier one asks at each tick while it waits. Each answer must come from the process that the table lists, and is asked for only once the table was read: at the claim, a table that was not read yet counted as one without hosts. Of the registrations, only the own domain's must have been read: no other host can have owned it. Hosts of earlier versions say neither, and the wait is as before.

successor/first_owner_asks_a_host_that_is_back_late: jobs wait in 4 of 4 courses before, in none now. first_owner_waits_for_leases_of_an_owner_that_was_cut_off guards the other side; it holds before, too.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -161,6 +161,10 @@
   /// The shards of the domain that the sender's process has never known an
   /// owner of, nor of the shards that they come from.
   5: optional list<i32> never_owned
+  /// The tokens, by shard, of the only claims that the sender's process has ever
+  /// known of these shards and those that they come from, for some seconds
+  /// after it first knew of them.
+  6: optional map<i32, i64> first_tokens
 }
 
 struct shard_heartbeat {
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -316,7 +316,8 @@
                now - *this->endpoints_read_at >= this->options.missing_grace;
     }
     /// Returns whether the endpoints were read since refresh_endpoints(), and
-    /// as they were when the hosts of the host table registered, or later.
+    /// as they were when the own domain's hosts in the table registered, or
+    /// later: owners that were there before have read no later ones.
     bool endpoints_follow_registrations() const;
     bool is_available() const
     {
@@ -464,8 +465,14 @@
     /// or as told by a peer. A later row that says otherwise ends it.
     std::map<std::string, leaving_news> news;
     std::int64_t last_news = 0;
-    /// The other hosts that were reported, and the versions of their rows.
-    std::map<std::string, std::int64_t> known_hosts;
+    struct known_host
+    {
+        std::string domain;
+        /// Of its row.
+        std::int64_t version = 0;
+    };
+    /// The other hosts that were reported.
+    std::map<std::string, known_host> known_hosts;
     /// No known endpoint is missing if this is false.
     bool may_miss_endpoints = false;
     std::int64_t endpoint_changes = 0;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -316,9 +316,9 @@
     /// Returns whether this host knows all endpoints of shard \p number where
     /// earlier owners may have runs.
     bool knows_endpoints_of(int number, support::instant now) const;
-    /// Ends the wait of shards that no live process has known an owner of, once
-    /// the endpoints were read as late as an earlier owner can have read them.
-    void check_first_claims();
+    /// Ends the wait of shards that no live process has known an earlier owner
+    /// of, once the endpoints were read as late as one can have read them.
+    void check_first_claims(support::instant now);
     /// Notes at which endpoints this host's shards may have runs.
     void update_succession(support::instant now);
     void update_shard_endpoints(support::instant now);
@@ -375,7 +375,8 @@
     bool lacked_endpoints = false;
     /// The owners that the last heartbeats named.
     std::vector<schema::heard_owner> last_heard;
-    /// Owned shards that no live process had known an owner of at their claim.
+    /// Owned shards that this process knew no earlier owner of, while others
+    /// are asked whether they do.
     std::set<int> first_claims;
     /// By shard: the last token under which it was not adopting.
     std::map<int, fencing_token> settled_tokens;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -126,6 +126,9 @@
     /// The same once the domain's hosts in the table are known: enough time to
     /// dial them twice. Shorter if all of them have sent a heartbeat.
     support::milliseconds known_settling_time{500};
+    /// How long hosts tell that a claim is the first that they know of: its
+    /// owner waits for the leases of earlier ones for 1.1 s at most.
+    support::milliseconds first_claim_memory{2000};
     sighting_options sightings = {};
 };
 
@@ -144,7 +147,7 @@
                           std::optional<support::instant> sent,
                           support::instant now);
     /// The table lists a host of the own domain.
-    void host_listed(const std::string& host);
+    void host_listed(const std::string& host, std::int64_t nonce);
     void host_unlisted(const std::string& host);
     /// The table lists a host of another domain.
     void domain_listed(const std::string& domain)
@@ -201,9 +204,14 @@
     std::optional<shard_claim> last_claim_of(int shard) const;
     /// Returns the shards of the own domain without any known claim.
     std::vector<int> never_owned() const;
+    /// Returns the tokens of the only claims that this process has ever known
+    /// of shards of the own domain, if it has known of them for less than
+    /// first_claim_memory.
+    std::map<int, fencing_token> first_tokens(support::instant now) const;
     /// Returns whether no live process of the domain has known an owner of
-    /// \p shard: each host that the table lists is connected and says so.
-    bool was_never_owned(int shard) const;
+    /// \p shard but the holder of \p token: the process of each host that the
+    /// table lists is connected and says so.
+    bool has_first_owner(int shard, fencing_token token) const;
     /// Returns a shard of this host that a much stronger host of the domain
     /// should claim, if any.
     std::optional<int> shard_to_offer(support::instant now) const;
@@ -302,6 +310,10 @@
 
     shard_owners find_owners() const;
     /// Notes which peers are live now.
+    /// Notes the claim that holds a shard of the own domain, divided into
+    /// \p count.
+    void note_claim(int shard, int count, fencing_token token,
+                    support::instant now);
     void update_liveness();
     bool is_live(const peer_state& peer) const;
     /// Returns whether the peer's link was closed in its planned stop.
@@ -346,7 +358,8 @@
     mutable std::optional<shard_owners> known_owners;
     /// When a peer was last found lost that had not announced its stop.
     std::optional<support::instant> peer_lost_at;
-    std::set<std::string> listed;
+    /// The nonces of the domain's hosts in the table.
+    std::map<std::string, std::int64_t> listed;
     bool listing_is_complete = false;
     std::vector<schema::ownership> owned;
     int shards = 1;
@@ -370,6 +383,14 @@
     /// The tokens of the last known claims in the own domain, by the number of
     /// shards that it had then and the shard's number.
     std::map<std::pair<int, int>, fencing_token> last_claims;
+    struct first_claim
+    {
+        fencing_token token = 0;
+        support::instant known_since;
+    };
+    /// The only claims that this process has ever known of shards of the own
+    /// domain, while that has not been divided since.
+    std::map<int, first_claim> first_claims;
     support::instant silence_counts_from;
     owner_sightings sightings;
     /// When this host last gave each shard up.
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -271,8 +271,12 @@
 {
     const bool follow_others =
         std::all_of(this->known_hosts.begin(), this->known_hosts.end(),
-                    [this](const auto& host)
-                    { return host.second <= this->endpoints_read_version; });
+                    [this](const auto& entry)
+                    {
+                        const known_host& host = entry.second;
+                        return host.domain != this->options.record.domain ||
+                               host.version <= this->endpoints_read_version;
+                    });
     return this->hosts_are_complete && this->endpoints_read_at &&
            !this->endpoints_are_stale && this->is_registered &&
            this->own_version <= this->endpoints_read_version && follow_others;
@@ -577,7 +581,8 @@
         }
         if (!row.record)
             continue;
-        this->known_hosts[row.name] = row.version;
+        this->known_hosts[row.name] = {.domain = row.record->domain,
+                                       .version = row.version};
         this->hooks.host_read(row.name, *row.record);
     }
     this->report_removed_hosts(rows);
@@ -610,11 +615,11 @@
         (is_present ? present : removed).insert(row.name);
     }
     std::erase_if(this->known_hosts,
-                  [&](const auto& known_host)
+                  [&](const auto& entry)
                   {
-                      const auto& [host, version] = known_host;
+                      const auto& [host, row] = entry;
                       const bool is_outdated =
-                          rows.is_whole && rows.version < version;
+                          rows.is_whole && rows.version < row.version;
                       const bool is_gone =
                           !is_outdated && !present.contains(host) &&
                           (rows.is_whole || removed.contains(host));
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -106,7 +106,7 @@
                         const schema::host_record& record)
              {
                  if (record.domain == this->options.self.domain)
-                     this->view.host_listed(host);
+                     this->view.host_listed(host, record.nonce);
                  else
                      this->view.domain_listed(record.domain);
                  this->hooks.host_known(host, record);
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -70,7 +70,7 @@
     this->table.tick(now);
     this->tick_configs(now);
     this->update_shard_endpoints(now);
-    this->check_first_claims();
+    this->check_first_claims(now);
     if (now >= this->next_succession_update)
         this->update_succession(now);
     this->begin_handover_if_due(now);
@@ -371,18 +371,27 @@
     claimed.update_doubts(this->table.doubts());
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
-    if (this->view.was_never_owned(number))
+    if (!opts.knows_endpoints && !this->view.last_claim_of(number))
         this->first_claims.insert(number);
     this->update_succession(now);
 }
 
-void entry_host::check_first_claims()
+void entry_host::check_first_claims(instant now)
 {
-    if (this->first_claims.empty() ||
-        !this->table.endpoints_follow_registrations())
+    if (this->first_claims.empty())
         return;
-    for (const int number : std::exchange(this->first_claims, {}))
-        this->shards.at(number)->learned_endpoints();
+    const bool follows = this->table.endpoints_follow_registrations();
+    std::erase_if(this->first_claims,
+                  [this, follows, now](int number)
+                  {
+                      shard_owner& shard = *this->shards.at(number);
+                      const bool is_first =
+                          follows &&
+                          this->view.has_first_owner(number, shard.token());
+                      if (is_first)
+                          shard.learned_endpoints();
+                      return shard.knows_endpoints(now);
+                  });
 }
 
 bool entry_host::knows_endpoints_of(int number, instant now) const
@@ -435,6 +444,10 @@
         std::vector<int> never_owned = this->view.never_owned();
         if (!never_owned.empty())
             state.__set_never_owned(std::move(never_owned));
+        std::map<int, fencing_token> first_tokens =
+            this->view.first_tokens(this->current_time);
+        if (!first_tokens.empty())
+            state.__set_first_tokens(std::move(first_tokens));
         message.beat.__set_succession(std::move(state));
     }
     this->send(peer, std::move(message));
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -135,9 +135,9 @@
     state.highest = std::max(state.highest, epoch_of(token));
 }
 
-void host_view::host_listed(const std::string& host)
+void host_view::host_listed(const std::string& host, std::int64_t nonce)
 {
-    this->listed.insert(host);
+    this->listed[host] = nonce;
 }
 
 void host_view::host_unlisted(const std::string& host)
@@ -157,9 +157,9 @@
         return age >= this->options.settling_time;
     return age >= this->options.known_settling_time ||
            std::all_of(this->listed.begin(), this->listed.end(),
-                       [this](const std::string& host)
+                       [this](const auto& entry)
                        {
-                           const auto found = this->peers.find(host);
+                           const auto found = this->peers.find(entry.first);
                            return found != this->peers.end() &&
                                   found->second.is_connected &&
                                   found->second.has_heartbeat;
@@ -184,6 +184,7 @@
     if (count <= this->shards)
         return;
     this->shards = count;
+    this->first_claims.clear();
     // Nothing runs in other shards of a domain that has not had an owner yet.
     if (this->knows_any_owner())
         this->divided_at = now;
@@ -302,13 +303,27 @@
         owner.host = found->second.host;
         const int shards_there =
             is_peer ? peer->second.last_heartbeat.shard_count : this->shards;
-        this->last_claims[{std::max(shards_there, 1), shard}] =
-            found->second.token;
+        this->note_claim(shard, std::max(shards_there, 1), found->second.token,
+                         now);
         owner.nonce = is_peer ? peer->second.identity.nonce : 0;
         owner.heard_at = is_peer ? peer->second.last_received : now;
     }
 }
 
+void host_view::note_claim(int shard, int count, fencing_token token,
+                           instant now)
+{
+    const bool is_first = count == this->shards && !this->last_claim_of(shard);
+    this->last_claims[{count, shard}] = token;
+    const auto first = this->first_claims.find(shard);
+    if (is_first)
+        this->first_claims[shard] = {.token = token, .known_since = now};
+    else if (count != this->shards)
+        this->first_claims.clear();
+    else if (first != this->first_claims.end() && first->second.token != token)
+        this->first_claims.erase(first);
+}
+
 void host_view::update_liveness()
 {
     for (auto& [name, peer] : this->peers)
@@ -620,24 +635,45 @@
     return found;
 }
 
-bool host_view::was_never_owned(int shard) const
+std::map<int, fencing_token> host_view::first_tokens(instant now) const
 {
-    const auto says_so = [shard](const peer_state& peer)
+    std::map<int, fencing_token> tokens;
+    for (const auto& [shard, claim] : this->first_claims)
+        if (now - claim.known_since < this->options.first_claim_memory)
+            tokens[shard] = claim.token;
+    return tokens;
+}
+
+bool host_view::has_first_owner(int shard, fencing_token token) const
+{
+    const auto says_so = [this, shard, token](const peer_state& peer)
     {
+        if (!peer.is_connected || !peer.has_heartbeat)
+            return false;
         const schema::shard_heartbeat& heartbeat = peer.last_heartbeat;
         const int number = shard % std::max(heartbeat.shard_count, 1);
         const auto& never = heartbeat.succession.never_owned;
-        return peer.is_connected && peer.has_heartbeat &&
-               std::find(never.begin(), never.end(), number) != never.end();
+        const auto& first = heartbeat.succession.first_tokens;
+        const auto claim = first.find(shard);
+        return std::find(never.begin(), never.end(), number) != never.end() ||
+               (heartbeat.shard_count == this->shards && claim != first.end() &&
+                claim->second == token);
     };
-    const bool all_listed_say_so = std::all_of(
-        this->listed.begin(), this->listed.end(),
-        [this, &says_so](const std::string& host)
-        {
-            const auto found = this->peers.find(host);
-            return found != this->peers.end() && says_so(found->second);
-        });
-    return all_listed_say_so && !this->last_claim_of(shard) &&
+    const bool all_listed_say_so =
+        std::all_of(this->listed.begin(), this->listed.end(),
+                    [this, &says_so](const auto& entry)
+                    {
+                        const auto& [host, nonce] = entry;
+                        const auto found = this->peers.find(host);
+                        return found != this->peers.end() &&
+                               found->second.identity.nonce == nonce &&
+                               says_so(found->second);
+                    });
+    const auto own = this->first_claims.find(shard);
+    const bool is_first_here = own == this->first_claims.end()
+                                   ? !this->last_claim_of(shard)
+                                   : own->second.token == token;
+    return all_listed_say_so && is_first_here &&
            std::all_of(this->peers.begin(), this->peers.end(),
                        [this, &says_so](const auto& entry)
                        {
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -93,6 +93,8 @@
                  "a short list")
         .require(state.vouched.size() <= max_shards, "vouched", "a short list")
         .require(state.never_owned.size() <= max_shards, "never_owned",
+                 "a short list")
+        .require(state.first_tokens.size() <= max_shards, "first_tokens",
                  "a short list");
     for (const schema::held_endpoint& held : state.endpoints)
         checked.include(check(held.entry))
@@ -100,6 +102,9 @@
     for (const auto& [shard, token] : state.vouched)
         checked.integer("shard", shard, 0, max_shards - 1)
             .integer("token", token, 1, max_owner_token);
+    for (const auto& [shard, token] : state.first_tokens)
+        checked.integer("shard", shard, 0, max_shards - 1)
+            .integer("token", token, 1, max_owner_token);
     return checked.outcome();
 }
 
--- a/test/shards/successor_test.cpp
+++ b/test/shards/successor_test.cpp
@@ -386,6 +386,58 @@
             }
 }
 
+// All hosts of a domain are lost, and one of them is back only after the others
+// have claimed the shard. It knows no earlier owner either, so that new jobs
+// don't wait for the leases of one.
+BOOST_AUTO_TEST_CASE(first_owner_asks_a_host_that_is_back_late)
+{
+    for (int later = 650; later <= 800; later += 50)
+        BOOST_TEST_CONTEXT("later " << later)
+        {
+            succession hosts(2);
+            shard_fleet& fleet = hosts.fleet;
+            for (const std::string& host : fleet.host_names())
+                fleet.kill(host);
+            fleet.run_for(milliseconds(300));
+            fleet.start("D1-h1");
+            fleet.start("D1-h2");
+            fleet.run_for(milliseconds(later));
+            const std::string owner = fleet.owner_of("D1");
+            BOOST_TEST(owner != "");
+            fleet.start("D1-h3");
+            fleet.run_for(milliseconds(400));
+            const std::string job =
+                fleet.submit(other_host(fleet, owner), very_long_task);
+            fleet.run_for(milliseconds(100));
+            BOOST_TEST(fleet.starts_of(job) == 1);
+            check_no_violations(fleet);
+        }
+}
+
+// A host that is back late has known an earlier owner: cut off from the others,
+// it was none that they could ask when they claimed the shard.
+BOOST_AUTO_TEST_CASE(first_owner_waits_for_leases_of_an_owner_that_was_cut_off)
+{
+    for (int later = 700; later <= 1000; later += 50)
+        BOOST_TEST_CONTEXT("later " << later)
+        {
+            succession hosts(2);
+            shard_fleet& fleet = hosts.fleet;
+            fleet.partition({hosts.owner}, {"D1-h2", "D1-h3"});
+            fleet.kill("D1-h2");
+            fleet.kill("D1-h3");
+            fleet.run_for(milliseconds(300));
+            fleet.start("D1-h2");
+            fleet.start("D1-h3");
+            fleet.run_for(milliseconds(later));
+            fleet.heal();
+            const std::string job = fleet.submit("D1-h2", very_long_task);
+            fleet.run_for(milliseconds(25000));
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+            check_no_violations(fleet);
+        }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
