Evacuation of a failure domain

Operators ask by a row of the store that no task starts in a domain until the row is removed.

The row is decoded beside the configuration. `shard/evacuations.hpp` keeps for each domain the change with the highest version of the store, from the store or from peers, so that late reads, late peers and restarts can't bring an old one back; heartbeats carry what a peer was not told on its link. In an evacuated domain owners start nothing and end the jobs whose tasks would have to wait, as not run if that is certain; entry hosts offer these, after their home shard, to the other domains. Runs and leases go on, hosts stay ready. A process starts nothing until it has learned which domains are evacuated, for 2 s at most.

The virtual fleet reports each start later than 5 s after a request.

--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -150,6 +150,11 @@
             "Time for which a peer has had a configuration that has not "
             "arrived here.",
             support::in_seconds(host.config_lag()));
+    all.set("evacuated_domains",
+            "Domains that the operator has asked to evacuate.",
+            static_cast<double>(host.evacuations().evacuated_domains().size()));
+    all.set("evacuated", "1 while no task starts in this host's domain.",
+            host.evacuations().is_evacuated(host.identity().domain) ? 1 : 0);
     all.set("ready", "1 while new callers should come to this host.",
             host.is_ready() ? 1 : 0);
     all.set("owned_shards", "Shards that this host owns.",
--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -163,6 +163,21 @@
   5: optional list<i32> never_owned
 }
 
+/// The operator's request that no task starts in a failure domain, or the end
+/// of one.
+struct evacuation_change {
+  1: string domain
+  /// The version in the store of its row, of the row's removal, or of a read
+  /// that lacked the row.
+  2: i64 version
+  3: bool is_requested
+}
+
+/// What a host knows of evacuations, as far as it has not told it on this link.
+struct evacuation_news {
+  1: list<evacuation_change> changes
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -198,6 +213,10 @@
   16: bool sends_config_parts
   /// To hosts of the sender's domain only; unset by hosts of earlier versions.
   17: optional succession_state succession
+  /// Unset if there is no news, and by hosts that have not learned yet which
+  /// domains are evacuated, or are of earlier versions. The first one on a link
+  /// is set even if no domain is.
+  18: optional evacuation_news evacuations
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/directory.hpp
+++ b/shard/include/chicorydrum/shard/directory.hpp
@@ -4,6 +4,7 @@
 /// the store.
 #pragma once
 
+#include "chicorydrum/shard/evacuations.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/support/log.hpp"
 #include "chicorydrum/support/validation.hpp"
@@ -98,6 +99,8 @@
     std::vector<host_row> hosts;
     std::vector<endpoint_row> endpoints;
     std::vector<malformed_row> malformed = {};
+    /// In the table of the configuration; in the order of the changes.
+    std::vector<evacuation_row> evacuations = {};
 };
 
 struct registration_write
@@ -130,6 +133,8 @@
     std::function<void(const table_read&)> read;
     std::function<void(const registration_write&)> write;
     std::function<void(std::string document)> config_read;
+    /// The rows beside the configuration were read. May be empty.
+    std::function<void(const evacuation_rows&)> evacuations_read = {};
     /// A host is new or has changed.
     std::function<void(const std::string&, const schema::host_record&)>
         host_read;
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/shard/config_loader.hpp"
 #include "chicorydrum/shard/config_spread.hpp"
 #include "chicorydrum/shard/directory.hpp"
+#include "chicorydrum/shard/evacuations.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
 #include "chicorydrum/shard/link_clock.hpp"
@@ -75,6 +76,7 @@
     config_loader_options configs;
     config_spread_options spread;
     succession_options successors;
+    evacuation_options evacuations;
     /// Other hosts of the domain that keep each cancellation that is recorded
     /// here.
     std::size_t cancellation_keepers = 2;
@@ -176,6 +178,10 @@
     {
         return this->view;
     }
+    const shard::evacuations& evacuations() const
+    {
+        return this->evacuation_state;
+    }
     bool store_is_available() const
     {
         return this->table.is_available();
@@ -282,6 +288,11 @@
     /// Returns the leaving endpoints that \p peer is to be told of on its link.
     std::vector<schema::leaving_endpoint> news_for(const std::string& peer,
                                                    support::instant now);
+    /// Applies a change of the evacuated domains, if there is one, and tells
+    /// the peers at once.
+    void update_evacuations(support::instant now);
+    /// Logs requests to evacuate a domain where no endpoint is.
+    void check_evacuated_domains();
     /// Tells the peers that do not follow the endpoints of those that leave,
     /// without waiting for the next heartbeat.
     void tell_lacking_peers(support::instant now);
@@ -339,6 +350,9 @@
     std::int64_t stored_config_version = 0;
     host_view view;
     succession successors;
+    shard::evacuations evacuation_state;
+    /// The last change of it that was applied.
+    std::int64_t applied_evacuations = 0;
     support::instant next_succession_update;
     job_intake intake;
     shard::cancellations cancellations;
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -78,6 +78,12 @@
     /// \p shard_count is the number of shards of this host's domain.
     void set_owners(shard_owners changed, int shard_count,
                     support::instant now);
+    /// No task starts in \p domains: a job is offered to their shards only as
+    /// its home.
+    void set_evacuated(std::set<std::string> domains)
+    {
+        this->evacuated = std::move(domains);
+    }
     /// Submits the jobs at \p host again, since messages to or from it may be
     /// lost.
     void resubmit_to(const std::string& host, support::instant now);
@@ -141,6 +147,9 @@
     /// domain if one is left.
     std::optional<shard_name> choose(const open_job& job,
                                      support::instant now) const;
+    /// Returns whether \p job may be offered to a shard of another domain with
+    /// \p load.
+    bool may_leave_domain(const open_job& job, double load) const;
     void send(call_id call, open_job& job, support::instant now);
     /// Offers a job that a shard has certainly not run to another shard.
     bool offer_elsewhere(call_id call, open_job& job, support::instant now);
@@ -160,6 +169,8 @@
     intake_options options;
     intake_hooks hooks;
     shard_owners owners;
+    /// The domains in which no task starts.
+    std::set<std::string> evacuated;
     int shards = 1;
     std::map<call_id, open_job> jobs;
     /// Oldest first.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -118,6 +118,11 @@
     /// or update_endpoints() on.
     void update_doubts(std::map<std::string, entry_doubt> doubted);
 
+    /// The shard's domain is evacuated from now on, or not any more. Then no
+    /// task starts: running ones go on, and jobs with waiting tasks end, as not
+    /// run if that is certain.
+    void set_evacuated(bool is_evacuated, support::instant now);
+
     /// Lists endpoints that the platform does not list any more: tasks that an
     /// earlier owner has started may run there.
     void
@@ -262,6 +267,9 @@
     bool may_have_run(const schema::job& work, bool was_sent_to_others,
                       support::instant now) const;
     void end_expired_jobs(support::instant now);
+    /// Ends the jobs with tasks that can't start, once it is known what earlier
+    /// owners have started of them.
+    void end_evacuated_jobs(support::instant now);
     /// Remembers that \p call was told that job \p id has not run.
     void record_refusal(const std::string& id, caller_call call,
                         support::instant deadline, support::instant now);
@@ -411,6 +419,8 @@
     std::map<std::string, recent_use> uses;
     support::line_limit slow_stops;
     bool needs_placing = false;
+    /// As all records say.
+    bool evacuated = false;
     bool adoption_has_ended = false;
     bool inquiry_has_ended = false;
 };
--- a/shard/lib/directory.cpp
+++ b/shard/lib/directory.cpp
@@ -447,6 +447,7 @@
         };
         append(joined.hosts, rows.hosts);
         append(joined.endpoints, rows.endpoints);
+        append(joined.evacuations, rows.evacuations);
         if (rows.config)
             joined.config = std::move(rows.config);
         joined.is_whole = rows.is_whole;
@@ -476,6 +477,10 @@
     }
     if (rows.config)
         this->hooks.config_read(*rows.config);
+    if (rows.table == directory_table::config && this->hooks.evacuations_read)
+        this->hooks.evacuations_read({.rows = rows.evacuations,
+                                      .is_whole = rows.is_whole,
+                                      .version = rows.version});
     if (rows.table == directory_table::hosts)
         this->apply_hosts(rows, now);
     if (rows.table != directory_table::endpoints)
--- a/shard/lib/endpoint_record.hpp
+++ b/shard/lib/endpoint_record.hpp
@@ -19,6 +19,8 @@
     support::instant unlisted_since = {};
     /// Of the entry, as long as the endpoint is listed.
     entry_doubt doubt = entry_doubt::none;
+    /// Whether its domain is evacuated.
+    bool is_evacuated = false;
     /// Whether its last call was answered.
     bool is_responding = true;
     /// A list must be requested at once, even if no run is known there.
@@ -53,11 +55,12 @@
     int consecutive_failures = 0;
     int quarantines = 0;
 
-    /// Returns whether the platform lists the endpoint for new work.
+    /// Returns whether the platform lists the endpoint for new work, and the
+    /// operator leaves its domain in use.
     bool is_offered() const
     {
         return this->is_listed && this->doubt != entry_doubt::unusable &&
-               !this->lease.entry().is_draining;
+               !this->lease.entry().is_draining && !this->is_evacuated;
     }
     void run_succeeded();
     /// Records a failed run; several in a row quarantine the endpoint, longer
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -64,6 +64,7 @@
       spread(spread_of(this->options), this->spread_hooks()),
       view(view_of(this->options), now),
       successors(this->options.successors, {.log = this->hooks.log}),
+      evacuation_state(this->options.evacuations, this->hooks.log, now),
       next_succession_update(now),
       intake(intake_of(this->options),
              {.answer = this->hooks.answer,
@@ -101,6 +102,8 @@
                  this->stored_config_version =
                      this->load_config(std::move(document), "store");
              },
+             .evacuations_read = [this](const evacuation_rows& rows)
+             { this->evacuation_state.rows_read(rows, this->current_time); },
              .host_read =
                  [this](const std::string& host,
                         const schema::host_record& record)
@@ -367,6 +370,7 @@
     this->answered_by.erase(peer.name);
     this->told_peers.erase(peer.name);
     this->successors.link_opened(peer.name);
+    this->evacuation_state.link_opened(peer.name);
     this->send_open_jobs(peer.name);
     // Messages sent to the peer over an earlier link may be lost.
     this->intake.resubmit_to(peer.name, now);
@@ -380,6 +384,7 @@
     this->links_have_changed = true;
     this->view.disconnected(peer, now);
     this->successors.link_closed(peer, now);
+    this->evacuation_state.link_closed(peer);
     this->spread.peer_lost(peer);
 }
 
@@ -483,6 +488,9 @@
 
 void entry_host::send(const std::string& peer, schema::shard_message message)
 {
+    if (message.__isset.beat)
+        if (auto news = this->evacuation_state.news_for(peer))
+            message.beat.__set_evacuations(std::move(*news));
     message.__set_times(this->clocks[peer].clock.times_at(this->current_time));
     this->hooks.send(peer, message);
 }
@@ -509,6 +517,11 @@
         this->spread.heard(
             peer, heartbeat.config_version,
             this->view.domain_of(peer) == this->options.self.domain, now);
+    if (heartbeat.__isset.evacuations)
+    {
+        this->evacuation_state.heard(peer, heartbeat.evacuations, now);
+        this->update_evacuations(now);
+    }
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
@@ -576,6 +589,7 @@
 {
     this->begin_event(now);
     this->table.rows_read(rows, now);
+    this->update_evacuations(now);
     this->tell_lacking_peers(now);
     this->update_shard_endpoints(now);
     this->table.tick(now);
@@ -617,6 +631,7 @@
     }
     this->update_succession(now);
     this->deliver_local_results(now);
+    this->check_evacuated_domains();
 }
 
 } // namespace chicorydrum::shard
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -310,10 +310,12 @@
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
         .may_start_at =
-            [this, number](const schema::endpoint_registration& entry) {
-                return this->successors.may_start_at(number, entry,
-                                                     this->current_time);
-            },
+            [this, number](const schema::endpoint_registration& entry)
+        {
+            return this->evacuation_state.is_known(this->current_time) &&
+                   this->successors.may_start_at(number, entry,
+                                                 this->current_time);
+        },
         .has_read_endpoints = [this]
         { return this->table.has_read_endpoints(); },
         .find_lost_owner =
@@ -368,6 +370,8 @@
     for (const schema::job_elsewhere& job : this->intake.jobs_elsewhere(
              {.domain = opts.domain, .shard = number}, opts.shards, now))
         claimed.note_elsewhere(this->options.self.name, job, now);
+    claimed.set_evacuated(this->evacuation_state.is_evacuated(opts.domain),
+                          now);
     claimed.update_doubts(this->table.doubts());
     claimed.list_leftovers(this->table.lately_dropped(now), now);
     claimed.update_endpoints(this->table.endpoints(), now);
@@ -637,6 +641,35 @@
     return std::move(list.endpoints);
 }
 
+void entry_host::update_evacuations(instant now)
+{
+    const std::int64_t last = this->evacuation_state.last_change();
+    if (std::exchange(this->applied_evacuations, last) == last)
+        return;
+    // First, so that jobs that end now are offered to other domains.
+    this->intake.set_evacuated(this->evacuation_state.evacuated_domains());
+    const bool is_own =
+        this->evacuation_state.is_evacuated(this->options.self.domain);
+    for (const auto& [number, shard] : this->shards)
+        shard->set_evacuated(is_own, now);
+    this->update_owned();
+    this->send_heartbeats(now, true);
+    this->deliver_local_results(now);
+    this->check_evacuated_domains();
+}
+
+void entry_host::check_evacuated_domains()
+{
+    // A request may be read before the endpoints are.
+    if (!this->table.has_read_endpoints() ||
+        this->evacuation_state.last_change() == 0)
+        return;
+    std::set<std::string> known;
+    for (const schema::endpoint_registration& entry : this->table.endpoints())
+        known.insert(entry.domain);
+    this->evacuation_state.log_unknown_domains(known);
+}
+
 void entry_host::tell_lacking_peers(instant now)
 {
     if (this->table.last_leaving() == 0)
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -87,10 +87,9 @@
                 ? static_cast<double>(owner.wanted_millicores) /
                       static_cast<double>(owner.capacity_millicores)
                 : 1.0;
-        // Another domain is used only after a refusal, and if it has capacity.
-        const bool is_wanted =
-            is_local || (!job.refused_by.empty() && load < remote_load_limit);
-        if (has_refused || !is_wanted || !owner.is_reachable)
+        const bool is_wanted = is_local || this->may_leave_domain(job, load);
+        if (has_refused || !is_wanted || !owner.is_reachable ||
+            this->evacuated.contains(name.domain))
             continue;
         const double rank = is_local ? load : load + remote_penalty;
         if (best && rank >= best_rank)
@@ -101,6 +100,15 @@
     return best;
 }
 
+bool job_intake::may_leave_domain(const open_job& job, double load) const
+{
+    // Nothing starts in the own domain: the others are all that is left.
+    if (this->evacuated.contains(this->options.domain))
+        return true;
+    // Used only after a refusal, and if it has capacity.
+    return !job.refused_by.empty() && load < remote_load_limit;
+}
+
 void job_intake::send(call_id call, open_job& job, instant now)
 {
     if (!job.shard)
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -160,6 +160,7 @@
         this->earlier_raises.erase(earlier);
     }
     new_record->next_list = now;
+    new_record->is_evacuated = this->evacuated;
     endpoint_record& added = *new_record;
     this->endpoints[entry.id] = std::move(new_record);
     this->update_doubt(added);
@@ -224,6 +225,7 @@
     }
     this->remove_unlisted_endpoints(now);
     this->end_expired_jobs(now);
+    this->end_evacuated_jobs(now);
     this->place(now);
     this->shed_overload(now);
 }
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -101,6 +101,11 @@
         this->finish(added.id(), schema::job_result::completed, "", now);
         return;
     }
+    if (this->evacuated)
+    {
+        this->end_evacuated_jobs(now);
+        return;
+    }
     this->place(now);
     if (added.waiting_tasks() > 0)
         this->shed_overload(now);
@@ -553,6 +558,36 @@
                   { return now - entry.second > unclaimed_age; });
 }
 
+void shard_owner::set_evacuated(bool is_evacuated, instant now)
+{
+    if (std::exchange(this->evacuated, is_evacuated) == is_evacuated)
+        return;
+    for (const auto& [id, record] : this->endpoints)
+        record->is_evacuated = is_evacuated;
+    this->hooks.log(
+        log_line("shard_evacuated")
+            .add("domain", this->options.domain)
+            .add("shard", this->options.shard)
+            .add("evacuated", is_evacuated)
+            .add("jobs", static_cast<std::int64_t>(this->jobs.size()))
+            .add("runs", this->running_tasks()));
+    this->end_evacuated_jobs(now);
+    this->needs_placing = true;
+}
+
+void shard_owner::end_evacuated_jobs(instant now)
+{
+    if (!this->evacuated)
+        return;
+    std::vector<std::pair<std::string, schema::job_result>> ended;
+    for (const owned_job* const job : this->waiting_queue(now))
+        ended.emplace_back(job->id(), this->may_have_run(*job, now)
+                                          ? schema::job_result::interrupted
+                                          : schema::job_result::not_run);
+    for (const auto& [id, outcome] : ended)
+        this->finish(id, outcome, "evacuated", now);
+}
+
 std::map<std::string, std::int32_t> shard_owner::waiting_by_route() const
 {
     std::map<std::string, std::int32_t> waiting;
--- a/support/include/chicorydrum/support/validation.hpp
+++ b/support/include/chicorydrum/support/validation.hpp
@@ -35,6 +35,9 @@
 constexpr int max_shards = 16;
 /// Maximum number of leaving endpoints in one heartbeat.
 constexpr std::size_t max_leaving = 1024;
+/// Maximum number of domains that a host knows evacuations of. More than the
+/// domains of any installation; their list takes 4 kB.
+constexpr std::size_t max_evacuations = 64;
 /// Maximum number of endpoints that an owner tells with one heartbeat.
 constexpr std::size_t max_held = 64;
 /// Maximum processor share of an entry host, as in its settings.
--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -153,6 +153,15 @@
                 .integer("born_ms", endpoint.born_ms, 0, max_exact_integer)
                 .integer("version", endpoint.version, 0, max_exact_integer)
                 .outcome());
+    checked.require(heartbeat.evacuations.changes.size() <= max_evacuations,
+                    "evacuations", "a short list");
+    for (const schema::evacuation_change& change :
+         heartbeat.evacuations.changes)
+        checked.include(
+            range_check()
+                .require(is_plain_name(change.domain), "evacuations", plain)
+                .integer("version", change.version, 0, max_exact_integer)
+                .outcome());
     if (heartbeat.__isset.succession)
         checked.include(check_succession(heartbeat.succession));
     for (const auto& [route, count] : heartbeat.waiting)
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds balancer_delay{2500};
 /// A draining endpoint must get no new work after this delay.
 constexpr milliseconds drain_limit{2000};
+/// A domain that is evacuated must get no new work after this delay.
+constexpr milliseconds evacuation_limit{5000};
 /// No task of a job starts later than this after its cancelling was answered.
 constexpr milliseconds cancel_limit{3000};
 
@@ -301,8 +303,10 @@
         this->changes[static_cast<std::size_t>(directory_table::config)];
     const auto found =
         std::find_if(all.begin(), all.end(),
-                     [&document](const row_change& change)
-                     { return *change.row.config->document == document; });
+                     [&document](const row_change& change) {
+                         return change.row.config &&
+                                *change.row.config->document == document;
+                     });
     if (found == all.end())
         return support::fail(support::error_kind::bad_request,
                              "not a stored document");
@@ -836,20 +840,20 @@
         this->store_disturbances.back().to = this->queue.now();
 }
 
-bool shard_fleet::must_know_of_draining(support::instant since) const
+bool shard_fleet::must_know(support::instant since, milliseconds limit) const
 {
     support::instant calm_from = since;
     for (const time_span& span : this->store_disturbances)
     {
         if (span.to && *span.to <= calm_from)
             continue;
-        if (calm_from + drain_limit < span.from)
+        if (calm_from + limit < span.from)
             break;
         if (!span.to)
             return false;
         calm_from = *span.to;
     }
-    return this->queue.now() - calm_from > drain_limit;
+    return this->queue.now() - calm_from > limit;
 }
 
 void shard_fleet::set_store_up(bool is_up)
@@ -965,7 +969,10 @@
     switch (rows.table)
     {
     case directory_table::config:
-        rows.config = *row.config->document;
+        if (row.config)
+            rows.config = *row.config->document;
+        else
+            append_evacuation(rows, key, row);
         return;
     case directory_table::hosts:
         rows.hosts.push_back({.name = key,
@@ -979,14 +986,27 @@
     }
 }
 
+void shard_fleet::append_evacuation(shard::table_rows& rows,
+                                    const std::string& key,
+                                    const stored_row& row)
+{
+    shard::evacuation_row request{.domain = key, .version = row.version};
+    if (row.is_malformed)
+        rows.malformed.push_back({.key = key, .problem = "malformed"});
+    else
+        request.is_requested = !row.is_removed;
+    rows.evacuations.push_back(request);
+}
+
 double shard_fleet::config_bytes(const shard::table_read& wanted) const
 {
     if (wanted.table != directory_table::config)
         return 0;
     const auto bytes_of_row = [](const stored_row& row)
     {
-        return static_cast<double>(row.config->document->size()) *
-               base64_growth;
+        return row.config ? static_cast<double>(row.config->document->size()) *
+                                base64_growth
+                          : 0;
     };
     if (wanted.wants_all)
         return bytes_of_row(this->tables[0].at("config"));
@@ -1145,6 +1165,26 @@
     return *this->endpoints.at(id);
 }
 
+void shard_fleet::request_evacuation(const std::string& domain)
+{
+    this->trace("request_evacuation " + domain);
+    this->evacuated_since.try_emplace(domain, this->queue.now());
+    this->store_row(directory_table::config, domain, {});
+}
+
+void shard_fleet::end_evacuation(const std::string& domain)
+{
+    this->trace("end_evacuation " + domain);
+    this->evacuated_since.erase(domain);
+    this->store_row(directory_table::config, domain, {.is_removed = true});
+}
+
+void shard_fleet::spoil_evacuation(const std::string& domain)
+{
+    this->trace("spoil_evacuation " + domain);
+    this->store_row(directory_table::config, domain, {.is_malformed = true});
+}
+
 void shard_fleet::set_draining(const std::string& id)
 {
     this->endpoint(id).entry().is_draining = true;
@@ -1285,8 +1325,13 @@
     places.insert(id);
     const auto draining = this->draining_since.find(id);
     if (draining != this->draining_since.end() &&
-        this->must_know_of_draining(draining->second))
+        this->must_know(draining->second, drain_limit))
         this->report_violation("a start on a draining endpoint: " + id);
+    const auto evacuated =
+        this->evacuated_since.find(this->endpoint(id).entry().domain);
+    if (evacuated != this->evacuated_since.end() &&
+        this->must_know(evacuated->second, evacuation_limit))
+        this->report_violation("a start in an evacuated domain: " + id);
     const caller_record& caller = this->callers.at(task.job);
     const std::string& label = this->shapes.at(task.job).required_label;
     const auto& labels = this->endpoint(id).entry().labels;
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -203,6 +203,11 @@
     /// Stores a configuration whose first route is the most urgent.
     void set_config(std::int64_t version,
                     const std::vector<std::string>& routes);
+    /// The operator asks to evacuate \p domain, or ends that.
+    void request_evacuation(const std::string& domain);
+    void end_evacuation(const std::string& domain);
+    /// Another writer leaves a row in the place of a request.
+    void spoil_evacuation(const std::string& domain);
     void add_endpoint(const std::string& domain, int number);
     void set_draining(const std::string& endpoint);
     void remove_endpoint(const std::string& endpoint);
@@ -273,6 +278,8 @@
         std::optional<schema::host_record> host = {};
         std::optional<schema::endpoint_registration> endpoint = {};
         std::optional<shard::routing_config> config = {};
+        /// The row is unusable.
+        bool is_malformed = false;
     };
 
     using row_table = std::map<std::string, stored_row>;
@@ -316,6 +323,9 @@
     /// Adds \p row to the answer to a read.
     static void append_row(shard::table_rows& rows, const std::string& key,
                            const stored_row& row);
+    static void append_evacuation(shard::table_rows& rows,
+                                  const std::string& key,
+                                  const stored_row& row);
     /// Answers a read of changes: each change of a row by itself, in order, as
     /// many as one answer holds.
     void append_changes(shard::table_rows& rows, std::int64_t after) const;
@@ -324,9 +334,9 @@
     void report_endpoints();
     /// Returns the store's version \p lag ago.
     std::int64_t version_before(support::milliseconds lag) const;
-    /// Returns whether an endpoint that drains since \p since must get no new
-    /// work: the store was undisturbed for long enough since then.
-    bool must_know_of_draining(support::instant since) const;
+    /// Returns whether hosts must know what was stored at \p since: the store
+    /// was undisturbed for \p limit since then.
+    bool must_know(support::instant since, support::milliseconds limit) const;
     /// Records a time span in which the store is silent or lags.
     void set_store_disturbed(bool is_disturbed);
     void list_endpoint(const std::string& id);
@@ -430,6 +440,8 @@
     std::set<shard::task_key> done;
     std::map<std::string, int> job_starts;
     std::map<std::string, support::instant> draining_since;
+    /// By domain, while a request stands.
+    std::map<std::string, support::instant> evacuated_since;
     std::vector<std::string> recorded_violations;
     std::vector<std::string> log_lines;
 };
