Overflow goes where there is room

Callers of a flooded domain were refused while other domains had room: a job was offered to three shards, those of the own domain first, by the cores wanted and there as of the last heartbeat.

Owners now measure how many tasks can start within some spans, beside what waits, and tell it in heartbeats and with refusals. The host of a refused job ranks the shards by the expected start, the way and the lost hosts of their domain (offer_ranking), subtracts what it has sent itself, and draws among near-equal ones by their room. At most three offers go to the own domain and five in all. Shards that adopt, are silent or have no room in time are not asked; if none is left the job is refused at once, with a Retry-After from when room is expected. Another domain's job leaves room for a shard's own callers, and is refused if those that wait there would be late for it.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -89,6 +89,26 @@
   5: double power
 }
 
+/// How many tasks the endpoints of a pool in one shard can start, beside what
+/// waits there already.
+struct pool_room {
+  1: string pool
+  /// The need of one of the counted tasks: the mean of those at the shard.
+  2: i64 task_millicores
+  /// The tasks that can start within each of the agreed spans of time, each
+  /// number with those of the spans before it.
+  3: list<i32> tasks
+}
+
+/// The room of a shard, as its owner knew it some time ago.
+struct shard_room {
+  1: string domain
+  2: i32 shard
+  3: i64 token
+  4: i64 age_us
+  5: list<pool_room> pools
+}
+
 /// The right to start and stop runs on the endpoints of one shard.
 struct ownership {
   1: string domain
@@ -104,6 +124,8 @@
   /// Runs of earlier owners may be active that this owner does not know, or has
   /// not assigned to jobs. Unset by hosts of earlier versions.
   7: optional bool is_adopting
+  /// Unset by hosts of earlier versions.
+  8: optional list<pool_room> room
 }
 
 /// The owner of a shard of the sender's domain, of which the sender has heard
@@ -238,6 +260,9 @@
   5: i64 retry_after_ms
   /// The newest submission of the call that the owner had received.
   6: optional i32 submission
+  /// With a refusal: the room of the owner's shards, and of others that it has
+  /// heard from.
+  7: optional list<shard_room> rooms
 }
 
 /// The receiver of a job does not own the shard.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -322,6 +322,12 @@
     /// Notes at which endpoints this host's shards may have runs.
     void update_succession(support::instant now);
     void update_shard_endpoints(support::instant now);
+    /// Takes over the rooms that \p heartbeat tells of.
+    void hear_rooms(const std::string& peer,
+                    const schema::shard_heartbeat& heartbeat,
+                    support::instant sent, support::instant now);
+    /// Takes over the rooms of this host's shards.
+    void note_own_rooms();
 
     entry_host_options options;
     entry_host_hooks hooks;
@@ -387,6 +393,8 @@
     };
     /// Kept while a peer dials again.
     std::map<std::string, peer_clock> clocks;
+    /// The peers whose malformed rooms were logged.
+    std::set<std::string> malformed_rooms;
     order_id last_order = 0;
     /// By owner and shard: the token that was answered with this host's jobs.
     std::map<std::string, std::map<int, fencing_token>> answered_tokens;
--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -36,6 +36,11 @@
     bool is_offered = false;
     /// Whether this host hears the owner itself.
     bool is_reachable = true;
+    /// Jobs that are new there wait, and a refusal does not say that they have
+    /// not run.
+    bool is_adopting = false;
+    /// The share of the domain's hosts that were lost lately.
+    double lost_hosts = 0;
 
     bool is_same(const shard_owner_ref& other) const
     {
@@ -121,6 +126,10 @@
     /// How long a domain counts as recently divided. Afterwards all hosts know
     /// of the division, and all earlier leases have expired.
     support::milliseconds division_window{5000};
+    /// How long a lost host counts for the risk of its domain: others may be
+    /// lost with it, which shows after the silence limit, and its shards are
+    /// adopted meanwhile.
+    support::milliseconds loss_memory{2000};
     /// No shard is claimed for this long after the start.
     support::milliseconds settling_time{1200};
     /// The same once the domain's hosts in the table are known: enough time to
@@ -301,6 +310,9 @@
     };
 
     shard_owners find_owners() const;
+    /// Returns the share of each domain's hosts that are silent, or were lost
+    /// lately.
+    std::map<std::string, double> lost_shares() const;
     /// Notes which peers are live now.
     void update_liveness();
     bool is_live(const peer_state& peer) const;
@@ -346,6 +358,13 @@
     mutable std::optional<shard_owners> known_owners;
     /// When a peer was last found lost that had not announced its stop.
     std::optional<support::instant> peer_lost_at;
+    struct lost_peer
+    {
+        std::string domain;
+        support::instant at;
+    };
+    /// Those that were lost within loss_memory, by name.
+    std::map<std::string, lost_peer> lost_peers;
     std::set<std::string> listed;
     bool listing_is_complete = false;
     std::vector<schema::ownership> owned;
--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -6,19 +6,68 @@
 
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/messages.hpp"
+#include "chicorydrum/shard/room_table.hpp"
 #include "chicorydrum/support/log.hpp"
 
+#include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicorydrum::shard
 {
 
+/// Where a shard is that a job is offered to.
+enum class offer_place
+{
+    /// The job's home shard.
+    home,
+    own_domain,
+    other_domain,
+};
+inline constexpr std::size_t offer_places = 3;
+
+std::string_view name_of(offer_place place);
+
+/// Why a job was refused as not run.
+enum class refusal_cause
+{
+    /// No shard is expected to have room in time.
+    no_room,
+    /// It was offered as often as allowed.
+    offers_used,
+    /// No owner was heard.
+    no_owner,
+    /// Too many jobs wait at this host.
+    too_many_jobs,
+    /// This host stops or was isolated before it could send the job.
+    host_ends,
+};
+inline constexpr std::size_t refusal_causes = 5;
+
+std::string_view name_of(refusal_cause cause);
+
+/// What became of the jobs of this host's callers since its process started.
+struct intake_counts
+{
+    struct offers
+    {
+        std::int64_t accepted = 0;
+        std::int64_t refused = 0;
+    };
+    /// By offer_place.
+    std::array<offers, offer_places> offered{};
+    /// By refusal_cause.
+    std::array<std::int64_t, refusal_causes> refused{};
+};
+
 struct intake_hooks
 {
     std::function<void(const caller_answer&)> answer;
@@ -38,8 +87,13 @@
     support::milliseconds home_wait{1100};
     /// How long past the caller's deadline the owner's answer is awaited.
     support::milliseconds answer_slack{100};
-    /// Maximum number of shards that a job is offered to, one after the other.
-    int max_offers = 3;
+    /// Maximum number of shards of the own domain that a job is offered to,
+    /// its home included, and of all shards, one after the other: two offers
+    /// are kept for other domains.
+    int max_local_offers = 3;
+    int max_offers = 5;
+    /// Of the choices among shards that are nearly equal.
+    std::uint64_t seed = 1;
     /// Maximum number of jobs that wait here; more are refused at once.
     std::size_t max_open_jobs = 2000;
 };
@@ -75,9 +129,21 @@
     /// newest submission.
     void ended(const std::string& host, const schema::job_ended& end,
                support::instant now);
+    /// Takes over what came with a refusal that was sent at \p sent or later.
+    void hear_rooms(const std::vector<schema::shard_room>& rooms,
+                    support::instant sent);
     /// \p shard_count is the number of shards of this host's domain.
     void set_owners(shard_owners changed, int shard_count,
                     support::instant now);
+    /// What this host knows of the room of all shards.
+    room_table& rooms()
+    {
+        return this->known_rooms;
+    }
+    const intake_counts& counts() const
+    {
+        return this->counted;
+    }
     /// Submits the jobs at \p host again, since messages to or from it may be
     /// lost.
     void resubmit_to(const std::string& host, support::instant now);
@@ -91,6 +157,15 @@
     }
 
 private:
+    /// What was expected of a shard when it was offered a job.
+    struct offer_basis
+    {
+        support::milliseconds wait{0};
+        support::milliseconds age{0};
+        support::milliseconds way{0};
+        double risk = 0;
+    };
+
     struct open_job
     {
         schema::job work;
@@ -117,6 +192,8 @@
         int first_shards = 0;
         /// Shards that have refused it.
         std::vector<shard_name> refused_by = {};
+        /// What the last offer was decided by, for the log.
+        offer_basis basis = {};
     };
 
     /// A job that was withdrawn while runs of it could be active.
@@ -136,14 +213,42 @@
                        const std::vector<shard_name>& refused_by) const;
     void keep_withdrawn(call_id call, const open_job& job,
                         support::instant now);
-    /// Returns the job's home shard, which receives all copies of the job;
-    /// after a refusal the least loaded shard that has not refused it, of this
-    /// domain if one is left.
+    /// Returns the job's home shard, which receives all copies of the job, or
+    /// the least loaded shard of the domain if the home has had no owner for
+    /// long.
     std::optional<shard_name> choose(const open_job& job,
                                      support::instant now) const;
+    shard_name home_of(const std::string& id) const
+    {
+        return {.domain = this->options.domain,
+                .shard = shard_of(id, this->shards)};
+    }
+    /// The next offer of a job that was refused.
+    struct next_offer
+    {
+        /// None if the job is to be refused.
+        std::optional<shard_name> shard = {};
+        offer_basis basis = {};
+        refusal_cause cause = refusal_cause::no_room;
+        /// When room for the job is expected anywhere, if that is known.
+        std::optional<support::milliseconds> soonest = {};
+    };
+    next_offer choose_next(const open_job& job, support::instant now);
+    /// Returns whether a job that was refused may be offered to \p name.
+    bool may_offer(const open_job& job, const shard_name& name,
+                   const shard_owner_ref& owner) const;
+    offer_place place_of(const open_job& job, const shard_name& name) const;
+    /// Returns what to tell the caller of a job that no shard takes, so that
+    /// those that return do not come together.
+    support::milliseconds
+    spread_retry(support::milliseconds owner_wait,
+                 std::optional<support::milliseconds> soonest);
+    void note_refusal(refusal_cause cause);
     void send(call_id call, open_job& job, support::instant now);
-    /// Offers a job that a shard has certainly not run to another shard.
-    bool offer_elsewhere(call_id call, open_job& job, support::instant now);
+    /// Offers a job that a shard has certainly not run to another shard, or
+    /// refuses it.
+    void shard_refused(call_id call, open_job& job,
+                       const schema::job_ended& refusal, support::instant now);
     void resend_all(const std::function<bool(const open_job&)>& is_concerned,
                     support::instant now);
     /// Withdraws a job from all owners that may have it.
@@ -160,6 +265,9 @@
     intake_options options;
     intake_hooks hooks;
     shard_owners owners;
+    room_table known_rooms;
+    std::minstd_rand random;
+    intake_counts counted;
     int shards = 1;
     std::map<call_id, open_job> jobs;
     /// Oldest first.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -10,6 +10,7 @@
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/owner_sightings.hpp"
 #include "chicorydrum/shard/refused_jobs.hpp"
+#include "chicorydrum/shard/shard_room.hpp"
 #include "chicorydrum/support/line_limit.hpp"
 #include "chicorydrum/support/log.hpp"
 
@@ -57,6 +58,8 @@
     /// had accepted that token before.
     std::function<void(const std::string& endpoint, bool had_accepted)> fenced;
     std::function<void(const support::log_line&)> log;
+    /// Returns whether an entry host is of another domain. Without it none is.
+    std::function<bool(const std::string& host)> is_of_other_domain = {};
     /// Reports the time from the first order to stop a run until a list shows
     /// that it is over. May be empty.
     std::function<void(support::decision_clock::duration)> stop_took = {};
@@ -92,6 +95,10 @@
     support::milliseconds settling_time{51};
 };
 
+/// The room of a shard is told while it is less old: a few runs end meanwhile.
+/// Bounds the work for refusals in series.
+inline constexpr support::milliseconds max_room_age{10};
+
 class shard_owner
 {
 public:
@@ -202,6 +209,18 @@
     /// Returns the millicores of active and waiting tasks, and those of the
     /// endpoints.
     schema::ownership load() const;
+    /// Measures the room for new tasks, unless that was done less than
+    /// max_room_age ago.
+    void update_rooms(support::instant now);
+    /// Returns the room for new tasks, as of rooms_as_of().
+    const pool_rooms& rooms() const
+    {
+        return this->measured_rooms;
+    }
+    support::instant rooms_as_of() const
+    {
+        return this->rooms_measured_at;
+    }
     /// Returns the entry hosts whose callers wait for a job here, or for one
     /// that was refused here and may run elsewhere.
     std::vector<std::string> caller_hosts() const;
@@ -287,6 +306,12 @@
                                            support::instant now) const;
     planned_job plan_of(const owned_job& job, support::instant now) const;
 
+    // Overflow of other domains.
+    /// Returns whether \p job, which is new here, comes from another domain
+    /// and would make jobs that wait here late, or be late itself.
+    bool displaces_others(const std::string& host, const owned_job& job,
+                          support::instant now) const;
+
     // Placement.
     /// Returns jobs with waiting tasks, in the order in which they are served.
     std::vector<owned_job*> waiting_queue(support::instant now) const;
@@ -410,6 +435,8 @@
     std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
     support::line_limit slow_stops;
+    pool_rooms measured_rooms;
+    support::instant rooms_measured_at;
     bool needs_placing = false;
     bool adoption_has_ended = false;
     bool inquiry_has_ended = false;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -17,10 +17,15 @@
 using support::log_line;
 using support::milliseconds;
 
+/// Rooms of other hosts' shards that are told with a refusal: enough to choose
+/// among neighbours, in less than 200 bytes.
+constexpr std::size_t rooms_with_refusal = 3;
+
 intake_options intake_of(const entry_host_options& options)
 {
     intake_options intake = options.intake;
     intake.domain = options.self.domain;
+    intake.seed = static_cast<std::uint64_t>(options.self.nonce);
     return intake;
 }
 
@@ -411,7 +416,11 @@
             shard->withdraw(peer, message.withdrawn, now);
     }
     else if (message.__isset.ended)
+    {
+        if (sent)
+            this->intake.hear_rooms(message.ended.rooms, *sent);
         this->intake.ended(peer, message.ended, now);
+    }
     else if (message.__isset.cancelled)
     {
         if (const auto record =
@@ -512,6 +521,8 @@
     if (heartbeat.__isset.open_jobs)
         for (const auto& [number, shard] : this->shards)
             shard->withdraw_all(peer, heartbeat.open_jobs, now);
+    if (sent)
+        this->hear_rooms(peer, heartbeat, *sent, now);
     for (const schema::job_elsewhere& job : heartbeat.elsewhere)
         if (shard_owner* const shard = this->find_shard(job.domain, job.shard))
             shard->note_elsewhere(peer, job, now);
@@ -532,6 +543,39 @@
         this->update_ownership(now);
 }
 
+void entry_host::hear_rooms(const std::string& peer,
+                            const schema::shard_heartbeat& heartbeat,
+                            instant sent, instant now)
+{
+    for (const schema::ownership& claim : heartbeat.owned)
+    {
+        if (!claim.__isset.room)
+            continue;
+        auto rooms = read_room(claim.room);
+        if (rooms)
+        {
+            this->intake.rooms().heard(
+                {.domain = claim.domain, .shard = claim.shard}, claim.token,
+                std::move(*rooms), sent, now);
+            continue;
+        }
+        const bool is_first = this->malformed_rooms.insert(peer).second;
+        if (is_first)
+            this->hooks.log(
+                log_line("room_malformed", support::log_level::warning)
+                    .add("peer", peer)
+                    .add("shard", claim.shard));
+    }
+}
+
+void entry_host::note_own_rooms()
+{
+    for (const auto& [number, shard] : this->shards)
+        this->intake.rooms().told(
+            {.domain = this->options.self.domain, .shard = number},
+            shard->token(), shard->rooms(), shard->rooms_as_of());
+}
+
 void entry_host::deliver_submission(const std::string& owner,
                                     const schema::job_submitted& job,
                                     instant now)
@@ -552,11 +596,23 @@
 {
     if (host == this->options.self.name)
     {
+        this->note_own_rooms();
         this->local_results.push_back(end);
         return;
     }
     schema::shard_message message;
     message.__set_ended(end);
+    if (end.outcome == schema::job_result::not_run)
+    {
+        this->note_own_rooms();
+        message.ended.__set_rooms(this->intake.rooms().to_tell(
+            [this](const shard_name& name)
+            {
+                return name.domain == this->options.self.domain &&
+                       this->shards.contains(name.shard);
+            },
+            rooms_with_refusal, this->current_time));
+    }
     this->send(host, message);
 }
 
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -334,6 +334,12 @@
                                 .add("endpoint", endpoint));
         },
         .log = this->hooks.log,
+        .is_of_other_domain =
+            [this](const std::string& host)
+        {
+            return host != this->options.self.name &&
+                   this->view.domain_of(host) != this->options.self.domain;
+        },
         .stop_took = this->hooks.stop_took};
 }
 
@@ -530,6 +536,8 @@
         owned.back().is_offered =
             this->offered == number || this->is_handing_over;
         owned.back().__set_is_adopting(shard->is_adopting(this->current_time));
+        if (this->current_time - shard->rooms_as_of() < max_room_age)
+            owned.back().__set_room(to_message(shard->rooms()));
     }
     return owned;
 }
@@ -589,6 +597,9 @@
     const bool remote_is_due = to_all || now >= this->next_remote_heartbeat;
     if (!local_is_due && !remote_is_due)
         return;
+    for (const auto& [number, shard] : this->shards)
+        shard->update_rooms(now);
+    this->note_own_rooms();
     const schema::shard_message local = this->make_heartbeat(true);
     const schema::shard_message remote = this->make_heartbeat(false);
     // A holder of jobs ends them after a shorter silence.
--- a/shard/lib/host_view.cpp
+++ b/shard/lib/host_view.cpp
@@ -274,7 +274,15 @@
     this->current_time = now;
     for (const auto& [name, peer] : this->peers)
         if (!this->is_live(peer) && !has_left(peer))
+        {
             this->peer_lost_at = now;
+            this->lost_peers[name] = {.domain = peer.identity.domain,
+                                      .at = now};
+        }
+    std::erase_if(this->lost_peers,
+                  [this, now](const auto& entry) {
+                      return now - entry.second.at >= this->options.loss_memory;
+                  });
     std::erase_if(
         this->peers, [this](const auto& entry)
         { return !entry.second.is_connected && !this->is_live(entry.second); });
@@ -456,7 +464,8 @@
                       .token = claim.token,
                       .wanted_millicores = claim.wanted_millicores,
                       .capacity_millicores = claim.capacity_millicores,
-                      .is_offered = claim.is_offered};
+                      .is_offered = claim.is_offered,
+                      .is_adopting = claim.is_adopting};
     };
     for (const schema::ownership& claim : this->owned)
         consider(this->options.self.name, claim);
@@ -486,11 +495,35 @@
             consider(heard.host, claim);
         }
     }
+    const std::map<std::string, double> lost = this->lost_shares();
     for (auto& [name, owner] : best)
+    {
         owner.is_reachable = this->is_live(owner.host);
+        const auto share = lost.find(name.domain);
+        owner.lost_hosts = share == lost.end() ? 0 : share->second;
+    }
     return best;
 }
 
+std::map<std::string, double> host_view::lost_shares() const
+{
+    std::map<std::string, double> shares;
+    for (const auto& [name, lost] : this->lost_peers)
+        ++shares[lost.domain];
+    for (auto& [domain, share] : shares)
+    {
+        const auto others =
+            std::count_if(this->peers.begin(), this->peers.end(),
+                          [this, name = domain](const auto& entry)
+                          {
+                              return entry.second.identity.domain == name &&
+                                     !this->lost_peers.contains(entry.first);
+                          });
+        share /= share + static_cast<double>(others);
+    }
+    return shares;
+}
+
 shard_owners host_view::reachable_owners() const
 {
     shard_owners reachable = this->owners();
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -1,6 +1,8 @@
 #include "chicorydrum/shard/job_intake.hpp"
 
 #include "chicorydrum/shard/refused_jobs.hpp"
+#include "offer_ranking.hpp"
+#include "owned_job.hpp"
 
 #include <algorithm>
 #include <vector>
@@ -17,12 +19,6 @@
 
 /// Sent to callers when the duration of a refusal is unknown.
 constexpr milliseconds default_retry_after{1000};
-/// Jobs are offered to a shard of another domain only below this load, so that
-/// a failing domain does not overload the others.
-constexpr double remote_load_limit = 0.8;
-/// Load that is added to the rank of a shard of another domain.
-constexpr double remote_penalty = 1.0;
-
 /// Returns the result that copies of a job get whose caller got \p kind.
 std::optional<schema::job_result> result_of(answer_kind kind)
 {
@@ -33,10 +29,61 @@
     return std::nullopt;
 }
 
+double load_of(const shard_owner_ref& owner)
+{
+    return owner.capacity_millicores > 0
+               ? static_cast<double>(owner.wanted_millicores) /
+                     static_cast<double>(owner.capacity_millicores)
+               : 1.0;
+}
+
+/// Returns what \p work needs that arrived at \p arrived.
+offer_need need_of(const schema::job& work, const schema::job_policy& terms,
+                   instant arrived, instant deadline, instant now)
+{
+    std::int64_t first = 0;
+    std::int64_t widest = 0;
+    std::int64_t tasks = 0;
+    std::int64_t millicores = 0;
+    for (const schema::task_group& group : work.groups)
+    {
+        first += group.after.empty() ? group.count : 0;
+        widest = std::max<std::int64_t>(widest, group.count);
+        tasks += group.count;
+        millicores += group.count * group.need.millicores;
+    }
+    const milliseconds run(longest_estimate_ms(work));
+    // As its owner decides: estimates are off, and a late answer has some value
+    // too.
+    instant due = arrived + due_span(work, terms);
+    if (now + run > due)
+        due = std::min(arrived + useful_span(work, terms), deadline);
+    return {.tasks = static_cast<int>(std::max(first, widest)),
+            .millicores = tasks > 0 ? millicores / tasks : 0,
+            .priority = terms.priority,
+            .run = run,
+            .left = support::duration_cast<milliseconds>(due - now)};
+}
+
 } // namespace
 
+std::string_view name_of(offer_place place)
+{
+    static constexpr std::array<std::string_view, offer_places> names = {
+        "home", "own_domain", "other_domain"};
+    return names[static_cast<std::size_t>(place)];
+}
+
+std::string_view name_of(refusal_cause cause)
+{
+    static constexpr std::array<std::string_view, refusal_causes> names = {
+        "no_room", "offers_used", "no_owner", "too_many_jobs", "host_ends"};
+    return names[static_cast<std::size_t>(cause)];
+}
+
 job_intake::job_intake(intake_options opts, intake_hooks callbacks)
-    : options(std::move(opts)), hooks(std::move(callbacks))
+    : options(std::move(opts)), hooks(std::move(callbacks)),
+      random(static_cast<std::minstd_rand::result_type>(this->options.seed))
 {
 }
 
@@ -52,6 +99,7 @@
     job.deadline = job.arrived + timeout;
     if (this->jobs.size() > this->options.max_open_jobs)
     {
+        this->note_refusal(refusal_cause::too_many_jobs);
         this->finish(call, answer_kind::not_run, default_retry_after,
                      "too_many_jobs", now);
         return;
@@ -62,45 +110,100 @@
 std::optional<shard_name> job_intake::choose(const open_job& job,
                                              instant now) const
 {
-    const shard_name home{.domain = this->options.domain,
-                          .shard = shard_of(job.work.id, this->shards)};
     // A copy of a job that may still run must meet it in its home shard.
-    if (job.refused_by.empty())
-    {
-        const auto owner = this->owners.find(home);
-        if (owner != this->owners.end())
-            return owner->second.is_reachable ? std::optional(home)
-                                              : std::nullopt;
-        if (now - job.read < this->options.home_wait)
-            return std::nullopt;
-    }
+    const shard_name home = this->home_of(job.work.id);
+    const auto home_owner = this->owners.find(home);
+    if (home_owner != this->owners.end())
+        return home_owner->second.is_reachable ? std::optional(home)
+                                               : std::nullopt;
+    if (now - job.read < this->options.home_wait)
+        return std::nullopt;
     std::optional<shard_name> best;
-    double best_rank = 0;
+    double best_load = 0;
     for (const auto& [name, owner] : this->owners)
     {
-        const bool has_refused =
-            std::find(job.refused_by.begin(), job.refused_by.end(), name) !=
-            job.refused_by.end();
         const bool is_local = name.domain == this->options.domain;
-        const double load =
-            owner.capacity_millicores > 0
-                ? static_cast<double>(owner.wanted_millicores) /
-                      static_cast<double>(owner.capacity_millicores)
-                : 1.0;
-        // Another domain is used only after a refusal, and if it has capacity.
-        const bool is_wanted =
-            is_local || (!job.refused_by.empty() && load < remote_load_limit);
-        if (has_refused || !is_wanted || !owner.is_reachable)
+        if (!is_local || !owner.is_reachable)
             continue;
-        const double rank = is_local ? load : load + remote_penalty;
-        if (best && rank >= best_rank)
+        const double load = load_of(owner);
+        if (best && load >= best_load)
             continue;
         best = name;
-        best_rank = rank;
+        best_load = load;
     }
     return best;
 }
 
+bool job_intake::may_offer(const open_job& job, const shard_name& name,
+                           const shard_owner_ref& owner) const
+{
+    // An adopting shard keeps new jobs waiting, and refuses them as
+    // interrupted.
+    if (!owner.is_reachable || owner.is_adopting)
+        return false;
+    const bool has_refused =
+        std::find(job.refused_by.begin(), job.refused_by.end(), name) !=
+        job.refused_by.end();
+    if (has_refused)
+        return false;
+    if (name.domain != this->options.domain)
+        return true;
+    const auto local_offers =
+        std::count_if(job.refused_by.begin(), job.refused_by.end(),
+                      [this](const shard_name& refused)
+                      { return refused.domain == this->options.domain; });
+    return local_offers < this->options.max_local_offers;
+}
+
+job_intake::next_offer job_intake::choose_next(const open_job& job, instant now)
+{
+    if (static_cast<int>(job.refused_by.size()) >= this->options.max_offers)
+        return {.cause = refusal_cause::offers_used};
+    std::vector<shard_name> names;
+    std::vector<offer_candidate> candidates;
+    for (const auto& [name, owner] : this->owners)
+    {
+        if (!this->may_offer(job, name, owner))
+            continue;
+        const known_room known =
+            this->known_rooms.find(name, job.terms.pool, now);
+        names.push_back(name);
+        candidates.push_back({.is_local = name.domain == this->options.domain,
+                              .room = known.room,
+                              .age = known.age,
+                              .sent_millicores = known.sent_millicores,
+                              .way = known.way,
+                              .risk = owner.lost_hosts,
+                              .load = load_of(owner)});
+    }
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    const offer_choice choice = choose_offer(
+        {}, need_of(job.work, job.terms, job.arrived, job.deadline, now),
+        candidates, draw(this->random));
+    next_offer next{.cause = candidates.empty() ? refusal_cause::no_owner
+                                                : refusal_cause::no_room,
+                    .soonest = choice.soonest};
+    if (!choice.chosen)
+        return next;
+    const offer_candidate& chosen = candidates[*choice.chosen];
+    next.shard = names[*choice.chosen];
+    next.basis = {.wait = choice.wait,
+                  .age = chosen.age,
+                  .way = chosen.way,
+                  .risk = chosen.risk};
+    return next;
+}
+
+offer_place job_intake::place_of(const open_job& job,
+                                 const shard_name& name) const
+{
+    if (name.domain != this->options.domain)
+        return offer_place::other_domain;
+    const bool is_first =
+        job.refused_by.empty() || job.refused_by.front() == name;
+    return is_first ? offer_place::home : offer_place::own_domain;
+}
+
 void job_intake::send(call_id call, open_job& job, instant now)
 {
     if (!job.shard)
@@ -118,8 +221,14 @@
     job.sent_to = owner->second.host;
     job.token = owner->second.token;
     // Estimates the load until the next heartbeat of the owner.
+    std::int64_t millicores = 0;
     for (const schema::task_group& group : job.work.groups)
-        owner->second.wanted_millicores += group.count * group.need.millicores;
+        millicores += group.count * group.need.millicores;
+    owner->second.wanted_millicores += millicores;
+    this->known_rooms.sent(*job.shard, job.terms.pool, millicores,
+                           now + job.basis.wait +
+                               milliseconds(longest_estimate_ms(job.work)),
+                           now);
     schema::job_submitted message;
     message.call = static_cast<std::int64_t>(call);
     message.work = job.work;
@@ -137,35 +246,91 @@
         message.__set_first_shards(job.first_shards);
     }
     job.holders[job.sent_to] = job.submission;
-    this->hooks.log(log_line("job_forwarded")
-                        .add("job", job.work.id)
-                        .add("route", job.work.route)
-                        .add("domain", job.shard->domain)
-                        .add("shard", job.shard->shard)
-                        .add("owner", job.sent_to)
-                        .add("token", job.token)
-                        .add("may_run", job.may_run)
-                        .add("submission", job.submission)
-                        .add("config", job.terms.config_version));
+    this->hooks.log(
+        log_line("job_forwarded")
+            .add("job", job.work.id)
+            .add("route", job.work.route)
+            .add("domain", job.shard->domain)
+            .add("shard", job.shard->shard)
+            .add("owner", job.sent_to)
+            .add("token", job.token)
+            .add("may_run", job.may_run)
+            .add("submission", job.submission)
+            .add("config", job.terms.config_version)
+            .add("offer", static_cast<std::int64_t>(job.refused_by.size() + 1))
+            .add("wait_ms", job.basis.wait.count())
+            .add("news_ms", job.basis.age.count())
+            .add("way_ms", job.basis.way.count())
+            .add("risk", job.basis.risk));
     // A copy, as the owner's answer may end the job before this returns.
     const std::string to = job.sent_to;
     this->hooks.submit(to, message);
 }
 
-bool job_intake::offer_elsewhere(call_id call, open_job& job, instant now)
+void job_intake::shard_refused(call_id call, open_job& job,
+                               const schema::job_ended& refusal, instant now)
 {
+    const milliseconds owner_wait(refusal.retry_after_ms);
     if (job.may_run || !job.shard)
-        return false;
+    {
+        this->finish(
+            call, job.may_run ? answer_kind::interrupted : answer_kind::not_run,
+            std::max(owner_wait, default_retry_after), refusal.reason, now);
+        return;
+    }
+    ++this->counted
+          .offered[static_cast<std::size_t>(this->place_of(job, *job.shard))]
+          .refused;
     job.refused_by.push_back(*job.shard);
-    if (static_cast<int>(job.refused_by.size()) >= this->options.max_offers)
-        return false;
-    const auto next = this->choose(job, now);
-    if (!next)
-        return false;
-    job.shard = next;
-    job.sent_to.clear();
-    this->send(call, job, now);
-    return true;
+    const next_offer next = this->choose_next(job, now);
+    if (next.shard)
+    {
+        job.shard = next.shard;
+        job.basis = next.basis;
+        job.sent_to.clear();
+        this->send(call, job, now);
+        return;
+    }
+    const milliseconds retry_after =
+        this->spread_retry(owner_wait, next.soonest);
+    // -1 where nothing tells.
+    this->hooks.log(
+        log_line("offers_ended")
+            .add("job", job.work.id)
+            .add("route", job.work.route)
+            .add("cause", name_of(next.cause))
+            .add("offers", static_cast<std::int64_t>(job.refused_by.size()))
+            .add("age_ms", support::whole_ms(now - job.arrived))
+            .add("room_in_ms", next.soonest ? next.soonest->count() : -1)
+            .add("retry_after_ms", retry_after.count()));
+    this->note_refusal(next.cause);
+    this->finish(call, answer_kind::not_run, retry_after, refusal.reason, now);
+}
+
+milliseconds job_intake::spread_retry(milliseconds owner_wait,
+                                      std::optional<milliseconds> soonest)
+{
+    if (!soonest)
+        return std::max(owner_wait, default_retry_after);
+    // The home is asked first again.
+    const milliseconds wait = std::max(owner_wait, *soonest);
+    std::uniform_int_distribution<std::int64_t> spread(0, wait.count() / 2);
+    return wait + milliseconds(spread(this->random));
+}
+
+void job_intake::note_refusal(refusal_cause cause)
+{
+    ++this->counted.refused[static_cast<std::size_t>(cause)];
+}
+
+void job_intake::hear_rooms(const std::vector<schema::shard_room>& rooms,
+                            instant sent)
+{
+    for (const schema::shard_room& told : rooms)
+        if (auto pools = read_room(told.pools))
+            this->known_rooms.told({.domain = told.domain, .shard = told.shard},
+                                   told.token, std::move(*pools),
+                                   sent - support::microseconds(told.age_us));
 }
 
 void job_intake::finish(call_id call, answer_kind kind,
@@ -226,8 +391,7 @@
     std::set<shard_name> homes;
     if (!job.refused_by.empty())
         homes.insert(job.refused_by.front());
-    const shard_name home{.domain = this->options.domain,
-                          .shard = shard_of(job.work.id, this->shards)};
+    const shard_name home = this->home_of(job.work.id);
     if (job.shard && *job.shard != home)
         homes.insert(home);
     for (const shard_name& name : homes)
@@ -361,7 +525,13 @@
     if (is_newest_there)
         job.holders.erase(holder);
     const bool is_current = is_newest_there && host == job.sent_to;
-    const milliseconds retry_after(end.retry_after_ms);
+    const bool is_accepted =
+        is_current && job.shard && end.outcome != schema::job_result::not_run;
+    if (is_accepted)
+        ++this->counted
+              .offered[static_cast<std::size_t>(
+                  this->place_of(job, *job.shard))]
+              .accepted;
     switch (end.outcome)
     {
     case schema::job_result::completed:
@@ -373,11 +543,8 @@
     case schema::job_result::cancelled_by_caller:
         return;
     case schema::job_result::not_run:
-        if (!is_current || this->offer_elsewhere(call, job, now))
-            return;
-        this->finish(
-            call, job.may_run ? answer_kind::interrupted : answer_kind::not_run,
-            std::max(retry_after, default_retry_after), end.reason, now);
+        if (is_current)
+            this->shard_refused(call, job, end, now);
         return;
     case schema::job_result::interrupted:
         if (!is_current)
@@ -394,6 +561,8 @@
 {
     this->shards = shard_count;
     this->owners = std::move(changed);
+    this->known_rooms.keep_only([this](const shard_name& name)
+                                { return this->owners.contains(name); });
     this->resend_all(
         [this](const open_job& job)
         {
@@ -451,8 +620,11 @@
             this->finish(ended.call, answer_kind::timed_out, {},
                          "deadline_passed", now);
         else
+        {
+            this->note_refusal(refusal_cause::no_owner);
             this->finish(ended.call, answer_kind::not_run, default_retry_after,
                          "no_owner", now);
+        }
     }
 }
 
@@ -464,8 +636,11 @@
     for (const call_id call : calls)
     {
         if (this->jobs.at(call).sent_to.empty())
+        {
+            this->note_refusal(refusal_cause::host_ends);
             this->finish(call, answer_kind::not_run, default_retry_after,
                          reason, now);
+        }
         else
             this->finish(call, answer_kind::interrupted, {}, reason, now);
     }
--- a/shard/lib/owned_job.cpp
+++ b/shard/lib/owned_job.cpp
@@ -30,6 +30,36 @@
 
 } // namespace
 
+std::int64_t longest_estimate_ms(const schema::job& work)
+{
+    // Dependent groups run after others; the sum bounds the length of the
+    // chain.
+    std::int64_t longest = 0;
+    std::int64_t chained = 0;
+    for (const schema::task_group& group : work.groups)
+    {
+        longest = std::max(longest, group.estimate_ms);
+        if (!group.after.empty())
+            chained += group.estimate_ms;
+    }
+    return longest + chained;
+}
+
+support::decision_clock::duration due_span(const schema::job& work,
+                                           const schema::job_policy& terms)
+{
+    const auto longest = static_cast<double>(longest_estimate_ms(work));
+    const auto span = static_cast<double>(target_span(terms, longest).count());
+    return support::microseconds(static_cast<std::int64_t>(span * due_margin));
+}
+
+support::decision_clock::duration useful_span(const schema::job& work,
+                                              const schema::job_policy& terms)
+{
+    const auto longest = static_cast<double>(longest_estimate_ms(work));
+    return max_useful_targets * target_span(terms, longest * estimate_margin);
+}
+
 waiting_call::waiting_call(const schema::job_submitted& submitted,
                            std::string at, support::instant now)
     : host(std::move(at)), call(submitted.call),
@@ -70,9 +100,7 @@
     }
     const auto longest = static_cast<double>(this->longest_estimate_ms());
     this->target = this->arrived + target_span(this->terms, longest);
-    this->useful_until =
-        this->arrived + max_useful_targets *
-                            target_span(this->terms, longest * estimate_margin);
+    this->useful_until = this->arrived + useful_span(this->work, this->terms);
     this->useful_until = std::min(this->useful_until, this->deadline);
 }
 
@@ -142,21 +170,6 @@
                        });
 }
 
-std::int64_t owned_job::longest_estimate_ms() const
-{
-    // Dependent groups run after others; the sum bounds the length of the
-    // chain.
-    std::int64_t longest = 0;
-    std::int64_t chained = 0;
-    for (const schema::task_group& group : this->work.groups)
-    {
-        longest = std::max(longest, group.estimate_ms);
-        if (!group.after.empty())
-            chained += group.estimate_ms;
-    }
-    return longest + chained;
-}
-
 bool owned_job::is_late(support::instant now) const
 {
     return now + support::milliseconds(this->longest_estimate_ms()) >
@@ -165,10 +178,7 @@
 
 support::instant owned_job::due() const
 {
-    const auto span =
-        static_cast<double>((this->target - this->arrived).count());
-    return this->arrived +
-           support::microseconds(static_cast<std::int64_t>(span * due_margin));
+    return this->arrived + due_span(this->work, this->terms);
 }
 
 double owned_job::waiting_core_ms() const
--- a/shard/lib/owned_job.hpp
+++ b/shard/lib/owned_job.hpp
@@ -11,6 +11,15 @@
 namespace chicorydrum::shard
 {
 
+/// Returns the estimated run time of a job whose tasks start at once.
+std::int64_t longest_estimate_ms(const schema::job& work);
+/// Returns how long after its arrival a job must be expected to end to be worth
+/// its capacity, and after how long its answer is worth nothing.
+support::decision_clock::duration due_span(const schema::job& work,
+                                           const schema::job_policy& terms);
+support::decision_clock::duration useful_span(const schema::job& work,
+                                              const schema::job_policy& terms);
+
 enum class task_state
 {
     waiting,
@@ -90,7 +99,10 @@
     }
     /// Returns whether all groups that \p group comes after are done.
     bool is_ready(int group) const;
-    std::int64_t longest_estimate_ms() const;
+    std::int64_t longest_estimate_ms() const
+    {
+        return shard::longest_estimate_ms(this->work);
+    }
     /// Returns whether the job can't meet its target any more if its estimate
     /// is right.
     bool is_late(support::instant now) const;
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -101,6 +101,11 @@
         this->finish(added.id(), schema::job_result::completed, "", now);
         return;
     }
+    if (this->displaces_others(host, added, now))
+    {
+        this->finish(added.id(), schema::job_result::not_run, "overload", now);
+        return;
+    }
     this->place(now);
     if (added.waiting_tasks() > 0)
         this->shed_overload(now);
@@ -367,6 +372,7 @@
     if (outcome == schema::job_result::not_run)
     {
         ended.retry_after_ms = this->predicted_wait().count();
+        this->update_rooms(now);
         this->record_refusal(
             id, {.host = job->caller.host, .call = job->caller.call},
             job->deadline, now);
