--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -59,13 +59,13 @@
 
     // The components count the totals, which are copied at each scrape.
     void set_total(const std::string& name, const std::string& help,
-                   std::int64_t total)
+                   std::int64_t total, const prometheus::Labels& labels = {})
     {
         prometheus::Counter& counter = prometheus::BuildCounter()
                                            .Name("chicorydrum_" + name)
                                            .Help(help)
                                            .Register(this->registry)
-                                           .Add({});
+                                           .Add(labels);
         const double increase = static_cast<double>(total) - counter.Value();
         if (increase > 0)
             counter.Increment(increase);
@@ -119,6 +119,23 @@
                   this->store_reads);
     all.set_total("store_writes_total", "Writes sent to the store.",
                   this->store_writes);
+    const shard::intake_counts& totals = host.intake_totals();
+    for (std::size_t i = 0; i < shard::offer_places; ++i)
+    {
+        const std::string place(
+            shard::name_of(static_cast<shard::offer_place>(i)));
+        const shard::intake_counts::offers& offers = totals.offered[i];
+        const char* const help = "Jobs offered to shards and answered.";
+        all.set_total("offers_total", help, offers.accepted,
+                      {{"place", place}, {"outcome", "accepted"}});
+        all.set_total("offers_total", help, offers.refused,
+                      {{"place", place}, {"outcome", "refused"}});
+    }
+    for (std::size_t i = 0; i < shard::refusal_causes; ++i)
+        all.set_total("refusals_total", "Jobs refused as not run.",
+                      totals.refused[i],
+                      {{"cause", std::string(shard::name_of(
+                                     static_cast<shard::refusal_cause>(i)))}});
     all.set_total("peer_sent_bytes_total", "Bytes sent to entry hosts.",
                   counts.peer_bytes_sent);
     all.set_total("peer_config_sent_bytes_total",
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -160,6 +160,11 @@
     {
         return this->intake.open_jobs();
     }
+    /// Returns what became of the jobs of this host's callers.
+    const intake_counts& intake_totals() const
+    {
+        return this->intake.counts();
+    }
     const host_identity& identity() const
     {
         return this->options.self;
--- a/shard/lib/offer_ranking.cpp
+++ b/shard/lib/offer_ranking.cpp
@@ -38,8 +38,8 @@
         const std::int32_t added = candidate.room->tasks[i] - before;
         before = candidate.room->tasks[i];
         const std::int64_t run = std::max<std::int64_t>(need.run.count(), 1);
-        total += static_cast<double>(added) *
-                 static_cast<double>(1 + (wait - start).count() / run);
+        const std::int64_t waves = 1 + (wait - start).count() / run;
+        total += static_cast<double>(added * waves);
     }
     return total;
 }
