Room is told for three sizes of task; own callers choose first

Room is told for three sizes around the mean, and a job of another domain is refused only if jobs wait and what they leave does not let it start as a whole.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -89,11 +89,11 @@
   5: double power
 }
 
-/// How many tasks the endpoints of a pool in one shard can start, beside what
-/// waits there already.
+/// How many tasks of one size the endpoints of a pool in one shard can start,
+/// beside what waits there already.
 struct pool_room {
   1: string pool
-  /// The need of one of the counted tasks: the mean of those at the shard.
+  /// The need of one of the counted tasks.
   2: i64 task_millicores
   /// The tasks that can start within each of the agreed spans of time, each
   /// number with those of the spans before it.
@@ -106,6 +106,7 @@
   2: i32 shard
   3: i64 token
   4: i64 age_us
+  /// Those of a pool from the smallest size to the largest.
   5: list<pool_room> pools
 }
 
@@ -124,7 +125,7 @@
   /// Runs of earlier owners may be active that this owner does not know, or has
   /// not assigned to jobs. Unset by hosts of earlier versions.
   7: optional bool is_adopting
-  /// Unset by hosts of earlier versions.
+  /// As in shard_room. Unset by hosts of earlier versions.
   8: optional list<pool_room> room
 }
 
--- a/shard/include/chicorydrum/shard/room_table.hpp
+++ b/shard/include/chicorydrum/shard/room_table.hpp
@@ -43,9 +43,11 @@
               support::instant now);
     /// Forgets the shards that \p is_owned does not hold for.
     void keep_only(const std::function<bool(const shard_name&)>& is_owned);
-    /// Returns a known room; without room if its owner has told none.
+    /// Returns the room for tasks of \p millicores, as that for the next larger
+    /// size that is told, or for the largest; without room if the shard's owner
+    /// has told none.
     known_room find(const shard_name& shard, const std::string& pool,
-                    support::instant now) const;
+                    std::int64_t millicores, support::instant now) const;
     /// Returns the rooms to tell with a refusal: those of \p first, and as many
     /// of the others with the most room as \p others says.
     std::vector<schema::shard_room>
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -308,9 +308,11 @@
 
     // Overflow of other domains.
     /// Returns whether \p job, which is new here, comes from another domain
-    /// and would make jobs that wait here late, or be late itself.
-    bool displaces_others(const std::string& host, const owned_job& job,
-                          support::instant now) const;
+    /// while jobs wait that would share room with it: what these leave does not
+    /// let it start as a whole.
+    bool displaces_others(const std::string& host,
+                          const schema::job_submitted& job,
+                          support::instant now);
 
     // Placement.
     /// Returns jobs with waiting tasks, in the order in which they are served.
--- a/shard/include/chicorydrum/shard/shard_room.hpp
+++ b/shard/include/chicorydrum/shard/shard_room.hpp
@@ -30,7 +30,12 @@
 /// are more. Bounds heartbeats.
 inline constexpr std::size_t max_told_pools = 4;
 
-/// How many tasks a pool's endpoints in one shard can start.
+/// The sizes of tasks that a pool's room is told for, relative to the mean of
+/// those at the shard: callers' tasks differ by about a fifth, and which of
+/// them fit beside others depends on it.
+inline constexpr std::array<double, 3> room_sizes{0.8, 1.0, 1.25};
+
+/// How many tasks of one size a pool's endpoints in one shard can start.
 struct pool_room
 {
     std::string pool;
@@ -41,6 +46,7 @@
     std::array<std::int32_t, room_spans.size()> tasks{};
 };
 
+/// Those of a pool are adjacent, from the smallest size to the largest.
 using pool_rooms = std::vector<pool_room>;
 
 /// Returns what \p told says, or nothing if it is malformed.
--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -159,6 +159,8 @@
 {
     if (static_cast<int>(job.refused_by.size()) >= this->options.max_offers)
         return {.cause = refusal_cause::offers_used};
+    const offer_need need =
+        need_of(job.work, job.terms, job.arrived, job.deadline, now);
     std::vector<shard_name> names;
     std::vector<offer_candidate> candidates;
     for (const auto& [name, owner] : this->owners)
@@ -166,7 +168,7 @@
         if (!this->may_offer(job, name, owner))
             continue;
         const known_room known =
-            this->known_rooms.find(name, job.terms.pool, now);
+            this->known_rooms.find(name, job.terms.pool, need.millicores, now);
         names.push_back(name);
         candidates.push_back({.is_local = name.domain == this->options.domain,
                               .room = known.room,
@@ -177,9 +179,8 @@
                               .load = load_of(owner)});
     }
     std::uniform_real_distribution<double> draw(0.0, 1.0);
-    const offer_choice choice = choose_offer(
-        {}, need_of(job.work, job.terms, job.arrived, job.deadline, now),
-        candidates, draw(this->random));
+    const offer_choice choice =
+        choose_offer({}, need, candidates, draw(this->random));
     next_offer next{.cause = candidates.empty() ? refusal_cause::no_owner
                                                 : refusal_cause::no_room,
                     .soonest = choice.soonest};
--- a/shard/lib/offer_ranking.cpp
+++ b/shard/lib/offer_ranking.cpp
@@ -14,11 +14,17 @@
 /// Returns how many units of a room \p need and what was sent take.
 double needed_units(const offer_need& need, const offer_candidate& candidate)
 {
-    const auto unit = static_cast<double>(candidate.room->task_millicores);
+    const std::int64_t unit = candidate.room->task_millicores;
+    const std::int64_t least = std::max<std::int64_t>(need.millicores, 1);
+    // Smaller tasks share a unit; a larger one takes several.
     const double own =
-        std::ceil(need.tasks * static_cast<double>(need.millicores) / unit);
+        least <= unit
+            ? std::ceil(need.tasks / static_cast<double>(unit / least))
+            : std::ceil(need.tasks * static_cast<double>(least) /
+                        static_cast<double>(unit));
     return std::max(own, 1.0) +
-           static_cast<double>(candidate.sent_millicores) / unit +
+           static_cast<double>(candidate.sent_millicores) /
+               static_cast<double>(unit) +
            candidate.reserve * candidate.room->tasks.back();
 }
 
--- a/shard/lib/overflow.cpp
+++ b/shard/lib/overflow.cpp
@@ -16,6 +16,35 @@
 
 using support::instant;
 
+namespace
+{
+
+/// Returns whether all tasks of \p work that come first fit on \p endpoints
+/// now.
+bool can_start(const schema::job& work,
+               const std::vector<endpoint_forecast>& endpoints)
+{
+    std::vector<schema::resources> free;
+    for (const endpoint_forecast& endpoint : endpoints)
+    {
+        schema::resources& available = free.emplace_back(endpoint.capacity);
+        for (const occupied_capacity& run : endpoint.occupied)
+            subtract(available, run.need);
+    }
+    for (const schema::task_group& group : work.groups)
+    {
+        std::int32_t waiting = group.after.empty() ? group.count : 0;
+        for (schema::resources& available : free)
+            for (; waiting > 0 && fits(group.need, available); --waiting)
+                subtract(available, group.need);
+        if (waiting > 0)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
 void shard_owner::update_rooms(instant now)
 {
     if (now - this->rooms_measured_at < max_room_age)
@@ -48,24 +77,31 @@
                  .millicores = job->waiting_millicores() / job->waiting_tasks(),
                  .task_ms = planned.task_ms});
         }
-        this->measured_rooms.push_back(
-            measure_room(pool, this->forecast(pool, now), queue, now));
+        const pool_rooms measured =
+            measure_rooms(pool, this->forecast(pool, now), queue, now);
+        this->measured_rooms.insert(this->measured_rooms.end(),
+                                    measured.begin(), measured.end());
     }
 }
 
 bool shard_owner::displaces_others(const std::string& host,
-                                   const owned_job& job, instant now) const
+                                   const schema::job_submitted& job,
+                                   instant now)
 {
     const bool is_of_other_domain =
         this->hooks.is_of_other_domain && this->hooks.is_of_other_domain(host);
-    if (!is_of_other_domain || this->may_have_run(job, now))
+    if (!is_of_other_domain || this->may_have_run(job.work, job.may_run, now) ||
+        this->hooks.find_lost_owner())
         return false;
-    std::vector<owned_job*> queue = this->waiting_queue(now);
-    std::erase_if(queue, [&job](const owned_job* waiting)
-                  { return waiting->terms.pool != job.terms.pool; });
-    // Without others the job waits only for runs, as one of this domain would.
-    return queue.size() > 1 &&
-           !this->plan_shedding(job.terms.pool, queue, now).empty();
+    // The jobs that wait have the first choice.
+    this->place(now);
+    const std::string& pool = job.terms.pool;
+    const std::vector<owned_job*> queue = this->waiting_queue(now);
+    const bool has_backlog = std::any_of(queue.begin(), queue.end(),
+                                         [&pool](const owned_job* waiting) {
+                                             return waiting->terms.pool == pool;
+                                         });
+    return has_backlog && !can_start(job.work, this->forecast(pool, now));
 }
 
 } // namespace chicorydrum::shard
--- a/shard/lib/room_digest.cpp
+++ b/shard/lib/room_digest.cpp
@@ -16,10 +16,8 @@
 constexpr std::int64_t min_task_millicores = 250;
 /// Without tasks to take the mean of, an endpoint counts as this many units.
 constexpr std::int64_t units_of_idle_endpoint = 4;
-/// Sizes of tasks differ, and smaller ones go where the mean does not fit.
-constexpr double least_size = 0.9;
 
-/// Capacity for one task of the mean size.
+/// Capacity for one task of the measured size.
 struct room_unit
 {
     instant free_at;
@@ -59,12 +57,6 @@
                   const endpoint_forecast& endpoint, std::int64_t need,
                   instant now)
 {
-    const double least_need = static_cast<double>(need) * least_size;
-    const auto fitting = [least_need](std::int64_t millicores)
-    {
-        return static_cast<std::int64_t>(static_cast<double>(millicores) /
-                                         least_need);
-    };
     std::vector<occupied_capacity> by_end = endpoint.occupied;
     std::sort(by_end.begin(), by_end.end(),
               [](const auto& left, const auto& right)
@@ -80,22 +72,34 @@
             units.push_back(
                 {.free_at = free_at, .slowness = endpoint.slowness});
     };
-    add_until(fitting(available), now);
+    add_until(available / need, now);
     for (const occupied_capacity& run : by_end)
     {
         available += run.need.millicores;
-        add_until(fitting(available), std::max(now, run.ends));
+        add_until(available / need, std::max(now, run.ends));
     }
 }
 
 } // namespace
 
-pool_room measure_room(const std::string& pool,
+pool_rooms measure_rooms(const std::string& pool,
+                         const std::vector<endpoint_forecast>& endpoints,
+                         const std::vector<waiting_tasks>& queue, instant now)
+{
+    const auto mean = static_cast<double>(mean_need(endpoints, queue));
+    pool_rooms rooms;
+    for (const double size : room_sizes)
+        rooms.push_back(measure_room(pool,
+                                     static_cast<std::int64_t>(mean * size),
+                                     endpoints, queue, now));
+    return rooms;
+}
+
+pool_room measure_room(const std::string& pool, std::int64_t millicores,
                        const std::vector<endpoint_forecast>& endpoints,
                        const std::vector<waiting_tasks>& queue, instant now)
 {
-    pool_room room{.pool = pool,
-                   .task_millicores = mean_need(endpoints, queue)};
+    pool_room room{.pool = pool, .task_millicores = millicores};
     std::vector<room_unit> units;
     for (const endpoint_forecast& endpoint : endpoints)
         append_units(units, endpoint, room.task_millicores, now);
--- a/shard/lib/room_digest.hpp
+++ b/shard/lib/room_digest.hpp
@@ -21,9 +21,16 @@
     double task_ms = 0;
 };
 
-/// Returns how many tasks of the mean size can start on \p endpoints, all of
-/// \p pool, once those in \p queue have started in its order.
-pool_room measure_room(const std::string& pool,
+/// Returns how many tasks of the mean size, and of those around it, can start
+/// on \p endpoints, all of \p pool, once those in \p queue have started in its
+/// order.
+pool_rooms measure_rooms(const std::string& pool,
+                         const std::vector<endpoint_forecast>& endpoints,
+                         const std::vector<waiting_tasks>& queue,
+                         support::instant now);
+
+/// The same for tasks that need \p millicores.
+pool_room measure_room(const std::string& pool, std::int64_t millicores,
                        const std::vector<endpoint_forecast>& endpoints,
                        const std::vector<waiting_tasks>& queue,
                        support::instant now);
--- a/shard/lib/room_table.cpp
+++ b/shard/lib/room_table.cpp
@@ -92,19 +92,21 @@
 }
 
 known_room room_table::find(const shard_name& shard, const std::string& pool,
-                            instant now) const
+                            std::int64_t millicores, instant now) const
 {
     const auto found = this->shards.find(shard);
     if (found == this->shards.end())
         return {};
     const shard_state& state = found->second;
-    const auto room = std::find_if(state.rooms.begin(), state.rooms.end(),
-                                   [&pool](const pool_room& known)
-                                   { return known.pool == pool; });
-    if (room == state.rooms.end())
+    const pool_room* room = nullptr;
+    for (const pool_room& known : state.rooms)
+        if (known.pool == pool &&
+            (room == nullptr || room->task_millicores < millicores))
+            room = &known;
+    if (room == nullptr)
         return {};
     known_room known{
-        .room = &*room,
+        .room = room,
         .age = support::duration_cast<milliseconds>(now - state.as_of),
         .way = state.way};
     for (const sent_tasks& tasks : state.sent)
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -89,6 +89,11 @@
         this->refuse(host, job, reason, support::seconds(1), now);
         return;
     }
+    if (this->displaces_others(host, job, now))
+    {
+        this->refuse(host, job, "overload", this->predicted_wait(), now);
+        return;
+    }
     auto new_job = std::make_unique<owned_job>(job, host, now);
     owned_job& added = *new_job;
     this->jobs[added.id()] = std::move(new_job);
@@ -101,11 +106,6 @@
         this->finish(added.id(), schema::job_result::completed, "", now);
         return;
     }
-    if (this->displaces_others(host, added, now))
-    {
-        this->finish(added.id(), schema::job_result::not_run, "overload", now);
-        return;
-    }
     this->place(now);
     if (added.waiting_tasks() > 0)
         this->shed_overload(now);
@@ -195,9 +195,12 @@
         waiting_call(job, host, now).result_of(job.work.id, outcome, reason);
     ended.retry_after_ms = retry_after.count();
     if (outcome == schema::job_result::not_run)
+    {
+        this->update_rooms(now);
         this->record_refusal(job.work.id, {.host = host, .call = job.call},
                              now + support::microseconds(job.time_left_us),
                              now);
+    }
     this->hooks.log(log_line("job_refused")
                         .add("job", job.work.id)
                         .add("route", job.work.route)
--- a/shard/lib/shard_room.cpp
+++ b/shard/lib/shard_room.cpp
@@ -31,7 +31,7 @@
 
 std::optional<pool_rooms> read_room(const std::vector<schema::pool_room>& told)
 {
-    if (told.size() > max_told_pools)
+    if (told.size() > max_told_pools * room_sizes.size())
         return std::nullopt;
     pool_rooms rooms;
     for (const schema::pool_room& pool : told)
--- a/shard/unittests/room_digest_test.cpp
+++ b/shard/unittests/room_digest_test.cpp
@@ -34,6 +34,14 @@
     return made;
 }
 
+/// Returns the room for tasks of the mean size.
+pool_room measure_mean(const std::string& pool,
+                       const std::vector<endpoint_forecast>& endpoints,
+                       const std::vector<waiting_tasks>& queue, instant now)
+{
+    return measure_rooms(pool, endpoints, queue, now)[1];
+}
+
 int tasks_within(const pool_room& room, milliseconds span)
 {
     for (std::size_t i = 0; i < room_spans.size(); ++i)
@@ -48,7 +56,7 @@
 
 BOOST_AUTO_TEST_CASE(room_grows_as_runs_end)
 {
-    const pool_room room = measure_room(
+    const pool_room room = measure_mean(
         "pool", {endpoint({}), endpoint({milliseconds(40), milliseconds(90)})},
         {}, start);
     BOOST_TEST(room.task_millicores == 32000);
@@ -61,7 +69,7 @@
 {
     const std::vector<waiting_tasks> queue{
         {.count = 3, .millicores = 32000, .task_ms = 200}};
-    const pool_room room = measure_room(
+    const pool_room room = measure_mean(
         "pool", {endpoint({}), endpoint({milliseconds(40), milliseconds(90)})},
         queue, start);
     BOOST_TEST(tasks_within(room, milliseconds(50)) == 0);
@@ -73,19 +81,46 @@
 {
     const std::vector<waiting_tasks> queue{
         {.count = 100000, .millicores = 32000, .task_ms = 100}};
-    const pool_room room = measure_room("pool", {endpoint({})}, queue, start);
+    const pool_room room = measure_mean("pool", {endpoint({})}, queue, start);
     BOOST_TEST(room.tasks.back() == 0);
 }
 
+// Tasks that want half an endpoint, more or less: whether one fits beside
+// another depends on its size.
+BOOST_AUTO_TEST_CASE(room_is_told_for_several_sizes)
+{
+    endpoint_forecast busy{.id = "e", .capacity = cores(64)};
+    busy.occupied.push_back(
+        {.need = cores(32), .ends = start + milliseconds(500)});
+    const pool_rooms rooms =
+        measure_rooms("pool", std::vector(10, busy), {}, start);
+    BOOST_REQUIRE(rooms.size() == 3U);
+    BOOST_TEST(rooms[0].tasks.front() == 10);
+    BOOST_TEST(rooms[1].tasks.front() == 10);
+    BOOST_TEST(rooms[2].tasks.front() == 0);
+    BOOST_TEST(rooms[2].tasks.back() == 10);
+    room_table table;
+    table.told(cold, 1, rooms, start);
+    const auto size_for = [&table](std::int64_t millicores)
+    {
+        return table.find(cold, "pool", millicores, start)
+            .room->task_millicores;
+    };
+    BOOST_TEST(size_for(20000) == 25600);
+    BOOST_TEST(size_for(32000) == 32000);
+    BOOST_TEST(size_for(33000) == 40000);
+    BOOST_TEST(size_for(64000) == 40000);
+}
+
 BOOST_AUTO_TEST_CASE(a_shard_without_endpoints_has_no_room)
 {
-    BOOST_TEST(measure_room("pool", {}, {}, start).tasks.back() == 0);
+    BOOST_TEST(measure_mean("pool", {}, {}, start).tasks.back() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(a_room_survives_its_message)
 {
     const pool_rooms rooms{
-        measure_room("pool", {endpoint({milliseconds(40)})}, {}, start)};
+        measure_mean("pool", {endpoint({milliseconds(40)})}, {}, start)};
     const auto read = read_room(to_message(rooms));
     BOOST_REQUIRE(read);
     BOOST_TEST(read->front().pool == "pool");
@@ -95,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(malformed_rooms_are_refused)
 {
     const std::vector<schema::pool_room> good = to_message(
-        {measure_room("pool", {endpoint({milliseconds(40)})}, {}, start)});
+        {measure_mean("pool", {endpoint({milliseconds(40)})}, {}, start)});
     const auto is_refused = [&good](auto change)
     {
         std::vector<schema::pool_room> odd = good;
@@ -108,8 +143,8 @@
     BOOST_TEST(is_refused([](auto& room) { room.tasks.front() = -1; }));
     BOOST_TEST(is_refused([](auto& room) { room.tasks.front() = 100; }));
     BOOST_TEST(is_refused([](auto& room) { room.tasks.back() = 2000000; }));
-    BOOST_TEST(!read_room(
-        std::vector<schema::pool_room>(max_told_pools + 1, good.front())));
+    BOOST_TEST(!read_room(std::vector<schema::pool_room>(
+        max_told_pools * room_sizes.size() + 1, good.front())));
 }
 
 BOOST_AUTO_TEST_CASE(earlier_news_and_lower_tokens_are_ignored)
@@ -117,27 +152,28 @@
     room_table table;
     const auto rooms_of = [](int endpoints)
     {
-        return pool_rooms{measure_room(
+        return pool_rooms{measure_mean(
             "pool", std::vector(endpoints, endpoint({})), {}, start)};
     };
     table.heard(cold, 2, rooms_of(1), start, start + milliseconds(3));
     table.told(cold, 2, rooms_of(5), start - milliseconds(100));
     table.told(cold, 1, rooms_of(5), start + milliseconds(100));
-    const known_room known = table.find(cold, "pool", start + milliseconds(20));
+    const known_room known =
+        table.find(cold, "pool", 1000, start + milliseconds(20));
     BOOST_REQUIRE(known.room != nullptr);
     BOOST_TEST(known.room->tasks.front() == 4);
     BOOST_TEST((known.age == milliseconds(20)));
     BOOST_TEST((known.way == milliseconds(3)));
-    BOOST_TEST((table.find(cold, "other", start).room == nullptr));
+    BOOST_TEST((table.find(cold, "other", 1000, start).room == nullptr));
 }
 
 BOOST_AUTO_TEST_CASE(what_was_sent_counts_until_it_is_told_or_has_ended)
 {
     room_table table;
-    const pool_rooms rooms{measure_room("pool", {endpoint({})}, {}, start)};
+    const pool_rooms rooms{measure_mean("pool", {endpoint({})}, {}, start)};
     const auto sent_at = [&table](milliseconds time)
     {
-        return table.find(cold, "pool", start + time).sent_millicores;
+        return table.find(cold, "pool", 1000, start + time).sent_millicores;
     };
     table.heard(cold, 1, rooms, start, start + milliseconds(2));
     table.sent(cold, "pool", 5000, start + milliseconds(60),
@@ -161,7 +197,7 @@
     for (int shard = 0; shard < 6; ++shard)
         table.told(
             {.domain = "D1", .shard = shard}, 1,
-            {measure_room("pool", std::vector(shard, endpoint({})), {}, start)},
+            {measure_mean("pool", std::vector(shard, endpoint({})), {}, start)},
             start);
     const auto told =
         table.to_tell([](const shard_name& name) { return name.shard == 0; }, 2,
