--- a/shard/lib/offer_ranking.cpp
+++ b/shard/lib/offer_ranking.cpp
@@ -17,11 +17,11 @@
     const std::int64_t unit = candidate.room->task_millicores;
     const std::int64_t least = std::max<std::int64_t>(need.millicores, 1);
     // Smaller tasks share a unit; a larger one takes several.
+    const std::int64_t shared = std::max<std::int64_t>(unit / least, 1);
+    const double taken =
+        std::max(static_cast<double>(least) / static_cast<double>(unit), 1.0);
     const double own =
-        least <= unit
-            ? std::ceil(need.tasks / static_cast<double>(unit / least))
-            : std::ceil(need.tasks * static_cast<double>(least) /
-                        static_cast<double>(unit));
+        std::ceil(need.tasks * taken / static_cast<double>(shared));
     return std::max(own, 1.0) +
            static_cast<double>(candidate.sent_millicores) /
                static_cast<double>(unit) +
