Merge overflow between domains: own sizes of room, own callers first

With the own domain evacuated an offer needs to leave no reserve, and where nobody tells of room for the job it is offered by load: the rooms that are told are of usual sizes (suite evacuation, load_of_other_domains_does_not_hold_them_back).

--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -164,6 +164,8 @@
 {
     if (static_cast<int>(job.refused_by.size()) >= this->options.max_offers)
         return {.cause = refusal_cause::offers_used};
+    const offer_need need =
+        need_of(job.work, job.terms, job.arrived, job.deadline, now);
     std::vector<shard_name> names;
     std::vector<offer_candidate> candidates;
     for (const auto& [name, owner] : this->owners)
@@ -171,7 +173,7 @@
         if (!this->may_offer(job, name, owner))
             continue;
         const known_room known =
-            this->known_rooms.find(name, job.terms.pool, now);
+            this->known_rooms.find(name, job.terms.pool, need.millicores, now);
         names.push_back(name);
         candidates.push_back({.is_local = name.domain == this->options.domain,
                               .room = known.room,
@@ -182,9 +184,23 @@
                               .load = load_of(owner)});
     }
     std::uniform_real_distribution<double> draw(0.0, 1.0);
-    const offer_choice choice = choose_offer(
-        {}, need_of(job.work, job.terms, job.arrived, job.deadline, now),
-        candidates, draw(this->random));
+    offer_options ranking;
+    const bool is_evacuated = this->evacuated.contains(this->options.domain);
+    // Nothing starts at home; the neighbours' owners still prefer the jobs of
+    // their own callers that wait.
+    if (is_evacuated)
+        ranking.remote_reserve = 0;
+    offer_choice choice =
+        choose_offer(ranking, need, candidates, draw(this->random));
+    if (!choice.chosen && is_evacuated)
+    {
+        // Room is told for usual sizes: a smaller job may fit beside them.
+        for (offer_candidate& candidate : candidates)
+            candidate.room = nullptr;
+        ranking.remote_load_limit = 1;
+        choice.chosen =
+            choose_offer(ranking, need, candidates, draw(this->random)).chosen;
+    }
     next_offer next{.cause = candidates.empty() ? refusal_cause::no_owner
                                                 : refusal_cause::no_room,
                     .soonest = choice.soonest};
