Evacuation: processes need no wait for what peers know

A process started no task until it had read the store or heard of a peer that had, for 2 s at most. Nothing gains by it: the configuration, without which no job is accepted, comes in the same read, or over a link whose first message has told of evacuations.

--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -213,9 +213,7 @@
   16: bool sends_config_parts
   /// To hosts of the sender's domain only; unset by hosts of earlier versions.
   17: optional succession_state succession
-  /// Unset if there is no news, and by hosts that have not learned yet which
-  /// domains are evacuated, or are of earlier versions. The first one on a link
-  /// is set even if no domain is.
+  /// Unset if there is no news, and by hosts of earlier versions.
   18: optional evacuation_news evacuations
 }
 
--- a/shard/include/chicorydrum/shard/evacuations.hpp
+++ b/shard/include/chicorydrum/shard/evacuations.hpp
@@ -43,11 +43,6 @@
 
 struct evacuation_options
 {
-    /// How long a process that has neither read the store nor heard of a host
-    /// that has starts nothing. Then it serves as before: domains that are cut
-    /// off from the store do. Peers connect and send heartbeats within a
-    /// second.
-    support::milliseconds learning_time{2000};
     /// Domains that are remembered, also those whose evacuation was removed.
     std::size_t max_domains = support::max_evacuations;
 };
@@ -60,8 +55,7 @@
 public:
     using log_hook = std::function<void(const support::log_line&)>;
 
-    evacuations(evacuation_options opts, log_hook callback,
-                support::instant now);
+    evacuations(evacuation_options opts, log_hook callback);
 
     /// Applies what the store has said, maybe late.
     void rows_read(const evacuation_rows& read, support::instant now);
@@ -71,13 +65,6 @@
 
     bool is_evacuated(const std::string& domain) const;
     std::set<std::string> evacuated_domains() const;
-    /// Returns whether this process has learned which domains are evacuated, or
-    /// has waited for it long enough.
-    bool is_known(support::instant now) const
-    {
-        return this->has_learned ||
-               now - this->started >= this->options.learning_time;
-    }
     /// Increases with each change of a domain.
     std::int64_t last_change() const
     {
@@ -117,7 +104,6 @@
 
     evacuation_options options;
     log_hook log;
-    support::instant started;
     std::map<std::string, domain_state> domains;
     /// Changes up to this version were read: peers tell nothing new of them.
     std::int64_t read_to = 0;
@@ -129,7 +115,6 @@
     /// Domains whose row was malformed when it was last read.
     std::set<std::string> unreadable;
     std::int64_t changes = 0;
-    bool has_learned = false;
     bool was_full = false;
     /// By peer: the number of the last change that it was told.
     std::map<std::string, std::int64_t> told;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -310,12 +310,10 @@
         .endpoints_are_complete = [this]
         { return this->table.endpoints_are_complete(this->current_time); },
         .may_start_at =
-            [this, number](const schema::endpoint_registration& entry)
-        {
-            return this->evacuation_state.is_known(this->current_time) &&
-                   this->successors.may_start_at(number, entry,
-                                                 this->current_time);
-        },
+            [this, number](const schema::endpoint_registration& entry) {
+                return this->successors.may_start_at(number, entry,
+                                                     this->current_time);
+            },
         .has_read_endpoints = [this]
         { return this->table.has_read_endpoints(); },
         .find_lost_owner =
--- a/shard/lib/evacuations.cpp
+++ b/shard/lib/evacuations.cpp
@@ -9,9 +9,8 @@
 using support::instant;
 using support::log_line;
 
-evacuations::evacuations(evacuation_options opts, log_hook callback,
-                         instant now)
-    : options(opts), log(std::move(callback)), started(now)
+evacuations::evacuations(evacuation_options opts, log_hook callback)
+    : options(opts), log(std::move(callback))
 {
 }
 
@@ -55,7 +54,6 @@
                       { return !present.contains(domain); });
     }
     this->read_to = read.version;
-    this->has_learned = true;
     this->heard_at = now;
 }
 
@@ -67,7 +65,6 @@
         if (change.version > known_to ||
             this->unreadable.contains(change.domain))
             this->apply(change, peer, now);
-    this->has_learned = true;
     this->heard_at = now;
 }
 
@@ -158,12 +155,9 @@
 std::optional<schema::evacuation_news>
 evacuations::news_for(const std::string& peer)
 {
-    if (!this->has_learned)
-        return std::nullopt;
     const auto before = this->told.find(peer);
-    const bool is_first = before == this->told.end();
-    const std::int64_t after = is_first ? 0 : before->second;
-    if (!is_first && after == this->changes)
+    const std::int64_t after = before == this->told.end() ? 0 : before->second;
+    if (after == this->changes)
         return std::nullopt;
     schema::evacuation_news news;
     for (const auto& [domain, state] : this->domains)
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -166,6 +166,44 @@
     BOOST_TEST((this->answers.back() == answer_kind::cancelled));
 }
 
+// A job is offered to the domains that are left, past the other shards of its
+// own and the load that keeps jobs at home. Its home is asked first, since
+// copies arrive there.
+BOOST_FIXTURE_TEST_CASE(job_leaves_an_evacuated_domain, intake_fixture)
+{
+    this->intake.set_owners(
+        {{home, {.host = "first", .token = 1}},
+         {{.domain = "D1", .shard = 1}, {.host = "second", .token = 1}},
+         {{.domain = "D2", .shard = 0}, {.host = "third", .token = 1}},
+         {{.domain = "D3", .shard = 0},
+          {.host = "fourth",
+           .token = 1,
+           .wanted_millicores = 2000,
+           .capacity_millicores = 1000}}},
+        1, start);
+    this->intake.set_evacuated({"D1", "D2"});
+    this->end("first", schema::job_result::not_run, this->submissions.back());
+    BOOST_TEST((this->submitted_to == names{"first", "fourth"}));
+    BOOST_TEST(this->answers.empty());
+}
+
+// Without an owner of its home there is nobody who could refuse it.
+BOOST_FIXTURE_TEST_CASE(evacuated_domain_without_owner, intake_fixture)
+{
+    this->end("first", schema::job_result::completed, this->submissions.back());
+    const shard_owners others = {
+        {{.domain = "D2", .shard = 0}, {.host = "third", .token = 1}}};
+    this->intake.set_owners(others, 1, start);
+    this->intake.set_evacuated({"D1"});
+    schema::job work;
+    work.id = "next";
+    this->intake.submit(2, work, {}, milliseconds(2000), milliseconds(0),
+                        start);
+    BOOST_TEST((this->submitted_to == names{"first"}));
+    this->intake.set_owners(others, 1, start + milliseconds(1100));
+    BOOST_TEST((this->submitted_to == names{"first", "third"}));
+}
+
 // The domain is divided while a job runs in the shard that it was sent to.
 // Copies go to another shard now, which must know of the job and of its end.
 BOOST_FIXTURE_TEST_CASE(new_home_of_a_job_learns_of_it, intake_fixture)
--- a/test/shards/evacuation_test.cpp
+++ b/test/shards/evacuation_test.cpp
@@ -149,6 +149,47 @@
     check_no_violations(fleet);
 }
 
+// Guards against a task that starts again in the domain after its run there has
+// failed.
+BOOST_AUTO_TEST_CASE(failed_task_does_not_start_again)
+{
+    shard_fleet fleet(two_domains());
+    fleet.run_for(warm_up);
+    for (const std::string& id : fleet.endpoint_names())
+        if (id.starts_with("D1-"))
+            fleet.endpoint(id).set_fault(endpoint_fault::fails_all);
+    const std::string job = fleet.submit(
+        "D1-h1",
+        {.tasks = 4, .work = milliseconds(600), .timeout = milliseconds(4000)});
+    fleet.run_for(milliseconds(200));
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    fleet.request_evacuation("D1");
+    fleet.run_for(milliseconds(600));
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    // The copy runs elsewhere.
+    fleet.run_for(settle_time);
+    BOOST_TEST((fleet.caller(job).answer == answer_kind::completed));
+    BOOST_TEST(fleet.caller(job).attempts == 2);
+    check_no_violations(fleet);
+}
+
+// Guards against offers that are used up among the shards of the domain.
+BOOST_AUTO_TEST_CASE(domain_of_several_shards_is_emptied)
+{
+    shard_fleet fleet({.domains = 2,
+                       .hosts_per_domain = 4,
+                       .endpoints_per_domain = 8,
+                       .endpoints_per_shard = 2});
+    fleet.run_for(warm_up);
+    BOOST_TEST(fleet.owners_of("D1") == 4);
+    fleet.request_evacuation("D1");
+    fleet.run_for(milliseconds(200));
+    BOOST_TEST(starts_during(fleet, "D1", milliseconds(2000)) == 0);
+    fleet.run_for(settle_time);
+    BOOST_TEST(fleet.answered(answer_kind::completed) == fleet.submitted());
+    check_no_violations(fleet);
+}
+
 // Guards against an old request that comes back, or a removal that is missed,
 // when both follow each other faster than they spread.
 BOOST_AUTO_TEST_CASE(request_and_removal_in_quick_turns)
