--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -337,6 +337,10 @@
     /// Returns whether hosts must know what was stored at \p since: the store
     /// was undisturbed for \p limit since then.
     bool must_know(support::instant since, support::milliseconds limit) const;
+    /// Returns whether an endpoint of \p domain must get no new work: its
+    /// evacuation was requested long enough ago, and no partition kept a host
+    /// from the store and its peers since.
+    bool must_be_evacuated(const std::string& domain) const;
     /// Records a time span in which the store is silent or lags.
     void set_store_disturbed(bool is_disturbed);
     void list_endpoint(const std::string& id);
@@ -442,6 +446,8 @@
     std::map<std::string, support::instant> draining_since;
     /// By domain, while a request stands.
     std::map<std::string, support::instant> evacuated_since;
+    /// When a partition ended last.
+    support::instant healed_at;
     std::vector<std::string> recorded_violations;
     std::vector<std::string> log_lines;
 };
