A host that names a cancelled job is told again

A DELETE was answered with 200, and the job's tasks started 4.9 to 7.9 s later (review/8): the owner of the home shard, which had refused the job, told the job's host once, over a channel that had gone silent. When hosts are connected again, or a new owner asks, the job's host names it as one that runs elsewhere; the owner now answers with the cancellation if it has recorded one.

cancellation/offered_job_is_cancelled_over_a_silent_channel: 18 checks fail before, none now.

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -143,7 +143,8 @@
                       const std::vector<std::string>& open,
                       support::instant now);
     /// Entry host \p host has \p job open in another shard, as it did under an
-    /// earlier owner: copies of it end as interrupted.
+    /// earlier owner: copies of it end as interrupted. The host is told if the
+    /// job was cancelled here.
     void note_elsewhere(const std::string& host,
                         const schema::job_elsewhere& job, support::instant now);
     /// Ends the jobs of an entry host that has failed, as its callers'
@@ -262,6 +263,8 @@
     bool may_have_run(const schema::job& work, bool was_sent_to_others,
                       support::instant now) const;
     void end_expired_jobs(support::instant now);
+    /// Tells the host of \p call that job \p id was cancelled.
+    void report_cancelled(const std::string& id, const caller_call& call) const;
     /// Remembers that \p call was told that job \p id has not run.
     void record_refusal(const std::string& id, caller_call call,
                         support::instant deadline, support::instant now);
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -279,15 +279,20 @@
     this->results.add(id, schema::job_result::cancelled_by_caller, now);
     // The host of a job that was refused here may have offered it to others.
     const auto offered = this->refused.call_of(id);
-    if (!offered)
-        return is_open;
+    if (offered)
+        this->report_cancelled(id, *offered);
+    return is_open || offered;
+}
+
+void shard_owner::report_cancelled(const std::string& id,
+                                   const caller_call& call) const
+{
     schema::job_ended end;
-    end.call = offered->call;
+    end.call = call.call;
     end.id = id;
     end.outcome = schema::job_result::cancelled_by_caller;
     end.reason = "cancelled";
-    this->hooks.report(offered->host, end);
-    return true;
+    this->hooks.report(call.host, end);
 }
 
 void shard_owner::withdraw_all(const std::string& host,
@@ -325,6 +330,10 @@
                      "offered_elsewhere", now);
     this->record_refusal(job.id, call,
                          now + support::microseconds(job.time_left_us), now);
+    // The host was told over an earlier link, or by an earlier owner, and names
+    // the job since it did not hear of that.
+    if (this->results.find(job.id) == schema::job_result::cancelled_by_caller)
+        this->report_cancelled(job.id, call);
 }
 
 std::optional<instant> shard_owner::needs_all_hosts_since() const
--- a/test/shards/cancellation_test.cpp
+++ b/test/shards/cancellation_test.cpp
@@ -191,6 +191,53 @@
     check_no_violations(fleet);
 }
 
+// A job that its home shard has refused runs in the other shard of its domain,
+// and the channel between the home shard's owner and the job's host has gone
+// silent. The host must be told over the next one.
+BOOST_AUTO_TEST_CASE(offered_job_is_cancelled_over_a_silent_channel)
+{
+    const job_shape filling{.tasks = 2,
+                            .millicores = 15000,
+                            .work = milliseconds(9000),
+                            .timeout = milliseconds(20000)};
+    for (int silence = 100; silence <= 1500; silence += 100)
+        BOOST_TEST_CONTEXT("silence " << silence)
+        {
+            shard_fleet fleet({.endpoints_per_domain = 4,
+                               .endpoints_per_shard = 2,
+                               .powers = {1, 0.9, 0.1}});
+            fleet.run_for(milliseconds(8000));
+            const std::string entry = "D1-h3";
+            // By their ids, the first and the third job belong to shard 0.
+            fleet.submit(entry, filling);
+            fleet.submit(entry, {.tasks = 1, .work = milliseconds(10)});
+            fleet.run_for(milliseconds(100));
+            const std::string job =
+                fleet.submit(entry, {.tasks = 2,
+                                     .millicores = 15000,
+                                     .work = milliseconds(8000),
+                                     .estimate = milliseconds(2500),
+                                     .timeout = milliseconds(15000)});
+            fleet.run_for(milliseconds(300));
+            BOOST_REQUIRE(running_tasks(fleet) == 4U);
+            const std::string home =
+                fleet.host("D1-h1")->owned_shards().contains(0) ? "D1-h1"
+                                                                : "D1-h2";
+            fleet.partition({home}, {entry});
+            fleet.run_for(milliseconds(50));
+            fleet.cancel(job, home);
+            fleet.run_for(milliseconds(50));
+            BOOST_TEST(fleet.caller(job).is_cancelled());
+            fleet.run_for(milliseconds(silence));
+            fleet.close_link(home, entry);
+            fleet.heal();
+            fleet.run_for(milliseconds(3000));
+            BOOST_TEST(running_tasks(fleet) <= 2U);
+            BOOST_TEST((fleet.caller(job).answer == answer_kind::cancelled));
+            check_no_violations(fleet);
+        }
+}
+
 // A host of another domain is cut off. Cancelling must not wait for it.
 BOOST_AUTO_TEST_CASE(cut_off_domain_does_not_hold_up_cancelling)
 {
