An owner behind gives no orders under a newer configuration

The other way round, an owner refuses a job that was received 250 ms or later after its route was dropped here. Jobs that an earlier owner may have started go on.

--- a/shard/include/chicorydrum/shard/config_spread.hpp
+++ b/shard/include/chicorydrum/shard/config_spread.hpp
@@ -84,6 +84,10 @@
     /// domain.
     void heard(const std::string& peer, std::int64_t version, bool is_near,
                support::instant now);
+    /// A job that waits here needs \p version, which \p peer has: it is asked
+    /// for without waiting for the store.
+    void needed(const std::string& peer, std::int64_t version, bool is_near,
+                support::instant now);
     void peer_lost(const std::string& peer);
     void requested(const std::string& peer,
                    const schema::config_requested& request,
@@ -144,6 +148,8 @@
     std::int64_t active_version = 0;
     std::shared_ptr<const std::string> active_document;
     std::int64_t arrived_version = 0;
+    /// The newest version that a job here has needed.
+    std::int64_t needed_version = 0;
     bool store_fails = false;
     /// The connected peers that were heard.
     std::map<std::string, source> sources;
--- a/shard/include/chicorydrum/shard/config_view.hpp
+++ b/shard/include/chicorydrum/shard/config_view.hpp
@@ -73,6 +73,9 @@
     std::optional<route_match> match(std::string_view host,
                                      std::string_view path) const;
 
+    /// Returns the route with that name, or nullptr.
+    const job_route* find(std::string_view name) const;
+
     schema::job_policy terms_of(const job_route& route) const;
 
     /// Returns 0 until a configuration is known.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -7,6 +7,7 @@
 #include "chicorydrum/shard/config_loader.hpp"
 #include "chicorydrum/shard/config_spread.hpp"
 #include "chicorydrum/shard/directory.hpp"
+#include "chicorydrum/shard/held_submissions.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
 #include "chicorydrum/shard/link_clock.hpp"
@@ -91,6 +92,11 @@
     /// An owner whose last read of the endpoints is this old tells of all of
     /// them: others forget endpoints that they have dropped 30 s ago.
     support::milliseconds old_reads{10000};
+    held_options held;
+    /// A request that arrived before this much after a configuration became
+    /// active here may have been sent under the earlier one, and runs:
+    /// rollback_slack_ms of the platform is no less.
+    support::milliseconds config_slack{250};
     /// How long a shard is offered to stronger hosts before the offer ends.
     support::milliseconds offer_time{1000};
     /// When the last tick is this long ago, the process was paused. Shorter
@@ -237,6 +243,19 @@
                            const schema::job_submitted& job,
                            std::optional<support::instant> sent,
                            support::instant now);
+    /// Returns whether an order for a job of \p peer may be given under the
+    /// active configuration. Otherwise the job is held until it may, or
+    /// refused.
+    bool config_allows(const std::string& peer,
+                       const schema::job_submitted& job,
+                       std::optional<support::instant> sent,
+                       support::instant now);
+    /// Passes on the held jobs whose configuration has become active, and
+    /// refuses those that have waited for too long.
+    void release_held(support::instant now);
+    void refuse_submission(const std::string& peer,
+                           const schema::job_submitted& job,
+                           const std::string& reason, support::instant now);
     /// Tells the owner of a job's home shard that the job is cancelled.
     void tell_cancellation(const std::string& owner,
                            const schema::job_cancelled& job);
@@ -335,6 +354,9 @@
     support::instant next_remote_heartbeat;
     config_loader configs;
     config_spread spread;
+    held_submissions held_jobs;
+    /// When the active configuration became active.
+    support::instant config_active_since;
     /// The version that was last read from the store.
     std::int64_t stored_config_version = 0;
     host_view view;
--- a/shard/lib/config_spread.cpp
+++ b/shard/lib/config_spread.cpp
@@ -69,6 +69,14 @@
         this->update_lag(now);
 }
 
+void config_spread::needed(const std::string& peer, std::int64_t version,
+                           bool is_near, instant now)
+{
+    this->needed_version = std::max(this->needed_version, version);
+    this->heard(peer, version, is_near, now);
+    this->ask_if_due(now);
+}
+
 void config_spread::peer_lost(const std::string& peer)
 {
     this->sources.erase(peer);
@@ -120,8 +128,10 @@
 {
     if (this->asked || !this->behind_from)
         return;
+    const bool is_urgent =
+        this->store_fails || this->needed_version > this->arrived_version;
     const milliseconds patience =
-        this->store_fails ? milliseconds(0) : this->options.store_patience;
+        is_urgent ? milliseconds(0) : this->options.store_patience;
     if (now - *this->behind_from < patience)
         return;
     const auto chosen = this->choose_source(now);
--- a/shard/lib/config_view.cpp
+++ b/shard/lib/config_view.cpp
@@ -2,6 +2,8 @@
 
 #include "chicorydrum/support/validation.hpp"
 
+#include <algorithm>
+
 namespace chicorydrum::shard
 {
 
@@ -62,6 +64,15 @@
                        .rest = std::string(path.substr(best->prefix.size()))};
 }
 
+const job_route* config_view::find(std::string_view name) const
+{
+    const std::vector<job_route>& routes = this->current->routes;
+    const auto found = std::find_if(routes.begin(), routes.end(),
+                                    [name](const job_route& route)
+                                    { return route.name == name; });
+    return found == routes.end() ? nullptr : &*found;
+}
+
 schema::job_policy config_view::terms_of(const job_route& route) const
 {
     schema::job_policy terms;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -62,6 +62,7 @@
       last_tick(now), next_local_heartbeat(now), next_remote_heartbeat(now),
       configs(this->options.configs, this->loader_hooks()),
       spread(spread_of(this->options), this->spread_hooks()),
+      held_jobs(this->options.held), config_active_since(now),
       view(view_of(this->options), now),
       successors(this->options.successors, {.log = this->hooks.log}),
       next_succession_update(now),
@@ -381,6 +382,7 @@
     this->view.disconnected(peer, now);
     this->successors.link_closed(peer, now);
     this->spread.peer_lost(peer);
+    this->held_jobs.remove_host(peer);
 }
 
 void entry_host::peer_message_received(const std::string& peer,
@@ -406,6 +408,7 @@
         this->accept_submission(peer, message.submitted, sent, now);
     else if (message.__isset.withdrawn)
     {
+        this->held_jobs.remove(peer, message.withdrawn.call);
         if (shard_owner* const shard = this->find_shard(
                 message.withdrawn.domain, message.withdrawn.shard))
             shard->withdraw(peer, message.withdrawn, now);
@@ -463,6 +466,8 @@
         this->decline(peer, job);
         return;
     }
+    if (!this->config_allows(peer, job, sent, now))
+        return;
     // The host may be lost since it sent the job, which could run beside its
     // copy.
     if (sent && this->view.keeps_jobs_of(peer))
--- a/test/shards/config_spread_test.cpp
+++ b/test/shards/config_spread_test.cpp
@@ -226,6 +226,60 @@
     check_no_violations(fleet);
 }
 
+// The store does not answer the shard's owner, and another host admits a job
+// under a newer configuration. Its order shows that to an endpoint, so that the
+// owner must not run jobs of a dropped route any more.
+BOOST_AUTO_TEST_CASE(owner_behind_runs_no_dropped_route_after_a_new_one)
+{
+    for (int phase = 0; phase < 600; phase += 50)
+        BOOST_TEST_CONTEXT("phase " << phase)
+        {
+            shard_fleet fleet({.hosts_per_domain = 3});
+            fleet.set_config(2, {"quote", "dropped"});
+            fleet.run_for(milliseconds(3000) + milliseconds(phase));
+            const std::string owner = fleet.owner_of("D1");
+            fleet.set_read_delay(owner, milliseconds(60000));
+            fleet.set_config(3, {"quote", "added"});
+            fleet.run_for(milliseconds(30));
+            BOOST_TEST(fleet.host(owner)->config().version() == 2);
+            const std::string first = fleet.submit(
+                other_host(fleet, owner),
+                {.tasks = 1, .work = milliseconds(20), .route = "added"});
+            while (fleet.starts_of(first) == 0 && !fleet.caller(first).answer)
+                fleet.run_for(milliseconds(5));
+            BOOST_TEST(fleet.starts_of(first) == 1);
+            fleet.run_for(milliseconds(250));
+            const std::string late = fleet.submit(
+                owner,
+                {.tasks = 1, .work = milliseconds(20), .route = "dropped"});
+            fleet.run_for(milliseconds(100));
+            BOOST_TEST(fleet.starts_of(late) == 0);
+            fleet.run_for(milliseconds(3000));
+            check_no_violations(fleet);
+        }
+}
+
+// The other way: the store does not answer a host, which takes jobs of a route
+// that the owner's configuration has dropped.
+BOOST_AUTO_TEST_CASE(host_behind_gets_no_orders_for_a_dropped_route)
+{
+    shard_fleet fleet({.hosts_per_domain = 3});
+    fleet.set_config(2, {"quote", "dropped"});
+    fleet.run_for(milliseconds(3000));
+    const std::string owner = fleet.owner_of("D1");
+    const std::string behind = other_host(fleet, owner);
+    fleet.set_read_delay(behind, milliseconds(60000));
+    fleet.set_config(3, {"quote", "added"});
+    fleet.run_for(milliseconds(400));
+    BOOST_TEST(fleet.host(behind)->config().version() == 2);
+    const std::string late = fleet.submit(
+        behind, {.tasks = 1, .work = milliseconds(20), .route = "dropped"});
+    fleet.run_for(milliseconds(100));
+    BOOST_TEST(fleet.starts_of(late) == 0);
+    BOOST_TEST((fleet.caller(late).answer == answer_kind::not_run));
+    check_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
