--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -157,6 +157,10 @@
     /// Accepts a job from an entry host, for the first time or again.
     void submit(const std::string& host, const schema::job_submitted& job,
                 support::instant now);
+    /// Refuses a job that this host's configuration does not allow, for
+    /// \p reason, unless it is a copy of one that is known here.
+    void decline(const std::string& host, const schema::job_submitted& job,
+                 const std::string& reason, support::instant now);
     /// Stops and removes a job whose caller at \p host has left, unless a copy
     /// of it has arrived since.
     void withdraw(const std::string& host, const schema::job_withdrawn& job,
@@ -174,7 +178,8 @@
                       const std::vector<std::string>& open,
                       support::instant now);
     /// Entry host \p host has \p job open in another shard, as it did under an
-    /// earlier owner: copies of it end as interrupted.
+    /// earlier owner: copies of it end as interrupted. The host is told if the
+    /// job was cancelled here.
     void note_elsewhere(const std::string& host,
                         const schema::job_elsewhere& job, support::instant now);
     /// Ends the jobs of an entry host that has failed, as its callers'
@@ -308,6 +313,8 @@
     /// Ends the jobs with tasks that can't start, once it is known what earlier
     /// owners have started of them.
     void end_evacuated_jobs(support::instant now);
+    /// Tells the host of \p call that job \p id was cancelled.
+    void report_cancelled(const std::string& id, const caller_call& call) const;
     /// Remembers that \p call was told that job \p id has not run.
     void record_refusal(const std::string& id, caller_call call,
                         support::instant deadline, support::instant now);
