Learned speeds by kind, shared between owners and kept over a takeover

Callers saw late and refused jobs after each takeover and each added endpoint. Cause: each owner learned the speed of each of its endpoints by itself, from nothing, against an average that no other owner shares, and a single run counted in full; after 50 runs an endpoint's change of speed took 50 more to show.

Each host now has one learned_speeds for its shards. Run times are learned by route and kind of endpoint; an endpoint counts as its kind until its own runs say otherwise, the sooner the further they are from chance.

new_incarnation of the virtual endpoints has a slowness now.

--- a/daemon/lib/entry_metrics.cpp
+++ b/daemon/lib/entry_metrics.cpp
@@ -47,6 +47,18 @@
             .Register(this->registry)
             .Add({}, gap_seconds);
 
+    prometheus::Family<prometheus::Gauge>& kind_slowness =
+        prometheus::BuildGauge()
+            .Name("chicorydrum_kind_slowness")
+            .Help("Learned run time on a kind of endpoint against an average "
+                  "one.")
+            .Register(this->registry);
+    prometheus::Family<prometheus::Gauge>& kind_runs =
+        prometheus::BuildGauge()
+            .Name("chicorydrum_kind_runs")
+            .Help("Runs that the slowness of a kind rests on.")
+            .Register(this->registry);
+
     void set(const std::string& name, const std::string& help, double value)
     {
         prometheus::BuildGauge()
@@ -57,6 +69,17 @@
             .Set(value);
     }
 
+    // A host knows a bounded number of kinds.
+    void set_kinds(
+        const std::map<std::string, shard::learned_speeds::kind_summary>& kinds)
+    {
+        for (const auto& [name, kind] : kinds)
+        {
+            this->kind_slowness.Add({{"kind", name}}).Set(kind.slowness);
+            this->kind_runs.Add({{"kind", name}}).Set(kind.weight);
+        }
+    }
+
     // The components count the totals, which are copied at each scrape.
     void set_total(const std::string& name, const std::string& help,
                    std::int64_t total)
@@ -150,6 +173,11 @@
             "Time for which a peer has had a configuration that has not "
             "arrived here.",
             support::in_seconds(host.config_lag()));
+    all.set_kinds(host.run_times().kinds_now());
+    if (const auto age = host.speed_report_age())
+        all.set("speed_report_age_seconds",
+                "Time since another host last told of run times.",
+                support::in_seconds(*age));
     all.set("ready", "1 while new callers should come to this host.",
             host.is_ready() ? 1 : 0);
     all.set("owned_shards", "Shards that this host owns.",
--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -163,6 +163,38 @@
   5: optional list<i32> never_owned
 }
 
+/// Run times of a route's tasks at endpoints of one kind, against the callers'
+/// estimates.
+struct learned_run_time {
+  1: string route
+  /// As shard::kind_of() names it.
+  2: string kind
+  /// Mean of the ratios' logarithms, and their variance.
+  3: double log_ratio
+  4: double log_variance
+  /// Number of runs, less those that count no more.
+  5: double weight
+  /// Time since the newest of them.
+  6: i64 age_ms
+}
+
+/// How an incarnation of an endpoint differs from its kind.
+struct learned_endpoint {
+  1: string id
+  2: i64 born_ms
+  3: string kind
+  /// Mean logarithm of the run time against what its kind takes.
+  4: double log_deviation
+  5: double weight
+  6: i64 age_ms
+}
+
+struct learned_speeds_report {
+  1: list<learned_run_time> run_times
+  /// Of the sender's domain, to hosts of it only.
+  2: list<learned_endpoint> endpoints
+}
+
 struct shard_heartbeat {
   1: bool is_ready
   2: bool is_stopping
@@ -198,6 +230,8 @@
   16: bool sends_config_parts
   /// To hosts of the sender's domain only; unset by hosts of earlier versions.
   17: optional succession_state succession
+  /// Now and then, from owners and hosts that keep reports of earlier owners.
+  19: optional learned_speeds_report speeds
 }
 
 /// Sends a caller's job from its entry host to the shard's owner.
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -9,6 +9,7 @@
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/host_view.hpp"
 #include "chicorydrum/shard/job_intake.hpp"
+#include "chicorydrum/shard/learned_speeds.hpp"
 #include "chicorydrum/shard/link_clock.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/shard_owner.hpp"
@@ -75,6 +76,11 @@
     config_loader_options configs;
     config_spread_options spread;
     succession_options successors;
+    learned_speeds_options speeds;
+    /// How often an owner tells of the run times that it has learned, and how
+    /// many hosts of its domain keep them for its successor.
+    support::milliseconds speed_report_interval{1000};
+    std::size_t speed_keepers = 2;
     /// Other hosts of the domain that keep each cancellation that is recorded
     /// here.
     std::size_t cancellation_keepers = 2;
@@ -180,6 +186,15 @@
     {
         return this->table.is_available();
     }
+    const learned_speeds& run_times() const
+    {
+        return *this->speeds;
+    }
+    /// Returns the time since another host last told of run times, if any did.
+    std::optional<support::decision_clock::duration> speed_report_age() const
+    {
+        return this->speeds->report_age(this->current_time);
+    }
     /// Returns the age of what this host knows of the endpoints in the store,
     /// as of the last event, or nothing before the first read.
     std::optional<support::decision_clock::duration> endpoints_age() const
@@ -302,6 +317,11 @@
     /// jobs this host's shards have.
     std::int64_t longest_caller_silence() const;
     schema::shard_message make_heartbeat(bool to_own_domain) const;
+    /// Prepares a report of learned run times for few peers, if one is due.
+    void prepare_speed_report(support::instant now);
+    /// Adds the report to a heartbeat if it was prepared for \p peer.
+    void add_speed_report(const std::string& peer,
+                          schema::shard_heartbeat& heartbeat);
     /// Sends a heartbeat, with what \p peer must know to succeed this host, and
     /// with endpoints that are \p known_here.
     void
@@ -343,6 +363,15 @@
     job_intake intake;
     shard::cancellations cancellations;
     directory table;
+    /// Shared with the shards.
+    std::shared_ptr<learned_speeds> speeds;
+    support::instant next_speed_report;
+    /// The report that is being sent, and to whom it still goes: run times to
+    /// all, endpoints to hosts of this domain.
+    schema::learned_speeds_report speed_report;
+    std::set<std::string> speed_targets;
+    /// Counts the reports, so that other owners get them in turn.
+    std::size_t speed_reports = 0;
     /// By number; all belong to this host's domain.
     std::map<int, std::unique_ptr<shard_owner>> shards;
     /// This host is stopping, and others may claim its shards.
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -3,9 +3,9 @@
 /// starts tasks there, from one queue of jobs.
 #pragma once
 
-#include "chicorydrum/decision/run_time_model.hpp"
 #include "chicorydrum/shard/directory.hpp"
 #include "chicorydrum/shard/ended_jobs.hpp"
+#include "chicorydrum/shard/learned_speeds.hpp"
 #include "chicorydrum/shard/leased_endpoint.hpp"
 #include "chicorydrum/shard/messages.hpp"
 #include "chicorydrum/shard/owner_sightings.hpp"
@@ -95,9 +95,13 @@
 class shard_owner
 {
 public:
-    shard_owner(shard_options opts, shard_hooks callbacks,
-                support::instant now);
+    /// \p learned is shared by the shards of a host; without it, the owner
+    /// learns run times by itself.
+    shard_owner(shard_options opts, shard_hooks callbacks, support::instant now,
+                std::shared_ptr<learned_speeds> learned = nullptr);
     ~shard_owner();
+    shard_owner(const shard_owner&) = delete;
+    shard_owner& operator=(const shard_owner&) = delete;
 
     fencing_token token() const
     {
@@ -405,7 +409,8 @@
     std::map<std::string, fencing_token> earlier_raises;
     /// Of all domains; the records hold those of this shard.
     std::map<std::string, entry_doubt> doubts;
-    decision::run_time_model run_times;
+    /// Of all shards of this host.
+    std::shared_ptr<learned_speeds> speeds;
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -127,7 +127,10 @@
                      this->view.listing_complete();
              },
              .log = this->hooks.log},
-            now)
+            now),
+      speeds(std::make_shared<learned_speeds>(
+          this->options.speeds, learned_speeds_hooks{.log = this->hooks.log})),
+      next_speed_report(now)
 {
 }
 
@@ -515,6 +518,10 @@
     for (const schema::job_elsewhere& job : heartbeat.elsewhere)
         if (shard_owner* const shard = this->find_shard(job.domain, job.shard))
             shard->note_elsewhere(peer, job, now);
+    if (heartbeat.__isset.speeds)
+        this->speeds->merge(
+            peer, heartbeat.speeds,
+            this->view.domain_of(peer) == this->options.self.domain, now);
     for (const schema::leaving_endpoint& endpoint : heartbeat.leaving)
         this->table.note_leaving(endpoint, now);
     const bool has_told = heartbeat.__isset.succession &&
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -70,6 +70,8 @@
     this->table.tick(now);
     this->tick_configs(now);
     this->update_shard_endpoints(now);
+    this->speeds->tick(now);
+    this->prepare_speed_report(now);
     this->check_first_claims();
     if (now >= this->next_succession_update)
         this->update_succession(now);
@@ -267,6 +269,14 @@
     if (version)
         known_here = this->table.unknown_to(this->view.domain_of(owner),
                                             *version, this->current_time);
+    // A new owner starts with what its predecessor had learned.
+    const bool is_local =
+        this->view.domain_of(owner) == this->options.self.domain;
+    schema::learned_speeds_report learned;
+    if (is_local)
+        learned = this->speeds->report_for_successor(true, this->current_time);
+    if (!learned.run_times.empty() || !learned.endpoints.empty())
+        message.beat.__set_speeds(std::move(learned));
     this->send_heartbeat(owner, std::move(message), known_here);
 }
 
@@ -357,8 +367,8 @@
     opts.was_divided = this->view.was_divided_recently(now);
     opts.knows_endpoints = this->knows_endpoints_of(number, now);
     opts.token = *token;
-    auto new_shard =
-        std::make_unique<shard_owner>(opts, this->hooks_for_shard(number), now);
+    auto new_shard = std::make_unique<shard_owner>(
+        opts, this->hooks_for_shard(number), now, this->speeds);
     shard_owner& claimed = *new_shard;
     this->shards[number] = std::move(new_shard);
     this->update_owned();
@@ -583,6 +593,49 @@
     return message;
 }
 
+void entry_host::prepare_speed_report(instant now)
+{
+    if (now < this->next_speed_report || this->shards.empty() ||
+        !this->speeds->take_news())
+        return;
+    this->next_speed_report = now + this->options.speed_report_interval;
+    this->speed_report = this->speeds->take_report(true, now);
+    this->speed_targets.clear();
+    // Each host reports to those that follow its name, so that they share the
+    // work.
+    std::vector<std::string> local;
+    for (const std::string& peer : this->view.connected_peers())
+        if (this->view.domain_of(peer) == this->options.self.domain)
+            local.push_back(peer);
+    std::sort(local.begin(), local.end());
+    const auto next =
+        std::upper_bound(local.begin(), local.end(), this->options.self.name);
+    std::rotate(local.begin(), next, local.end());
+    local.resize(std::min(local.size(), this->options.speed_keepers));
+    this->speed_targets.insert(local.begin(), local.end());
+    // One owner of any domain at a time, so that all learn from each other at
+    // a cost that does not grow with their number.
+    std::set<std::string> owners;
+    for (const auto& [name, owner] : this->view.reachable_owners())
+        if (owner.host != this->options.self.name)
+            owners.insert(owner.host);
+    if (owners.empty())
+        return;
+    const std::size_t turn = this->speed_reports++ % owners.size();
+    this->speed_targets.insert(
+        *std::next(owners.begin(), static_cast<std::ptrdiff_t>(turn)));
+}
+
+void entry_host::add_speed_report(const std::string& peer,
+                                  schema::shard_heartbeat& heartbeat)
+{
+    if (this->speed_targets.erase(peer) == 0)
+        return;
+    heartbeat.__set_speeds(this->speed_report);
+    if (this->view.domain_of(peer) != this->options.self.domain)
+        heartbeat.speeds.endpoints.clear();
+}
+
 void entry_host::send_heartbeats(instant now, bool to_all)
 {
     const bool local_is_due = to_all || now >= this->next_local_heartbeat;
@@ -603,12 +656,13 @@
             continue;
         std::vector<schema::leaving_endpoint> news = this->news_for(peer, now);
         const schema::shard_message& usual = is_local ? local : remote;
-        if (!is_local && news.empty())
+        if (!is_local && news.empty() && !this->speed_targets.contains(peer))
         {
             this->send(peer, usual);
             continue;
         }
         schema::shard_message with_news = usual;
+        this->add_speed_report(peer, with_news.beat);
         with_news.beat.leaving = std::move(news);
         this->send_heartbeat(peer, std::move(with_news));
     }
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -61,7 +61,7 @@
         endpoint_forecast& added = found.emplace_back(
             endpoint_forecast{.id = id,
                               .capacity = endpoint.capacity,
-                              .slowness = this->run_times.slowness(id)});
+                              .slowness = this->speeds->slowness(id)});
         for (const auto& [task, run] : record->lease.runs())
         {
             const auto job = this->jobs.find(task.job);
@@ -145,7 +145,7 @@
 planned_job shard_owner::plan_of(const owned_job& job, instant now) const
 {
     const double task_ms = static_cast<double>(job.longest_estimate_ms()) *
-                           this->run_times.kind_seconds(job.work.route, 1.0);
+                           this->speeds->route_ratio(job.work.route);
     const int tasks = job.waiting_tasks();
     return {.route = job.work.route,
             .priority = job.terms.priority,
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -52,8 +52,8 @@
                                 : default_estimate_ms;
     const bool is_off_rack = !group.preferred_rack.empty() &&
                              !has_label(endpoint, group.preferred_rack);
-    return estimate * this->run_times.kind_seconds(job.work.route, 1.0) *
-           this->run_times.slowness(endpoint.id) *
+    return estimate * this->speeds->route_ratio(job.work.route) *
+           this->speeds->slowness(endpoint.id) *
            (is_off_rack ? this->options.far_factor : 1.0);
 }
 
@@ -358,7 +358,7 @@
         if (!record->is_offered() || !record->is_responding)
             continue;
         cores += static_cast<double>(endpoint.capacity.millicores) / 1000.0 /
-                 this->run_times.slowness(id);
+                 this->speeds->slowness(id);
     }
     constexpr support::milliseconds no_capacity_wait{1000};
     if (cores <= 0)
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -88,6 +88,7 @@
                                 .add("endpoint", entry.id)
                                 .add("draining", entry.is_draining));
         known->lease.update_entry(entry);
+        this->speeds->add_endpoint(entry);
     }
     this->tick(now);
 }
@@ -162,6 +163,7 @@
     new_record->next_list = now;
     endpoint_record& added = *new_record;
     this->endpoints[entry.id] = std::move(new_record);
+    this->speeds->add_endpoint(entry);
     this->update_doubt(added);
     this->hooks.log(log_line("endpoint_added")
                         .add("endpoint", entry.id)
@@ -242,6 +244,7 @@
         if (this->earlier_raises.size() >= max_removed_endpoints)
             this->earlier_raises.clear();
         this->earlier_raises[entry->first] = record.lease.raise_count();
+        this->speeds->remove_endpoint(entry->first);
         entry = this->endpoints.erase(entry);
     }
 }
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -63,10 +63,15 @@
 
 } // namespace
 
-shard_owner::shard_owner(shard_options opts, shard_hooks callbacks, instant now)
+shard_owner::shard_owner(shard_options opts, shard_hooks callbacks, instant now,
+                         std::shared_ptr<learned_speeds> learned)
     : options(std::move(opts)), hooks(std::move(callbacks)), owned_since(now),
-      answers(std::make_unique<round_trip>())
+      speeds(std::move(learned)), answers(std::make_unique<round_trip>())
 {
+    if (!this->speeds)
+        this->speeds = std::make_shared<learned_speeds>(
+            learned_speeds_options{},
+            learned_speeds_hooks{.log = this->hooks.log});
     this->hooks.log(log_line("shard_owned")
                         .add("domain", this->options.domain)
                         .add("shard", this->options.shard)
@@ -74,7 +79,11 @@
                         .add("token", this->options.token));
 }
 
-shard_owner::~shard_owner() = default;
+shard_owner::~shard_owner()
+{
+    for (const auto& [id, record] : this->endpoints)
+        this->speeds->remove_endpoint(id);
+}
 
 void shard_owner::submit(const std::string& host,
                          const schema::job_submitted& job, instant now)
@@ -482,9 +491,7 @@
                               (is_off_rack ? this->options.far_factor : 1.0);
     const double ratio =
         support::in_seconds(now - ended.started_at) * 1000.0 / nominal_ms;
-    this->run_times.observe(
-        job.work.route, endpoint.id,
-        support::microseconds(static_cast<std::int64_t>(ratio * 1e6)));
+    this->speeds->observe(job.work.route, endpoint.id, ratio, now);
 }
 
 bool shard_owner::has_runs_of(const std::string& job) const
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -49,6 +49,7 @@
     entry.capacity.millicores =
         next.millicores.value_or(entry.capacity.millicores);
     entry.labels = next.labels.value_or(entry.labels);
+    this->options.slowness = next.slowness.value_or(this->options.slowness);
     ++this->incarnation;
     for (const auto& [task, one] : this->running)
         this->on_ended(task, run_end::lapsed);
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -65,6 +65,7 @@
     std::optional<std::int64_t> born_ms = std::nullopt;
     std::optional<std::int64_t> millicores = std::nullopt;
     std::optional<std::vector<std::string>> labels = std::nullopt;
+    std::optional<double> slowness = std::nullopt;
     /// The connections to the previous one close: hosts that reach the endpoint
     /// learn of it, and orders on such a connection are lost. Otherwise hosts
     /// notice nothing, and their next orders reach the new one.
