--- a/test/shards/load_simulation.cpp
+++ b/test/shards/load_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace chicorydrum::shards
 {
@@ -74,13 +75,44 @@
                 .route = kind.route};
     }
 
+    /// Returns a host that takes callers, if any does; a domain gets more of
+    /// them while its demand is high.
+    const std::string& pick_host(const shard_fleet& fleet,
+                                 const std::vector<std::string>& hosts,
+                                 milliseconds now)
+    {
+        std::size_t picked = this->pick(hosts.size());
+        while (this->options.swing > 0 && !this->is_wanted(hosts[picked], now))
+            picked = this->pick(hosts.size());
+        for (std::size_t i = 0; i < hosts.size(); ++i)
+        {
+            const std::string& host = hosts[(picked + i) % hosts.size()];
+            if (fleet.accepts_callers(host))
+                return host;
+        }
+        return hosts[picked];
+    }
+
+private:
+    /// Draws whether a call goes to the domain of \p host.
+    bool is_wanted(const std::string& host, milliseconds now)
+    {
+        const double turn =
+            support::in_seconds(now) /
+                support::in_seconds(this->options.swing_period) +
+            (host[1] - '1') / static_cast<double>(this->options.fleet.domains);
+        const double demand =
+            1 + this->options.swing * std::sin(2 * std::numbers::pi * turn);
+        return std::uniform_real_distribution<double>(
+                   0, 1 + this->options.swing)(this->random) < demand;
+    }
+
     std::size_t pick(std::size_t count)
     {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(
             this->random);
     }
 
-private:
     double vary(double mean, double deviation)
     {
         const double median = mean * std::exp(-deviation * deviation / 2);
@@ -92,6 +124,71 @@
     std::minstd_rand random;
 };
 
+/// Schedules the fault of \p options, whose load begins at \p start.
+void inject(shard_fleet& fleet, const load_options& options, instant start)
+{
+    constexpr milliseconds down_time{3500};
+    constexpr milliseconds domain_down_time{4000};
+    constexpr milliseconds stop_gap{2000};
+    constexpr milliseconds start_gap{200};
+    constexpr milliseconds longest_stop{6000};
+    const milliseconds when =
+        support::duration_cast<milliseconds>(start.time_since_epoch()) +
+        options.fault_at;
+    const std::vector<std::string> hosts = fleet.host_names();
+    switch (options.fault)
+    {
+    case load_fault::none:
+        return;
+    case load_fault::owners_killed:
+        fleet.at(when,
+                 [&fleet, when, down_time]
+                 {
+                     for (int domain = 1; domain <= 3; ++domain)
+                         for (const std::string& owner :
+                              fleet.owner_names("D" + std::to_string(domain)))
+                         {
+                             fleet.kill(owner);
+                             fleet.at(when + down_time,
+                                      [&fleet, owner] { fleet.start(owner); });
+                         }
+                 });
+        return;
+    case load_fault::domain_lost:
+        for (const std::string& host : hosts)
+        {
+            if (!host.starts_with("D1-"))
+                continue;
+            fleet.at(when, [&fleet, host] { fleet.lose_power(host); });
+            fleet.at(when + domain_down_time,
+                     [&fleet, host] { fleet.start(host); });
+        }
+        for (const std::string& id : fleet.endpoint_names())
+        {
+            if (!id.starts_with("D1-"))
+                continue;
+            fleet.at(when, [&fleet, id]
+                     { fleet.endpoint(id).set_fault(endpoint_fault::dead); });
+            fleet.at(when + domain_down_time,
+                     [&fleet, id] { fleet.restart_endpoint(id); });
+        }
+        return;
+    case load_fault::rolling_restart:
+        for (std::size_t i = 0; i < hosts.size(); ++i)
+        {
+            const milliseconds stop = when + stop_gap * static_cast<int>(i);
+            fleet.at(stop, [&fleet, host = hosts[i]]
+                     { fleet.stop_gracefully(host); });
+            // It starts as soon as its last callers are answered.
+            for (milliseconds later = start_gap; later < longest_stop;
+                 later += start_gap)
+                fleet.at(stop + later,
+                         [&fleet, host = hosts[i]] { fleet.start(host); });
+        }
+        return;
+    }
+}
+
 void count(credit& group, const sent_job& job, const caller_record& caller,
            double worth, double late_share)
 {
@@ -127,6 +224,16 @@
     return shares.size() < 2 ? 1 : (shares[0] + shares[1]) / 2;
 }
 
+std::int64_t load_result::seconds_below(double share, milliseconds from) const
+{
+    const std::int64_t first = from / std::chrono::seconds(1);
+    std::int64_t last = -1;
+    for (const auto& [second, group] : this->by_second)
+        if (second >= first && group.share() < share)
+            last = second - first;
+    return last + 1;
+}
+
 load_options small_installation_load(std::uint64_t seed)
 {
     load_options options;
@@ -181,7 +288,7 @@
             if (passed >= options.length)
                 return;
             const job_shape shape = source.next_shape(kind);
-            const std::string& host = hosts[source.pick(hosts.size())];
+            const std::string& host = source.pick_host(fleet, hosts, passed);
             const double work_ms = static_cast<double>(shape.work.count());
             sent.push_back({.id = fleet.submit(host, shape),
                             .kind = &kind,
@@ -197,6 +304,7 @@
         };
         arrivals[i]();
     }
+    inject(fleet, options, start);
     fleet.run_for(options.length + settling);
     load_result result;
     for (const sent_job& job : sent)
@@ -207,11 +315,14 @@
             kind.mean_tasks * kind.mean_work_ms * kind.mean_millicores / 1000.0;
         const double size = job.core_ms / mean_core_ms;
         const double worth = kind.worth * std::min(4.0, 0.3 + 0.7 * size);
-        const auto slot =
-            support::duration_cast<milliseconds>(job.sent - start) / window;
+        const auto since =
+            support::duration_cast<milliseconds>(job.sent - start);
+        const auto slot = since / window;
         for (credit* const group :
              {&result.total, &result.by_kind[kind.route],
-              &result.by_domain[job.domain], &result.by_window[slot * 2]})
+              &result.by_domain[job.domain],
+              &result.by_second[since / std::chrono::seconds(1)],
+              &result.by_window[slot * 2]})
             count(*group, job, caller, worth, options.late_share);
     }
     result.violations = fleet.violations();
--- a/test/shards/load_simulation.hpp
+++ b/test/shards/load_simulation.hpp
@@ -33,12 +33,30 @@
     double factor = 2;
 };
 
+/// Hosts that are lost or replaced under load.
+enum class load_fault
+{
+    none,
+    /// All owners are killed at once, and start again after 3.5 s.
+    owners_killed,
+    /// Hosts and endpoints of the first domain lose their power for 4 s.
+    domain_lost,
+    /// All hosts stop as planned and start again, one after the other.
+    rolling_restart,
+};
+
 struct load_options
 {
     fleet_options fleet;
     /// From the most to the least urgent.
     std::vector<load_kind> kinds;
     std::vector<load_burst> bursts;
+    load_fault fault = load_fault::none;
+    support::milliseconds fault_at{8000};
+    /// The rate of each domain's callers swings by this share in swing_period,
+    /// the domains out of step.
+    double swing = 0;
+    support::milliseconds swing_period{17000};
     support::milliseconds length{20000};
     /// Standard deviation of the logarithms of sizes and of estimates.
     double size_deviation = 0.4;
@@ -68,12 +86,17 @@
     credit total;
     std::map<std::string, credit> by_kind;
     std::map<std::string, credit> by_domain;
+    /// By second of the send times.
+    std::map<std::int64_t, credit> by_second;
     /// Windows of two seconds, keyed by the first second of the send times.
     std::map<std::int64_t, credit> by_window;
     std::vector<std::string> violations;
 
     /// Returns the mean share of the two windows with the lowest share.
     double worst_window_share() const;
+    /// Returns how many seconds after \p from the last one begins whose share
+    /// is below \p share; 0 if none is.
+    std::int64_t seconds_below(double share, support::milliseconds from) const;
 };
 
 /// Returns kinds, rates and endpoints like those of the smaller installations.
--- a/test/shards/measure.cpp
+++ b/test/shards/measure.cpp
@@ -17,13 +17,18 @@
     R"(Load days of entry hosts in virtual time, and the credit that they earn.
 
 Usage: shard_measure [--seeds RANGE] [--burst ROUTE] [--factor F] [--windows]
+                     [--fault FAULT] [--rate F] [--swing F]
 
 Options:
   --seeds RANGE  Seeds as FIRST..LAST [default: 1..3].
   --burst ROUTE  Kind that floods from second 6 to 12: quote, print, check,
                  all or none [default: check].
   --factor F     How many times its rate [default: 2.4].
-  --windows      Print the credit of each two seconds of the first seed.
+  --fault FAULT  At second 8: owners (killed), domain (lost), rolling
+                 (restart) or none [default: none].
+  --rate F       How many times the usual rate of all kinds [default: 1].
+  --swing F      Share by which each domain's rate swings [default: 0].
+  --windows      Print the credit of each second of all seeds.
 )";
 
 void print_row(const std::string& name, const credit& group)
@@ -62,11 +67,23 @@
     const std::uint64_t last = std::stoull(range.substr(dots + 2));
     const std::string burst = arguments.at("--burst").asString();
     const double factor = std::stod(arguments.at("--factor").asString());
+    const std::map<std::string, load_fault> faults = {
+        {"none", load_fault::none},
+        {"owners", load_fault::owners_killed},
+        {"domain", load_fault::domain_lost},
+        {"rolling", load_fault::rolling_restart}};
+    const load_fault fault = faults.at(arguments.at("--fault").asString());
+    const double rate = std::stod(arguments.at("--rate").asString());
+    const double swing = std::stod(arguments.at("--swing").asString());
     load_result sum;
     double worst = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
         load_options options = small_installation_load(seed);
+        options.fault = fault;
+        options.swing = swing;
+        for (load_kind& kind : options.kinds)
+            kind.per_second *= rate;
         for (const load_kind& kind : options.kinds)
             if (burst == kind.route || burst == "all")
                 options.bursts.push_back({.route = kind.route,
@@ -77,13 +94,15 @@
         add(sum.total, result.total);
         for (const auto& [name, group] : result.by_kind)
             add(sum.by_kind[name], group);
+        for (const auto& [second, group] : result.by_second)
+            add(sum.by_second[second], group);
         worst += result.worst_window_share();
         for (const std::string& line : result.violations)
             std::cout << "violation " << line << "\n";
-        if (seed == first && arguments.at("--windows").asBool())
-            for (const auto& [start, group] : result.by_window)
-                print_row("second " + std::to_string(start), group);
     }
+    if (arguments.at("--windows").asBool())
+        for (const auto& [second, group] : sum.by_second)
+            print_row("second " + std::to_string(second), group);
     for (const auto& [name, group] : sum.by_kind)
         print_row(name, group);
     print_row("all", sum.total);
