--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -52,8 +52,8 @@
     const double estimate = group.estimate_ms > 0
                                 ? static_cast<double>(group.estimate_ms)
                                 : default_estimate_ms;
-    return estimate * this->run_times.kind_seconds(job.work.route, 1.0) *
-           this->run_times.slowness(endpoint.id) *
+    return estimate * this->speeds->route_ratio(job.work.route) *
+           this->speeds->slowness(endpoint.id) *
            (is_far(job, group_index, endpoint) ? this->options.far_factor
                                                : 1.0);
 }
@@ -389,7 +389,7 @@
         if (!record->is_offered() || !record->is_responding)
             continue;
         cores += static_cast<double>(endpoint.capacity.millicores) / 1000.0 /
-                 this->run_times.slowness(id);
+                 this->speeds->slowness(id);
     }
     constexpr support::milliseconds no_capacity_wait{1000};
     if (cores <= 0)
--- a/test/shards/measure.cpp
+++ b/test/shards/measure.cpp
@@ -18,7 +18,7 @@
 
 Usage: shard_measure [--load NAME] [--seeds RANGE] [--burst ROUTE]
                      [--factor F] [--rate F] [--racks F] [--hot F]
-                     [--windows]
+                     [--fault FAULT] [--swing F] [--windows]
 
 Options:
   --load NAME    small: tasks that need less than half of an endpoint; wide:
@@ -31,7 +31,10 @@
   --racks F      Share of the jobs whose data are on one of a domain's two
                  racks [default: 0].
   --hot F        Share of these whose data are on rack-1 [default: 0.5].
-  --windows      Print the credit of each two seconds of the first seed.
+  --fault FAULT  At second 8: owners (killed), domain (lost), rolling
+                 (restart) or none [default: none].
+  --swing F      Share by which each domain's rate swings [default: 0].
+  --windows      Print the credit of each second of all seeds.
 )";
 
 void print_row(const std::string& name, const credit& group)
@@ -74,6 +77,13 @@
     const double factor = std::stod(arguments.at("--factor").asString());
     const double rate = std::stod(arguments.at("--rate").asString());
     const std::string name = arguments.at("--load").asString();
+    const std::map<std::string, load_fault> faults = {
+        {"none", load_fault::none},
+        {"owners", load_fault::owners_killed},
+        {"domain", load_fault::domain_lost},
+        {"rolling", load_fault::rolling_restart}};
+    const load_fault fault = faults.at(arguments.at("--fault").asString());
+    const double swing = std::stod(arguments.at("--swing").asString());
     load_result sum;
     double worst = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
@@ -82,6 +92,8 @@
                                               : small_installation_load(seed);
         options.rack_share = std::stod(arguments.at("--racks").asString());
         options.hot_rack_part = std::stod(arguments.at("--hot").asString());
+        options.fault = fault;
+        options.swing = swing;
         for (load_kind& kind : options.kinds)
         {
             kind.per_second *= rate;
@@ -103,13 +115,15 @@
             add(sum.by_domain[key], group);
         for (const auto& [key, group] : result.by_place)
             add(sum.by_place[key], group);
+        for (const auto& [second, group] : result.by_second)
+            add(sum.by_second[second], group);
         worst += result.worst_window_share();
         for (const std::string& line : result.violations)
             std::cout << "violation " << line << "\n";
-        if (seed == first && arguments.at("--windows").asBool())
-            for (const auto& [start, group] : result.by_window)
-                print_row("second " + std::to_string(start), group);
     }
+    if (arguments.at("--windows").asBool())
+        for (const auto& [second, group] : sum.by_second)
+            print_row("second " + std::to_string(second), group);
     for (const auto* const groups : {&sum.by_kind, &sum.by_size, &sum.by_width,
                                      &sum.by_domain, &sum.by_place})
         for (const auto& [key, group] : *groups)
