Learned speeds: endpoints of a new owner count as faster until they run

A new owner refused more jobs than one that had learned nothing: it knows its endpoints' speeds, but not yet what runs there, and its backlog plan refused what it could have served. An endpoint now counts as up to a quarter faster than its kind until its own runs are known, as before learned speeds; all endpoints of a new owner do, so their order is right.

--- a/shard/include/chicorydrum/shard/learned_speeds.hpp
+++ b/shard/include/chicorydrum/shard/learned_speeds.hpp
@@ -32,10 +32,11 @@
     /// How many runs the prior counts as that a kind is like the others: kinds
     /// differ by about as much as single runs.
     double average_prior = 1;
-    /// Logarithm by which an endpoint of which nothing is known counts as
-    /// faster than average, so that it is tried and no job is refused on a
-    /// guess. Shrinks with the square root of the runs that are known of it or
-    /// its kind.
+    /// Logarithm by which an endpoint without runs counts as faster than its
+    /// kind, so that it is tried and a new owner refuses no job on a guess: it
+    /// does not know yet what runs there. Shrinks with the square root of the
+    /// runs. A new owner's endpoints have it alike, so that their order is
+    /// right.
     double optimism = 0.3;
     /// Older runs of an endpoint count no more than this many, so that a change
     /// of its speed shows within a second or two of load.
--- a/shard/lib/learned_speeds.cpp
+++ b/shard/lib/learned_speeds.cpp
@@ -207,11 +207,8 @@
         const double prior = this->options.kind_prior / (1 + significance / 4);
         endpoint.log_deviation = mean * weight / (weight + prior);
     }
-    const kind_state& kind = this->kinds[endpoint.kind];
-    const double known =
-        weight + std::min(kind.weight, this->options.most_reported_runs);
     endpoint.factor = std::exp(endpoint.log_deviation -
-                               this->options.optimism / std::sqrt(known + 1));
+                               this->options.optimism / std::sqrt(weight + 1));
 }
 
 double learned_speeds::usual_deviation() const
