--- a/support/lib/validation.cpp
+++ b/support/lib/validation.cpp
@@ -160,7 +160,7 @@
         checked.include(
             range_check()
                 .require(is_plain_name(change.domain), "evacuations", plain)
-                .integer("version", change.version, 0, max_exact_integer)
+                .integer("version", change.version, 1, max_exact_integer)
                 .outcome());
     if (heartbeat.__isset.succession)
         checked.include(check_succession(heartbeat.succession));
