--- a/shard/include/chicorydrum/shard/job_intake.hpp
+++ b/shard/include/chicorydrum/shard/job_intake.hpp
@@ -88,10 +88,11 @@
     /// How long past the caller's deadline the owner's answer is awaited.
     support::milliseconds answer_slack{100};
     /// Maximum number of shards of the own domain that a job is offered to,
-    /// its home included, and of all shards, one after the other: two offers
-    /// are kept for other domains.
-    int max_local_offers = 3;
-    int max_offers = 5;
+    /// its home included, and of all shards, one after the other: some offers
+    /// are kept for other domains. An offer takes some milliseconds; eight take
+    /// less than the shortest targets leave.
+    int max_local_offers = 4;
+    int max_offers = 8;
     /// Of the choices among shards that are nearly equal.
     std::uint64_t seed = 1;
     /// Maximum number of jobs that wait here; more are refused at once.
--- a/shard/lib/offer_ranking.cpp
+++ b/shard/lib/offer_ranking.cpp
@@ -59,6 +59,19 @@
     double spare = 0;
 };
 
+/// Returns the weight of a shard among near-equal ones: the units beyond those
+/// needed. Others take room since it was told, so that older news counts less.
+double spare_units(const offer_options& options, const offer_need& need,
+                   const offer_candidate& candidate, milliseconds wait)
+{
+    constexpr double least = 0.5;
+    const double freshness =
+        1 - static_cast<double>(candidate.age.count()) /
+                static_cast<double>(options.stale_after.count());
+    return std::max(least, freshness * tasks_by(need, candidate, wait) -
+                               needed_units(need, candidate));
+}
+
 double reserve_for(const offer_options& options, const offer_need& need)
 {
     const double share = static_cast<double>(need.run.count()) /
@@ -122,11 +135,11 @@
             *wait + candidate.way + risk_cost(need, candidate);
         if (cost + need.run > need.left)
             continue;
-        ranked.push_back({.index = i,
-                          .wait = *wait,
-                          .cost = cost + remote_cost,
-                          .spare = 1 + tasks_by(need, candidate, *wait) -
-                                   needed_units(need, candidate)});
+        ranked.push_back(
+            {.index = i,
+             .wait = *wait,
+             .cost = cost + remote_cost,
+             .spare = spare_units(options, need, candidate, *wait)});
     }
     if (ranked.empty())
         return choice;
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -267,7 +267,7 @@
     std::vector<caller_answer> answers;
     std::vector<std::string> lines;
     job_intake intake{
-        {.domain = "D1"},
+        {.domain = "D1", .max_local_offers = 3, .max_offers = 5},
         {.answer = [this](const caller_answer& answer)
          { this->answers.push_back(answer); },
          .submit =
--- a/shard/unittests/offer_ranking_test.cpp
+++ b/shard/unittests/offer_ranking_test.cpp
@@ -95,7 +95,7 @@
 {
     const pool_room idle = room_of(12);
     offer_candidate sent = local(idle);
-    sent.sent_millicores = 17 * 32 * cores;
+    sent.sent_millicores = 17 * quick.millicores;
     BOOST_TEST(!chosen_of({sent}));
     BOOST_TEST((chosen_of({sent, local(idle)}) == 1U));
 }
