One plan of a shard's capacity that knows what each task needs

Callers saw jobs refused although room was free, and accepted ones end late: the plan of the backlog counted an endpoint's rooms as its capacity over the mean need of what waits, rounded down, so that an endpoint of 64 cores had one room for tasks of 33 and two for tasks of 31; Retry-After was waiting core time over cores, which knew no sizes at all.

capacity_plan keeps the free capacity of each endpoint over time and places waiting tasks with their needs where they start first, as placement does, also before an earlier task if that isn't delayed. Load shedding and Retry-After use it. Groups that depend on others start after them.

A shed job is logged with the job that would have been late, its expected end and when it was due, and the share of its route (job_shed).

--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -25,11 +25,14 @@
 {
 
 class owned_job;
+class capacity_plan;
 class round_trip;
 struct owned_task;
 struct endpoint_record;
+struct planned_group;
+struct pool_plan;
 struct planned_job;
-struct capacity_unit;
+struct shed_job;
 struct endpoint_forecast;
 
 struct shard_hooks
@@ -275,17 +278,17 @@
     /// tasks, and for how long it is expected to.
     std::vector<endpoint_forecast> forecast(const std::string& pool,
                                             support::instant now) const;
-    /// Returns when capacity for tasks of \p millicores is expected to be free
-    /// in a pool.
-    std::vector<capacity_unit> expected_capacity(const std::string& pool,
-                                                 double millicores,
-                                                 support::instant now) const;
+    /// Returns the plan of a pool with all jobs that wait.
+    capacity_plan plan_queue(const std::string& pool,
+                             support::instant now) const;
     /// Ends jobs that have not run and for which no capacity is free in time.
     void shed_overload(support::instant now);
-    std::vector<std::size_t> plan_shedding(const std::string& pool,
-                                           const std::vector<owned_job*>& queue,
-                                           support::instant now) const;
+    std::vector<shed_job> plan_shedding(const std::string& pool,
+                                        const std::vector<owned_job*>& queue,
+                                        support::instant now) const;
     planned_job plan_of(const owned_job& job, support::instant now) const;
+    /// Returns the tasks of \p job that wait, by group.
+    std::vector<planned_group> waiting_groups(const owned_job& job) const;
 
     // Placement.
     /// Returns jobs with waiting tasks, in the order in which they are served.
@@ -318,7 +321,10 @@
     bool has_active_run(const task_key& task) const;
     void start(owned_job& job, const task_key& task, endpoint_record& where,
                support::instant now);
-    support::milliseconds predicted_wait() const;
+    /// Returns how long a job like \p job would wait for capacity behind those
+    /// that wait now.
+    support::milliseconds predicted_wait(const owned_job& job,
+                                         support::instant now);
     /// Returns the least time that the waiting tasks of \p job can take.
     support::decision_clock::duration
     min_remaining_time(const owned_job& job) const;
@@ -409,6 +415,8 @@
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
     std::map<std::string, recent_use> uses;
+    /// Of the last prediction, as several jobs are often shed at a time.
+    std::unique_ptr<pool_plan> last_plan;
     support::line_limit slow_stops;
     bool needs_placing = false;
     bool adoption_has_ended = false;
--- a/shard/lib/backlog_plan.cpp
+++ b/shard/lib/backlog_plan.cpp
@@ -15,11 +15,6 @@
 /// Maximum number of jobs shed by one plan; the next plan continues.
 constexpr std::size_t max_shed = 64;
 
-bool is_free_later(const capacity_unit& left, const capacity_unit& right)
-{
-    return left.free_at > right.free_at;
-}
-
 /// Use of the shard by each route, weighted by urgency: a route's fair share is
 /// inversely proportional to its priority's number.
 class route_shares
@@ -43,35 +38,38 @@
     {
         return this->core_ms.at(job.route) * (1 + job.priority);
     }
+    double share(const planned_job& job) const
+    {
+        double total = 0;
+        for (const auto& [route, used] : this->core_ms)
+            total += used;
+        return total > 0 ? this->core_ms.at(job.route) / total : 0;
+    }
 
 private:
     std::map<std::string, double> core_ms;
 };
 
-/// Returns the index of the first job that ends after it is due, if any. Skips
-/// jobs that were shed.
-std::optional<std::size_t> first_late(const std::vector<planned_job>& jobs,
-                                      const std::vector<bool>& is_shed,
-                                      std::vector<capacity_unit> units)
+struct late_job
 {
-    std::make_heap(units.begin(), units.end(), is_free_later);
-    for (std::size_t i = 0; i < jobs.size(); ++i)
+    std::size_t index = 0;
+    instant end;
+};
+
+/// Returns the first job that ends after it is due, if any. Skips jobs that
+/// were shed.
+std::optional<late_job> first_late(const std::vector<planned_job>& jobs,
+                                   const std::vector<bool>& is_shed,
+                                   capacity_plan plan)
+{
+    // Jobs behind a full plan are judged by a later one.
+    for (std::size_t i = 0; i < jobs.size() && !plan.is_full(); ++i)
     {
         if (is_shed[i])
             continue;
-        const planned_job& job = jobs[i];
-        instant end;
-        for (int task = 0; task < job.tasks; ++task)
-        {
-            std::pop_heap(units.begin(), units.end(), is_free_later);
-            capacity_unit& unit = units.back();
-            unit.free_at +=
-                support::duration_from_ms(job.task_ms * unit.slowness);
-            end = std::max(end, unit.free_at);
-            std::push_heap(units.begin(), units.end(), is_free_later);
-        }
-        if (end > job.due)
-            return i;
+        const auto end = plan.add(jobs[i].groups);
+        if (end && *end > jobs[i].due)
+            return late_job{.index = i, .end = *end};
     }
     return std::nullopt;
 }
@@ -102,12 +100,21 @@
 
 } // namespace
 
-std::vector<std::size_t> jobs_to_shed(const std::vector<planned_job>& jobs,
-                                      std::vector<capacity_unit> units,
-                                      const std::vector<route_use>& used)
+double planned_job::core_ms() const
+{
+    double total = 0;
+    for (const planned_group& group : this->groups)
+        total += group.tasks * group.task_ms *
+                 static_cast<double>(group.need.millicores) / 1000.0;
+    return total;
+}
+
+std::vector<shed_job> jobs_to_shed(const std::vector<planned_job>& jobs,
+                                   const capacity_plan& plan,
+                                   const std::vector<route_use>& used)
 {
-    std::vector<std::size_t> shed;
-    if (units.empty())
+    std::vector<shed_job> shed;
+    if (plan.is_empty())
         return shed;
     route_shares shares(used);
     for (const planned_job& job : jobs)
@@ -116,19 +123,25 @@
     std::vector<planned_job> planned = jobs;
     while (shed.size() < max_shed)
     {
-        const auto late = first_late(planned, is_shed, units);
+        const auto late = first_late(planned, is_shed, plan);
         if (!late)
             break;
-        const auto chosen = choose_job_to_shed(planned, is_shed, *late, shares);
+        const auto chosen =
+            choose_job_to_shed(planned, is_shed, late->index, shares);
         if (!chosen)
         {
             // No job up to it may be shed, so it is accepted as late.
-            planned[*late].due = instant::max();
+            planned[late->index].due = instant::max();
             continue;
         }
+        shed_job& added =
+            shed.emplace_back(shed_job{.job = *chosen,
+                                       .late_job = late->index,
+                                       .late_end = late->end,
+                                       .late_due = planned[late->index].due});
+        added.route_share = shares.share(planned[*chosen]);
         is_shed[*chosen] = true;
         shares.remove(planned[*chosen]);
-        shed.push_back(*chosen);
     }
     return shed;
 }
--- a/shard/lib/capacity_forecast.cpp
+++ b/shard/lib/capacity_forecast.cpp
@@ -10,13 +10,6 @@
 
 using support::instant;
 
-void subtract(schema::resources& from, const schema::resources& amount)
-{
-    from.millicores -= amount.millicores;
-    from.memory_mb -= amount.memory_mb;
-    from.accelerators -= amount.accelerators;
-}
-
 void add(schema::resources& to, const schema::resources& amount)
 {
     to.millicores += amount.millicores;
@@ -26,6 +19,13 @@
 
 } // namespace
 
+void subtract(schema::resources& from, const schema::resources& amount)
+{
+    from.millicores -= amount.millicores;
+    from.memory_mb -= amount.memory_mb;
+    from.accelerators -= amount.accelerators;
+}
+
 bool fits(const schema::resources& need, const schema::resources& available)
 {
     return need.millicores <= available.millicores &&
--- a/shard/lib/capacity_forecast.hpp
+++ b/shard/lib/capacity_forecast.hpp
@@ -34,6 +34,9 @@
 /// Returns whether \p need fits into \p available.
 bool fits(const schema::resources& need, const schema::resources& available);
 
+/// Takes \p amount off \p from.
+void subtract(schema::resources& from, const schema::resources& amount);
+
 /// Returns when a task with \p need is expected to fit on \p endpoint, \p now
 /// at the earliest; nothing if it exceeds the endpoint's capacity.
 std::optional<support::instant> fits_from(const endpoint_forecast& endpoint,
--- a/shard/lib/overload.cpp
+++ b/shard/lib/overload.cpp
@@ -4,7 +4,7 @@
 #include "chicorydrum/shard/shard_owner.hpp"
 
 #include "backlog_plan.hpp"
-#include "capacity_forecast.hpp"
+#include "capacity_plan.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 
@@ -18,15 +18,15 @@
 {
 
 using support::instant;
+using support::log_line;
 
 /// Time constant of the decay of a route's use: about one long target, so that
 /// an overload counts while it lasts.
 constexpr double use_decay_seconds = 1.0;
-/// Tasks that need less are planned with this need, which bounds the capacity
-/// units of an endpoint.
-constexpr double min_unit_millicores = 250;
 /// Assumed remaining time of runs that are overdue or being stopped.
 constexpr support::milliseconds min_remaining{25};
+/// Predicted wait if no endpoint can be given tasks.
+constexpr support::milliseconds no_capacity_wait{1000};
 
 } // namespace
 
@@ -81,22 +81,35 @@
     return found;
 }
 
-std::vector<capacity_unit>
-shard_owner::expected_capacity(const std::string& pool, double millicores,
-                               instant now) const
+capacity_plan shard_owner::plan_queue(const std::string& pool,
+                                      instant now) const
 {
-    std::vector<capacity_unit> units;
-    for (const endpoint_forecast& endpoint : this->forecast(pool, now))
+    capacity_plan plan(this->forecast(pool, now), now);
+    for (const owned_job* const job : this->waiting_queue(now))
+        if (job->terms.pool == pool && !plan.is_full())
+            plan.add(this->waiting_groups(*job));
+    return plan;
+}
+
+support::milliseconds shard_owner::predicted_wait(const owned_job& job,
+                                                  instant now)
+{
+    const std::string& pool = job.terms.pool;
+    const bool is_current = this->last_plan != nullptr &&
+                            this->last_plan->as_of == now &&
+                            this->last_plan->pool == pool;
+    if (!is_current)
+        this->last_plan = std::make_unique<pool_plan>(pool_plan{
+            .as_of = now, .pool = pool, .plan = this->plan_queue(pool, now)});
+    instant starts = now;
+    for (const planned_group& group : this->waiting_groups(job))
     {
-        const auto count = static_cast<std::size_t>(
-            static_cast<double>(endpoint.capacity.millicores) / millicores);
-        for (const occupied_capacity& run : endpoint.occupied)
-            units.push_back(
-                {.free_at = run.ends, .slowness = endpoint.slowness});
-        for (std::size_t used = endpoint.occupied.size(); used < count; ++used)
-            units.push_back({.free_at = now, .slowness = endpoint.slowness});
+        const auto run = this->last_plan->plan.first_start(group, now);
+        if (!run)
+            return no_capacity_wait;
+        starts = std::max(starts, run->starts);
     }
-    return units;
+    return support::milliseconds(support::whole_ms(starts - now));
 }
 
 void shard_owner::shed_overload(instant now)
@@ -112,50 +125,74 @@
             [&pool](const owned_job* job) { return job->terms.pool == pool; });
         const std::vector<owned_job*> queue(waiting.begin(), others);
         waiting.erase(waiting.begin(), others);
-        for (const std::size_t index : this->plan_shedding(pool, queue, now))
-            shed.push_back(queue[index]->id());
+        for (const shed_job& chosen : this->plan_shedding(pool, queue, now))
+        {
+            const owned_job& job = *queue[chosen.job];
+            const owned_job& late = *queue[chosen.late_job];
+            this->hooks.log(
+                log_line("job_shed")
+                    .add("job", job.id())
+                    .add("route", job.work.route)
+                    .add("priority", job.terms.priority)
+                    .add("host", job.caller.host)
+                    .add("route_share", chosen.route_share)
+                    .add("age_ms", support::whole_ms(now - job.arrived))
+                    .add("late_job", late.id())
+                    .add("end_ms", support::whole_ms(chosen.late_end - now))
+                    .add("due_ms", support::whole_ms(chosen.late_due - now))
+                    .add("waiting_jobs",
+                         static_cast<std::int64_t>(queue.size())));
+            shed.push_back(job.id());
+        }
     }
     for (const std::string& id : shed)
         this->finish(id, schema::job_result::not_run, "overload", now);
 }
 
-std::vector<std::size_t>
+std::vector<shed_job>
 shard_owner::plan_shedding(const std::string& pool,
                            const std::vector<owned_job*>& queue,
                            instant now) const
 {
     std::vector<planned_job> planned;
-    double millicores = 0;
-    int tasks = 0;
     for (const owned_job* const job : queue)
-    {
         planned.push_back(this->plan_of(*job, now));
-        millicores += static_cast<double>(job->waiting_millicores());
-        tasks += job->waiting_tasks();
-    }
     std::vector<route_use> used;
     for (const auto& [route, use] : this->uses)
         used.push_back({.route = route, .core_ms = decayed_use(use, now)});
-    const double unit_millicores =
-        std::max(millicores / tasks, min_unit_millicores);
-    return jobs_to_shed(
-        planned, this->expected_capacity(pool, unit_millicores, now), used);
+    return jobs_to_shed(planned, capacity_plan(this->forecast(pool, now), now),
+                        used);
 }
 
 planned_job shard_owner::plan_of(const owned_job& job, instant now) const
 {
-    const double task_ms = static_cast<double>(job.longest_estimate_ms()) *
-                           this->run_times.kind_seconds(job.work.route, 1.0);
-    const int tasks = job.waiting_tasks();
     return {.route = job.work.route,
             .priority = job.terms.priority,
-            .tasks = tasks,
-            .task_ms = task_ms,
-            .cores =
-                static_cast<double>(job.waiting_millicores()) / 1000.0 / tasks,
+            .groups = this->waiting_groups(job),
             .due = job.is_late(now) ? job.useful_until : job.due(),
             .arrived = job.arrived,
             .may_be_shed = !this->may_have_run(job, now)};
 }
 
+std::vector<planned_group>
+shard_owner::waiting_groups(const owned_job& job) const
+{
+    std::vector<planned_group> groups;
+    const double kind = this->run_times.kind_seconds(job.work.route, 1.0);
+    for (std::size_t i = 0; i < job.work.groups.size(); ++i)
+    {
+        const schema::task_group& group = job.work.groups[i];
+        const auto waiting =
+            std::count_if(job.tasks[i].begin(), job.tasks[i].end(),
+                          [](const owned_task& task)
+                          { return task.state == task_state::waiting; });
+        groups.push_back(
+            {.need = group.need,
+             .tasks = static_cast<int>(waiting),
+             .task_ms = static_cast<double>(group.estimate_ms) * kind,
+             .after = {group.after.begin(), group.after.end()}});
+    }
+    return groups;
+}
+
 } // namespace chicorydrum::shard
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -346,25 +346,4 @@
     return support::duration_from_ms(longest_ms * min_run_time_ratio);
 }
 
-support::milliseconds shard_owner::predicted_wait() const
-{
-    double waiting_core_ms = 0;
-    for (const auto& [id, job] : this->jobs)
-        waiting_core_ms += job->waiting_core_ms();
-    double cores = 0;
-    for (const auto& [id, record] : this->endpoints)
-    {
-        const schema::endpoint_registration& endpoint = record->lease.entry();
-        if (!record->is_offered() || !record->is_responding)
-            continue;
-        cores += static_cast<double>(endpoint.capacity.millicores) / 1000.0 /
-                 this->run_times.slowness(id);
-    }
-    constexpr support::milliseconds no_capacity_wait{1000};
-    if (cores <= 0)
-        return no_capacity_wait;
-    return support::milliseconds(
-        static_cast<std::int64_t>(waiting_core_ms / cores));
-}
-
 } // namespace chicorydrum::shard
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -4,7 +4,7 @@
 /// shard_orders.cpp.
 #include "chicorydrum/shard/shard_owner.hpp"
 
-#include "capacity_forecast.hpp"
+#include "capacity_plan.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 #include "round_trip.hpp"
@@ -366,7 +366,7 @@
     schema::job_ended ended = job->caller.result_of(id, outcome, reason);
     if (outcome == schema::job_result::not_run)
     {
-        ended.retry_after_ms = this->predicted_wait().count();
+        ended.retry_after_ms = this->predicted_wait(*job, now).count();
         this->record_refusal(
             id, {.host = job->caller.host, .call = job->caller.call},
             job->deadline, now);
