--- a/shard/lib/job_intake.cpp
+++ b/shard/lib/job_intake.cpp
@@ -5,6 +5,7 @@
 #include "owned_job.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace chicorydrum::shard
@@ -197,7 +198,7 @@
         // Room is told for usual sizes: a smaller job may fit beside them.
         for (offer_candidate& candidate : candidates)
             candidate.room = nullptr;
-        ranking.remote_load_limit = 1;
+        ranking.remote_load_limit = std::numeric_limits<double>::infinity();
         choice.chosen =
             choose_offer(ranking, need, candidates, draw(this->random)).chosen;
     }
--- a/shard/lib/overflow.cpp
+++ b/shard/lib/overflow.cpp
@@ -3,8 +3,7 @@
 /// others, and the jobs that they offer.
 #include "chicorydrum/shard/shard_owner.hpp"
 
-#include "backlog_plan.hpp"
-#include "capacity_forecast.hpp"
+#include "capacity_plan.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 #include "room_digest.hpp"
@@ -71,11 +70,10 @@
         {
             if (job->terms.pool != pool)
                 continue;
-            const planned_job planned = this->plan_of(*job, now);
-            queue.push_back(
-                {.count = planned.tasks,
-                 .millicores = job->waiting_millicores() / job->waiting_tasks(),
-                 .task_ms = planned.task_ms});
+            for (const planned_group& group : this->waiting_groups(*job))
+                queue.push_back({.count = group.tasks,
+                                 .millicores = group.need.millicores,
+                                 .task_ms = group.task_ms});
         }
         const pool_rooms measured =
             measure_rooms(pool, this->forecast(pool, now), queue, now);
--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -4,7 +4,7 @@
 /// shard_orders.cpp.
 #include "chicorydrum/shard/shard_owner.hpp"
 
-#include "capacity_forecast.hpp"
+#include "capacity_plan.hpp"
 #include "endpoint_record.hpp"
 #include "owned_job.hpp"
 #include "place_wait.hpp"
@@ -101,7 +101,8 @@
     }
     if (this->displaces_others(host, job, now))
     {
-        this->refuse(host, job, "overload", this->predicted_wait(), now);
+        this->refuse(host, job, "overload",
+                     this->predicted_wait(owned_job(job, host, now), now), now);
         return;
     }
     auto new_job = std::make_unique<owned_job>(job, host, now);
@@ -406,7 +407,7 @@
     schema::job_ended ended = job->caller.result_of(id, outcome, reason);
     if (outcome == schema::job_result::not_run)
     {
-        ended.retry_after_ms = this->predicted_wait().count();
+        ended.retry_after_ms = this->predicted_wait(*job, now).count();
         this->update_rooms(now);
         this->record_refusal(
             id, {.host = job->caller.host, .call = job->caller.call},
