--- a/shard/lib/capacity_plan.hpp
+++ b/shard/lib/capacity_plan.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// The plan of a shard's capacity: when waiting tasks are expected to start and
 /// end on the endpoints, given what each of them needs, what runs there, and
-/// what is planned before them. Shared by placement, load shedding and
-/// Retry-After. Without I/O.
+/// what is planned before them. Used by load shedding and Retry-After. Without
+/// I/O.
 #pragma once
 
 #include "capacity_forecast.hpp"
@@ -61,7 +61,7 @@
     /// endpoint.
     std::optional<planned_run> first_start(const planned_group& group,
                                            support::instant from) const;
-    /// Returns the run of a task of \p group on \p endpoint.
+    /// Returns the first run of a task of \p group on \p endpoint, if it fits.
     std::optional<planned_run> first_fit(std::size_t endpoint,
                                          const planned_group& group,
                                          support::instant from) const;
@@ -69,14 +69,14 @@
     /// Keeps capacity for \p run of a task of \p group.
     void reserve(const planned_group& group, const planned_run& run);
 
-    /// Reserves capacity for all tasks of a job, each where it starts first,
+    /// Reserves capacity for the tasks of a job, each where it starts first,
     /// and returns when the last one ends. Returns nothing if a task fits on no
-    /// endpoint.
+    /// endpoint. Tasks that exceed the plan's bound are left out.
     std::optional<support::instant>
     add(const std::vector<planned_group>& groups);
 
 private:
-    /// About a second of tasks that take 30 ms on 32 endpoints.
+    /// About a second of tasks that take 30 ms on 32 endpoints, one at a time.
     static constexpr int max_planned_tasks = 1024;
 
     /// Capacity that is free from a time until the next step.
