--- a/schema/idl/shard.thrift
+++ b/schema/idl/shard.thrift
@@ -89,15 +89,16 @@
   5: double power
 }
 
-/// How many tasks of one size the endpoints of a pool in one shard can start,
-/// beside what waits there already.
+/// How many tasks the endpoints of a pool in one shard can start, beside what
+/// waits there already.
 struct pool_room {
   1: string pool
-  /// The need of one of the counted tasks.
+  /// The mean need of the tasks at the shard.
   2: i64 task_millicores
-  /// The tasks that can start within each of the agreed spans of time, each
-  /// number with those of the spans before it.
-  3: list<i32> tasks
+  /// For each of the agreed sizes of task, from the smallest: those that can
+  /// start within each of the agreed spans of time, each number with those of
+  /// the spans before it.
+  3: list<i16> tasks
 }
 
 /// The room of a shard, as its owner knew it some time ago.
@@ -106,7 +107,6 @@
   2: i32 shard
   3: i64 token
   4: i64 age_us
-  /// Those of a pool from the smallest size to the largest.
   5: list<pool_room> pools
 }
 
@@ -125,7 +125,7 @@
   /// Runs of earlier owners may be active that this owner does not know, or has
   /// not assigned to jobs. Unset by hosts of earlier versions.
   7: optional bool is_adopting
-  /// As in shard_room. Unset by hosts of earlier versions.
+  /// Unset by hosts of earlier versions.
   8: optional list<pool_room> room
 }
 
--- a/shard/include/chicorydrum/shard/shard_room.hpp
+++ b/shard/include/chicorydrum/shard/shard_room.hpp
@@ -52,6 +52,10 @@
 /// Returns what \p told says, or nothing if it is malformed.
 std::optional<pool_rooms> read_room(const std::vector<schema::pool_room>& told);
 
+/// \p rooms has all sizes of each pool.
 std::vector<schema::pool_room> to_message(const pool_rooms& rooms);
 
+/// Returns what one of the sizes is where the mean is \p mean_millicores.
+std::int64_t size_of_task(std::int64_t mean_millicores, double size);
+
 } // namespace chicorydrum::shard
--- a/shard/lib/room_digest.cpp
+++ b/shard/lib/room_digest.cpp
@@ -86,12 +86,11 @@
                          const std::vector<endpoint_forecast>& endpoints,
                          const std::vector<waiting_tasks>& queue, instant now)
 {
-    const auto mean = static_cast<double>(mean_need(endpoints, queue));
+    const std::int64_t mean = mean_need(endpoints, queue);
     pool_rooms rooms;
     for (const double size : room_sizes)
-        rooms.push_back(measure_room(pool,
-                                     static_cast<std::int64_t>(mean * size),
-                                     endpoints, queue, now));
+        rooms.push_back(measure_room(pool, size_of_task(mean, size), endpoints,
+                                     queue, now));
     return rooms;
 }
 
--- a/shard/lib/shard_room.cpp
+++ b/shard/lib/shard_room.cpp
@@ -10,36 +10,51 @@
 
 /// More than an endpoint can have, so that sums stay in range.
 constexpr std::int64_t max_task_millicores = 1'000'000'000;
-constexpr std::int32_t max_tasks = 1'000'000;
+/// More tasks are told as this many.
+constexpr std::int32_t max_tasks = 30'000;
+/// The index of the mean in room_sizes.
+constexpr std::size_t mean_size = 1;
+static_assert(room_sizes[mean_size] == 1.0);
 
-std::optional<pool_room> read_pool(const schema::pool_room& told)
+bool is_valid(const schema::pool_room& told)
 {
-    const bool is_valid = told.task_millicores > 0 &&
-                          told.task_millicores <= max_task_millicores &&
-                          told.tasks.size() == room_spans.size() &&
-                          told.tasks.front() >= 0 &&
-                          told.tasks.back() <= max_tasks &&
-                          std::is_sorted(told.tasks.begin(), told.tasks.end());
-    if (!is_valid)
-        return std::nullopt;
-    pool_room room{.pool = told.pool, .task_millicores = told.task_millicores};
-    std::copy(told.tasks.begin(), told.tasks.end(), room.tasks.begin());
-    return room;
+    if (told.task_millicores <= 0 ||
+        told.task_millicores > max_task_millicores ||
+        told.tasks.size() != room_spans.size() * room_sizes.size())
+        return false;
+    for (auto first = told.tasks.begin(); first != told.tasks.end();
+         first += room_spans.size())
+        if (*first < 0 || !std::is_sorted(first, first + room_spans.size()))
+            return false;
+    return true;
 }
 
 } // namespace
 
+std::int64_t size_of_task(std::int64_t mean_millicores, double size)
+{
+    const double exact = static_cast<double>(mean_millicores) * size;
+    return std::max<std::int64_t>(static_cast<std::int64_t>(exact), 1);
+}
+
 std::optional<pool_rooms> read_room(const std::vector<schema::pool_room>& told)
 {
-    if (told.size() > max_told_pools * room_sizes.size())
+    const bool is_usable = told.size() <= max_told_pools &&
+                           std::all_of(told.begin(), told.end(), is_valid);
+    if (!is_usable)
         return std::nullopt;
     pool_rooms rooms;
     for (const schema::pool_room& pool : told)
     {
-        const auto room = read_pool(pool);
-        if (!room)
-            return std::nullopt;
-        rooms.push_back(*room);
+        auto next = pool.tasks.begin();
+        for (const double size : room_sizes)
+        {
+            pool_room& room = rooms.emplace_back();
+            room.pool = pool.pool;
+            room.task_millicores = size_of_task(pool.task_millicores, size);
+            std::copy_n(next, room_spans.size(), room.tasks.begin());
+            next += room_spans.size();
+        }
     }
     return rooms;
 }
@@ -47,12 +62,17 @@
 std::vector<schema::pool_room> to_message(const pool_rooms& rooms)
 {
     std::vector<schema::pool_room> told;
-    for (const pool_room& room : rooms)
+    for (std::size_t i = 0; i < rooms.size(); ++i)
     {
-        schema::pool_room& added = told.emplace_back();
-        added.pool = room.pool;
-        added.task_millicores = room.task_millicores;
-        added.tasks.assign(room.tasks.begin(), room.tasks.end());
+        const pool_room& room = rooms[i];
+        if (i % room_sizes.size() == 0)
+            told.emplace_back().pool = room.pool;
+        schema::pool_room& pool = told.back();
+        if (i % room_sizes.size() == mean_size)
+            pool.task_millicores = room.task_millicores;
+        for (const std::int32_t tasks : room.tasks)
+            pool.tasks.push_back(
+                static_cast<std::int16_t>(std::min(tasks, max_tasks)));
     }
     return told;
 }
--- a/shard/unittests/job_intake_test.cpp
+++ b/shard/unittests/job_intake_test.cpp
@@ -370,7 +370,7 @@
     schema::pool_room full;
     full.pool = "pool";
     full.task_millicores = 32000;
-    full.tasks.assign(room_spans.size(), 0);
+    full.tasks.assign(room_spans.size() * room_sizes.size(), 0);
     told.pools.push_back(full);
     this->intake.hear_rooms({told}, start);
     this->refuse();
--- a/shard/unittests/room_digest_test.cpp
+++ b/shard/unittests/room_digest_test.cpp
@@ -119,18 +119,25 @@
 
 BOOST_AUTO_TEST_CASE(a_room_survives_its_message)
 {
-    const pool_rooms rooms{
-        measure_mean("pool", {endpoint({milliseconds(40)})}, {}, start)};
-    const auto read = read_room(to_message(rooms));
+    const pool_rooms rooms = measure_rooms(
+        "pool", {endpoint({milliseconds(40)}), endpoint({})}, {}, start);
+    const auto told = to_message(rooms);
+    BOOST_TEST(told.size() == 1U);
+    const auto read = read_room(told);
     BOOST_REQUIRE(read);
-    BOOST_TEST(read->front().pool == "pool");
-    BOOST_TEST((read->front().tasks == rooms.front().tasks));
+    BOOST_REQUIRE(read->size() == rooms.size());
+    for (std::size_t i = 0; i < rooms.size(); ++i)
+    {
+        BOOST_TEST((*read)[i].pool == "pool");
+        BOOST_TEST((*read)[i].task_millicores == rooms[i].task_millicores);
+        BOOST_TEST(((*read)[i].tasks == rooms[i].tasks));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(malformed_rooms_are_refused)
 {
     const std::vector<schema::pool_room> good = to_message(
-        {measure_mean("pool", {endpoint({milliseconds(40)})}, {}, start)});
+        measure_rooms("pool", {endpoint({milliseconds(40)})}, {}, start));
     const auto is_refused = [&good](auto change)
     {
         std::vector<schema::pool_room> odd = good;
@@ -139,12 +146,14 @@
     };
     BOOST_TEST(!is_refused([](schema::pool_room&) {}));
     BOOST_TEST(is_refused([](auto& room) { room.task_millicores = 0; }));
+    BOOST_TEST(is_refused([](auto& room) { room.task_millicores = -1; }));
     BOOST_TEST(is_refused([](auto& room) { room.tasks.clear(); }));
+    BOOST_TEST(is_refused([](auto& room) { room.tasks.pop_back(); }));
     BOOST_TEST(is_refused([](auto& room) { room.tasks.front() = -1; }));
     BOOST_TEST(is_refused([](auto& room) { room.tasks.front() = 100; }));
-    BOOST_TEST(is_refused([](auto& room) { room.tasks.back() = 2000000; }));
-    BOOST_TEST(!read_room(std::vector<schema::pool_room>(
-        max_told_pools * room_sizes.size() + 1, good.front())));
+    BOOST_TEST(is_refused([](auto& room) { room.tasks.back() = 0; }));
+    BOOST_TEST(!read_room(
+        std::vector<schema::pool_room>(max_told_pools + 1, good.front())));
 }
 
 BOOST_AUTO_TEST_CASE(earlier_news_and_lower_tokens_are_ignored)
@@ -197,7 +206,7 @@
     for (int shard = 0; shard < 6; ++shard)
         table.told(
             {.domain = "D1", .shard = shard}, 1,
-            {measure_mean("pool", std::vector(shard, endpoint({})), {}, start)},
+            measure_rooms("pool", std::vector(shard, endpoint({})), {}, start),
             start);
     const auto told =
         table.to_tell([](const shard_name& name) { return name.shard == 0; }, 2,
