Cancelled jobs are kept in the platform's store

The host of a DELETE now writes the job's id as a row of an own table, and answers 2xx when that is written: at once, then up to 100 ids each 500 ms. The row is removed after 30 s, the time for which processes remember it. A new process reads the table before it claims a shard, for at most 1.2 s after its start, and tells the owners. While the store is away the answer waits 500 ms and stands on the word of the processes alone, as before; the row follows later.

--- a/daemon/lib/entry_daemon.cpp
+++ b/daemon/lib/entry_daemon.cpp
@@ -43,6 +43,7 @@
 /// stop of each task that fits.
 constexpr std::size_t endpoint_connections = 6;
 /// Connections kept open to the store: for reads of three tables and a write.
+/// The cancelled jobs are read once, and written seldom.
 constexpr std::size_t store_connections = 4;
 /// The load balancer may send callers here until two readiness checks, a second
 /// apart, have failed.
@@ -312,6 +313,28 @@
                                        now());
                                });
     };
+    hooks.read_cancelled = [this, now](const shard::cancelled_read& read)
+    {
+        ++this->host_metrics.store_reads;
+        this->store_calls.send(
+            platform::encode(read, this->store),
+            [this, now, read](transport::client_outcome outcome)
+            {
+                this->host.cancelled_rows_read(
+                    platform::decode_cancelled(read, outcome), now());
+            });
+    };
+    hooks.write_cancelled = [this, now](const shard::cancelled_write& write)
+    {
+        ++this->host_metrics.store_writes;
+        this->store_calls.send(
+            platform::encode(write, this->store),
+            [this, now](transport::client_outcome outcome)
+            {
+                this->host.cancelled_written(
+                    platform::decode_cancelled_write(outcome), now());
+            });
+    };
     hooks.open_config = platform::open_config;
     hooks.log = [](const log_line& line)
     {
--- a/shard/include/chicorydrum/shard/cancellations.hpp
+++ b/shard/include/chicorydrum/shard/cancellations.hpp
@@ -25,6 +25,11 @@
     /// Tells the owner of a shard. May call recorded() before it returns.
     std::function<void(const std::string& owner, const schema::job_cancelled&)>
         tell;
+    /// Begins to keep a cancellation in the store. May be empty.
+    std::function<void(const std::string& id)> store = {};
+    /// Whether the answer to a caller need not wait for the store. May be
+    /// empty.
+    std::function<bool(const std::string& id)> is_kept = {};
     std::function<void(const support::log_line&)> log;
 };
 
@@ -55,6 +60,10 @@
     /// Keeps a cancellation that another host has begun, to tell later owners
     /// if that host cannot.
     void keep(const std::string& id, support::instant now);
+    /// A process that is gone has cancelled the job: owners are told.
+    void found(const std::string& id, support::instant now);
+    /// The answer to the job's caller need not wait for the store any more.
+    void kept(const std::string& id);
     void recorded(const schema::cancellation_recorded& record);
     /// \p shard_count is the number of shards of this host's domain.
     void set_owners(const shard_owners& changed, int shard_count);
@@ -86,6 +95,7 @@
     /// Tells the reachable owners that have not recorded it.
     void tell(const std::string& id, support::instant now);
     cancellation& find_or_add(const std::string& id, support::instant now);
+    /// Answers the callers once the owners have recorded it and it is kept.
     void answer_if_recorded(const std::string& id);
     void answer_calls(const std::string& id, answer_kind kind,
                       const std::string& reason);
--- a/shard/include/chicorydrum/shard/entry_host.hpp
+++ b/shard/include/chicorydrum/shard/entry_host.hpp
@@ -3,6 +3,7 @@
 /// shards that it owns. Performs no input or output itself.
 #pragma once
 
+#include "chicorydrum/shard/cancellation_store.hpp"
 #include "chicorydrum/shard/cancellations.hpp"
 #include "chicorydrum/shard/config_loader.hpp"
 #include "chicorydrum/shard/config_spread.hpp"
@@ -47,6 +48,9 @@
     std::function<void(const std::string& host)> host_removed;
     std::function<void(const table_read&)> read;
     std::function<void(const registration_write&)> write;
+    /// Reads and writes the cancelled jobs in the store. Both may be empty.
+    std::function<void(const cancelled_read&)> read_cancelled = {};
+    std::function<void(const cancelled_write&)> write_cancelled = {};
     /// Begins to decode a configuration from the store or a peer.
     config_opener open_config;
     std::function<void(const support::log_line&)> log;
@@ -73,6 +77,10 @@
     directory_options table;
     intake_options intake;
     cancellation_options cancellations;
+    cancellation_store_options stored_cancellations;
+    /// A new process that has not read the cancelled jobs claims no shard for
+    /// this long; as long as it waits for a store that does not list its peers.
+    support::milliseconds cancelled_wait{1200};
     config_loader_options configs;
     config_spread_options spread;
     succession_options successors;
@@ -146,6 +154,8 @@
 
     // The store.
     void rows_read(const table_rows& rows, support::instant now);
+    void cancelled_rows_read(const cancelled_rows& rows, support::instant now);
+    void cancelled_written(bool is_written, support::instant now);
     void registration_answered(const registration_written& answer,
                                support::instant now);
 
@@ -256,6 +266,7 @@
     void refuse_submission(const std::string& peer,
                            const schema::job_submitted& job,
                            const std::string& reason, support::instant now);
+    bool knows_cancelled_jobs(support::instant now) const;
     /// Tells the owner of a job's home shard that the job is cancelled.
     void tell_cancellation(const std::string& owner,
                            const schema::job_cancelled& job);
@@ -364,6 +375,7 @@
     support::instant next_succession_update;
     job_intake intake;
     shard::cancellations cancellations;
+    cancellation_store stored_cancellations;
     directory table;
     /// By number; all belong to this host's domain.
     std::map<int, std::unique_ptr<shard_owner>> shards;
--- a/shard/lib/cancellations.cpp
+++ b/shard/lib/cancellations.cpp
@@ -28,6 +28,8 @@
     one.was_open = one.was_open || was_open;
     one.calls.push_back({.call = call, .since = now});
     this->open.insert(id);
+    if (this->hooks.store)
+        this->hooks.store(id);
     this->tell(id, now);
     this->answer_if_recorded(id);
 }
@@ -37,6 +39,17 @@
     this->find_or_add(id, now);
 }
 
+void cancellations::found(const std::string& id, instant now)
+{
+    this->find_or_add(id, now);
+    this->open.insert(id);
+}
+
+void cancellations::kept(const std::string& id)
+{
+    this->answer_if_recorded(id);
+}
+
 cancellations::cancellation& cancellations::find_or_add(const std::string& id,
                                                         instant now)
 {
@@ -124,7 +137,7 @@
         has_own =
             has_own || (home.domain == this->options.domain && is_recorded);
     }
-    if (!has_own)
+    if (!has_own || (this->hooks.is_kept && !this->hooks.is_kept(id)))
         return;
     this->open.erase(id);
     this->answer_calls(id,
--- a/shard/lib/entry_host.cpp
+++ b/shard/lib/entry_host.cpp
@@ -31,6 +31,14 @@
     return cancellations;
 }
 
+cancellation_store_options
+stored_cancellations_of(const entry_host_options& options)
+{
+    cancellation_store_options stored = options.stored_cancellations;
+    stored.seed = static_cast<std::uint64_t>(options.self.nonce);
+    return stored;
+}
+
 config_spread_options spread_of(const entry_host_options& options)
 {
     config_spread_options spread = options.spread;
@@ -92,7 +100,25 @@
                      .tell = [this](const std::string& owner,
                                     const schema::job_cancelled& job)
                      { this->tell_cancellation(owner, job); },
+                     .store =
+                         [this](const std::string& id)
+                     {
+                         if (this->hooks.write_cancelled)
+                             this->stored_cancellations.add(id,
+                                                            this->current_time);
+                     },
+                     .is_kept = [this](const std::string& id)
+                     { return this->stored_cancellations.is_kept(id); },
                      .log = this->hooks.log}),
+      stored_cancellations(
+          stored_cancellations_of(this->options),
+          {.read = this->hooks.read_cancelled,
+           .write = this->hooks.write_cancelled,
+           .kept = [this](const std::string& id)
+           { this->cancellations.kept(id); },
+           .found = [this](const std::string& id)
+           { this->cancellations.found(id, this->current_time); },
+           .log = this->hooks.log}),
       table(table_of(this->options),
             {.read = this->hooks.read,
              .write = this->hooks.write,
@@ -586,6 +612,28 @@
     this->table.tick(now);
 }
 
+void entry_host::cancelled_rows_read(const cancelled_rows& rows, instant now)
+{
+    this->begin_event(now);
+    this->stored_cancellations.rows_read(rows, now);
+    this->cancellations.tick(now);
+    this->deliver_local_results(now);
+}
+
+void entry_host::cancelled_written(bool is_written, instant now)
+{
+    this->begin_event(now);
+    this->stored_cancellations.written(is_written, now);
+    this->deliver_local_results(now);
+}
+
+bool entry_host::knows_cancelled_jobs(instant now) const
+{
+    return !this->hooks.read_cancelled ||
+           this->stored_cancellations.has_read() ||
+           this->view.age(now) >= this->options.cancelled_wait;
+}
+
 void entry_host::registration_answered(const registration_written& answer,
                                        instant now)
 {
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -81,6 +81,8 @@
         shard->tick(now);
     this->deliver_local_results(now);
     this->intake.tick(now);
+    if (this->hooks.read_cancelled)
+        this->stored_cancellations.tick(now);
     this->cancellations.tick(now);
     this->deliver_local_results(now);
     // Peers then read the endpoints more often, and tell of what leaves.
@@ -191,8 +193,9 @@
             this->view.raise_epoch(number, fenced_now.at(number));
         this->release_shard(number, reason, now);
     }
-    for (const int number : this->view.shards_to_claim(now))
-        if (!this->shards.contains(number))
+    const std::vector<int> to_claim = this->view.shards_to_claim(now);
+    for (const int number : to_claim)
+        if (!this->shards.contains(number) && this->knows_cancelled_jobs(now))
             this->claim(number, now);
     this->end_jobs_if_isolated();
     this->intake.set_owners(this->view.owners(), this->view.shard_count(), now);
--- a/test/shards/cancellation_test.cpp
+++ b/test/shards/cancellation_test.cpp
@@ -238,6 +238,63 @@
         }
 }
 
+// All processes are lost after a cancellation was answered, and the job's
+// request arrives once more.
+BOOST_AUTO_TEST_CASE(cancellation_outlasts_all_processes)
+{
+    for (const int later : {700, 1500, 4800})
+        for (const char* const at : {"D1-h1", "D1-h2", "D2-h3"})
+            BOOST_TEST_CONTEXT("at " << at << " after " << later)
+            {
+                shard_fleet fleet({.domains = 2});
+                fleet.run_for(warm_up);
+                const std::string job = fleet.submit("D1-h1", long_job);
+                fleet.run_for(milliseconds(200));
+                fleet.cancel(job, "D1-h2");
+                fleet.run_for(stop_bound);
+                BOOST_TEST((fleet.caller(job).cancel_answer ==
+                            answer_kind::cancelled));
+                for (const std::string& host : fleet.host_names())
+                    fleet.kill(host);
+                fleet.run_for(milliseconds(300));
+                for (const std::string& host : fleet.host_names())
+                    fleet.start(host);
+                fleet.run_for(milliseconds(later));
+                fleet.repeat(job, at);
+                fleet.run_for(milliseconds(2000));
+                BOOST_TEST(fleet.starts_of(job) == 4);
+                check_no_violations(fleet);
+            }
+}
+
+// The store is away: the answer comes in time, and the cancellation is kept by
+// the processes.
+BOOST_AUTO_TEST_CASE(job_is_cancelled_while_the_store_is_away)
+{
+    shard_fleet fleet({.domains = 1});
+    fleet.run_for(warm_up);
+    const std::string job = fleet.submit("D1-h1", long_job);
+    fleet.run_for(milliseconds(200));
+    fleet.set_store_up(false);
+    fleet.cancel(job, "D1-h2");
+    fleet.run_for(milliseconds(600));
+    BOOST_TEST((fleet.caller(job).cancel_answer == answer_kind::cancelled));
+    BOOST_TEST(running_tasks(fleet) == 0U);
+    // It is stored once the store is back.
+    fleet.set_store_up(true);
+    fleet.run_for(milliseconds(4000));
+    for (const std::string& host : fleet.host_names())
+        fleet.kill(host);
+    fleet.run_for(milliseconds(300));
+    for (const std::string& host : fleet.host_names())
+        fleet.start(host);
+    fleet.run_for(milliseconds(1500));
+    fleet.repeat(job, "D1-h3");
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST(fleet.starts_of(job) == 4);
+    check_no_violations(fleet);
+}
+
 // A host of another domain is cut off. Cancelling must not wait for it.
 BOOST_AUTO_TEST_CASE(cut_off_domain_does_not_hold_up_cancelling)
 {
--- a/test/shards/shard_fleet.cpp
+++ b/test/shards/shard_fleet.cpp
@@ -725,6 +725,16 @@
     {
         this->write(name, incarnation, wanted);
     };
+    hooks.read_cancelled =
+        [this, name, incarnation](const shard::cancelled_read&)
+    {
+        this->read_cancelled(name, incarnation);
+    };
+    hooks.write_cancelled =
+        [this, name, incarnation](const shard::cancelled_write& wanted)
+    {
+        this->write_cancelled(name, incarnation, wanted);
+    };
     hooks.open_config =
         [this, name](const std::string& document,
                      const std::shared_ptr<const shard::routing_config>& known)
@@ -1026,6 +1036,47 @@
                       [this] { this->report_endpoints(); });
 }
 
+void shard_fleet::read_cancelled(const std::string& name, int incarnation)
+{
+    const bool reaches =
+        this->store_is_up && !this->are_partitioned(name, "store");
+    shard::cancelled_rows rows;
+    if (reaches)
+        rows = {
+            .is_read = true,
+            .ids = {this->cancelled_rows.begin(), this->cancelled_rows.end()}};
+    this->queue.after(
+        reaches ? store_delay : store_timeout,
+        [this, name, incarnation, rows]
+        {
+            this->deliver(name, incarnation,
+                          [rows](shard::entry_host& host, support::instant now)
+                          { host.cancelled_rows_read(rows, now); });
+        });
+}
+
+void shard_fleet::write_cancelled(const std::string& name, int incarnation,
+                                  const shard::cancelled_write& wanted)
+{
+    const bool reaches =
+        this->store_is_up && !this->are_partitioned(name, "store");
+    if (reaches)
+    {
+        this->cancelled_rows.insert(wanted.added.begin(), wanted.added.end());
+        for (const std::string& id : wanted.removed)
+            this->cancelled_rows.erase(id);
+    }
+    this->queue.after(
+        reaches ? store_delay : store_timeout,
+        [this, name, incarnation, reaches]
+        {
+            this->deliver(
+                name, incarnation,
+                [reaches](shard::entry_host& host, support::instant now)
+                { host.cancelled_written(reaches, now); });
+        });
+}
+
 void shard_fleet::write(const std::string& name, int incarnation,
                         const shard::registration_write& wanted)
 {
--- a/test/shards/shard_fleet.hpp
+++ b/test/shards/shard_fleet.hpp
@@ -310,6 +310,9 @@
               const shard::table_read& read);
     void write(const std::string& name, int incarnation,
                const shard::registration_write& write);
+    void read_cancelled(const std::string& name, int incarnation);
+    void write_cancelled(const std::string& name, int incarnation,
+                         const shard::cancelled_write& write);
     /// Returns the rows of \p table as they were \p lag ago.
     row_table rows_before(shard::directory_table table,
                           support::milliseconds lag) const;
@@ -419,6 +422,8 @@
     };
     /// When the store was silent or lagged, in the order of time.
     std::vector<time_span> store_disturbances;
+    /// The ids of cancelled jobs in the store.
+    std::set<std::string> cancelled_rows;
     std::int64_t store_version = 0;
     std::int64_t history_from = 0;
     bool store_is_up = true;
