--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -321,11 +321,11 @@
     /// Returns the share of each domain's hosts that are silent, or were lost
     /// lately.
     std::map<std::string, double> lost_shares() const;
-    /// Notes which peers are live now.
     /// Notes the claim that holds a shard of the own domain, divided into
     /// \p count.
     void note_claim(int shard, int count, fencing_token token,
                     support::instant now);
+    /// Notes which peers are live now.
     void update_liveness();
     bool is_live(const peer_state& peer) const;
     /// Returns whether the peer's link was closed in its planned stop.
