--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -20,7 +20,8 @@
 int main(int, char** arguments)
 {
     open_record(arguments[1]);
-    deployment all({.zones = {{"thamel", 2, 4}, {"patan", 2, 4}}, .net = 91});
+    deployment all(
+        {.zones = {{"sanjose", 2, 4}, {"heredia", 2, 4}}, .net = 91});
     all.start_all();
     if (!all.wait_ready(15000))
         leave(2);
@@ -46,7 +47,7 @@
             if (run.task[0] != 'f')
                 return 60;
             // Of the workers' speeds, 0.55 to 1.2, this one has the lowest.
-            return one->options.zone == "thamel" ? 4550 : 2080;
+            return one->options.zone == "sanjose" ? 4550 : 2080;
         };
     traffic();
     run_for(2000);
@@ -64,7 +65,7 @@
             if (now() > from + window)
                 return false;
             ++all_orders;
-            const bool is_late = !without_trouble() && id == "i-thamel-4" &&
+            const bool is_late = !without_trouble() && id == "i-sanjose-4" &&
                                  got.path == "/v1/run-stop" &&
                                  got.body.find(job) != std::string::npos;
             if (!is_late)
@@ -79,8 +80,8 @@
     // A client whose time budget ends before its job does.
     int answers = 0;
     const json steps = json::array({step_of(1, 2000, 2500, "b")});
-    record("sent " + job + " to front-thamel-1");
-    all.post(all.host_of("front-thamel-1"), job, steps, 2600,
+    record("sent " + job + " to front-sanjose-1");
+    all.post(all.host_of("front-sanjose-1"), job, steps, 2600,
              [&](const answer& first)
              {
                  ++answers;
@@ -88,8 +89,8 @@
                  after(resend,
                        [&]
                        {
-                           record("sent again " + job + " to front-patan-1");
-                           all.post(all.host_of("front-patan-1"), job, steps,
+                           record("sent again " + job + " to front-heredia-1");
+                           all.post(all.host_of("front-heredia-1"), job, steps,
                                     2600,
                                     [&](const answer& second)
                                     {
