--- a/review/lib3/world.cpp
+++ b/review/lib3/world.cpp
@@ -469,7 +469,7 @@
     if (options.method == "POST")
         made->out += "Content-Type: application/json\r\nContent-Length: " +
                      std::to_string(options.body.size()) + "\r\n";
-    made->out += "\r\n" + options.body;
+    made->out += "\r\n" + options.body + options.behind;
     watched[made->fd] = [made, finish](short events)
     {
         if ((events & POLLOUT) != 0)
--- a/review/lib3/world.hpp
+++ b/review/lib3/world.hpp
@@ -92,6 +92,8 @@
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
     millis timeout = 5000;
+    /// Bytes that are sent behind the request at once, such as a second one.
+    std::string behind = {};
 };
 
 /// Sends one request on a channel of its own. \p done is called once.
