--- a/review/lib3/world.cpp
+++ b/review/lib3/world.cpp
@@ -727,7 +727,8 @@
 
 millis runner::clock() const
 {
-    return now() - this->clock_from;
+    return static_cast<millis>(static_cast<double>(now() - this->clock_from) *
+                               this->options.clock_rate);
 }
 
 void runner::restart()
@@ -854,7 +855,10 @@
     const millis asked = body["deadline_ms"].get<millis>();
     this->lease = std::max(
         this->lease, std::min(asked, this->clock() + this->options.hold_max));
-    after(std::max<millis>(0, this->lease - this->clock()) + 1,
+    const auto left =
+        static_cast<millis>(static_cast<double>(this->lease - this->clock()) /
+                            this->options.clock_rate);
+    after(std::max<millis>(0, left) + 3,
           [this, of_life = this->life]
           {
               if (this->up && this->life == of_life)
--- a/review/lib3/world.hpp
+++ b/review/lib3/world.hpp
@@ -168,6 +168,8 @@
     int mem_mb = 65536;
     millis heartbeat = 1500;
     millis hold_max = 1000;
+    /// The speed of its steady clock, which may be 2% slow.
+    double clock_rate = 1;
     /// How long a task of a job runs here; by default its name says nothing
     /// and all take this long.
     millis task_ms = 500;
