--- a/review/lib3/world.cpp
+++ b/review/lib3/world.cpp
@@ -470,7 +470,8 @@
         made->out += "Content-Type: application/json\r\nContent-Length: " +
                      std::to_string(options.body.size()) + "\r\n";
     made->out += "\r\n" + options.body + options.behind;
-    watched[made->fd] = [made, finish](short events)
+    const auto missing = std::make_shared<int>(options.answers);
+    watched[made->fd] = [made, finish, missing](short events)
     {
         if ((events & POLLOUT) != 0)
             made->flush();
@@ -484,14 +485,20 @@
         const bool is_open = made->read();
         std::string first;
         answer got;
-        if (whole_message(made->in, first, got.headers, got.body) > 0)
+        std::size_t used = 0;
+        while ((used = whole_message(made->in, first, got.headers, got.body)) >
+               0)
         {
+            made->in.erase(0, used);
             std::istringstream words(first);
             std::string version;
             words >> version >> got.status;
+            if (--*missing > 0)
+                continue;
             finish(got);
+            return;
         }
-        else if (!is_open)
+        if (!is_open)
             finish({});
     };
     made->want();
--- a/review/lib3/world.hpp
+++ b/review/lib3/world.hpp
@@ -94,6 +94,8 @@
     millis timeout = 5000;
     /// Bytes that are sent behind the request at once, such as a second one.
     std::string behind = {};
+    /// The channel is closed, and the last answer reported, after this many.
+    int answers = 1;
 };
 
 /// Sends one request on a channel of its own. \p done is called once.
