--- a/review/15/case.cpp
+++ b/review/15/case.cpp
@@ -1,5 +1,4 @@
-// A worker that has been idle for a minute carries out a start two seconds
-// late.
+// A config adds a route whose host has a capital letter.
 #include "../lib3/deployment.hpp"
 
 #include <cstdio>
@@ -10,15 +9,7 @@
 namespace
 {
 
-// The limits that the pages set for `applied_late`.
-constexpr millis window = 5500;
-constexpr double largest_share = 0.055;
-constexpr millis late_by = 2000; // 2 to 12 s
-constexpr millis resend = 1300;
-/// "which may be 2% slow"
-constexpr double slow_clock = 0.98;
-constexpr millis idle = 57000;
-constexpr millis budget = 550;
+constexpr millis apply_ms = 2000;
 
 } // namespace
 
@@ -27,94 +18,60 @@
     open_record(arguments[1]);
     deployment all(
         {.zones = {{"sanjose", 2, 4}, {"heredia", 2, 4}}, .net = 95});
-    for (const auto& one : all.runners)
-        one->options.clock_rate = slow_clock;
     all.start_all();
     if (!all.wait_ready(15000))
         leave(2);
-
-    // The usual traffic: 60 small jobs a second in both zones, for which the
-    // other workers do.
     for (const auto& one : all.runners)
-        one->duration = [](const task_run& run) -> millis
-        {
-            return run.task[0] == 'f' ? 1200 : 60;
-        };
-    all.start_traffic(16);
+        one->options.task_ms = 100;
+    run_for(4000);
 
-    const std::string job = "f00000000000000f";
-    const std::string idle_worker = "i-sanjose-4";
-    millis last_call = now();
-    millis from = -1;
-    int all_orders = 0;
-    int late_orders = 0;
-    for (const auto& one : all.runners)
-        one->interfere =
-            [&, id = one->options.id](const request& got, const reply&,
-                                      std::function<void()> carry_out)
-        {
-            if (id == idle_worker && from < 0)
-                last_call = now();
-            if (from < 0 || now() > from + window)
-                return false;
-            ++all_orders;
-            const bool is_late = !without_trouble() && id == idle_worker &&
-                                 now() < from + late_by;
-            if (!is_late)
-                return false;
-            ++late_orders;
-            record(got.path + " left unanswered at " + id +
-                   ", carried out in " + std::to_string(late_by) + " ms");
-            after(late_by, carry_out);
-            return true;
-        };
-
-    // Nothing asks for the worker of this kind for a minute.
-    if (!run_until_true([&] { return now() > last_call + idle; }, 80000))
-        leave(2);
-    record("idle worker was called " + std::to_string(now() - last_call) +
-           " ms ago");
-    from = now();
-    int answers = 0;
-    const json steps = json::array({step_of(1, 2000, 300, "b")});
-    record("sent " + job + " to front-sanjose-1");
-    all.post(all.host_of("front-sanjose-1"), job, steps, budget,
-             [&](const answer& first)
-             {
-                 ++answers;
-                 record("answered " + job + " " + std::to_string(first.status));
-                 after(resend,
-                       [&]
-                       {
-                           record("sent again " + job + " to front-heredia-1");
-                           all.post(all.host_of("front-heredia-1"), job, steps,
-                                    1500,
-                                    [&](const answer& second)
-                                    {
-                                        ++answers;
-                                        record("answered " + job + " " +
-                                               std::to_string(second.status));
-                                    });
-                       });
-             });
-    run_until_true([&] { return answers == 2; }, 8000);
-    run_for(3000);
+    const std::string host =
+        without_trouble() ? "desk.example" : "Desk.example";
+    json added = all.routes.front();
+    added["name"] = "r-desk";
+    added["host"] = host;
+    added["prefix"] = "/desk/";
+    all.routes.push_back(added);
+    all.put_config(8);
+    // Four times as long as a config may take.
+    run_for(4 * apply_ms);
 
-    const double share =
-        all_orders > 0 ? static_cast<double>(late_orders) / all_orders : 0;
-    char text[200];
-    std::snprintf(text, sizeof text,
-                  "late orders %d of %d, a share of %.4f; %d small jobs served",
-                  late_orders, all_orders, share, all.small_served);
-    record(text);
-    std::puts(text);
-    if (share > largest_share || answers < 2 || all.small_served < 200)
-        leave(2);
-    const auto twice = all.overlaps();
-    for (const std::string& one : twice)
+    std::map<int, int> answers;
+    int number = 0;
+    const int jobs = 40;
+    for (int i = 0; i < jobs; ++i)
     {
-        record("TWICE " + one);
-        std::printf("TWICE %s\n", one.c_str());
+        char id[17];
+        std::snprintf(id, sizeof id, "e%015x", ++number);
+        const json body{{"spec", "job"},
+                        {"preemptible", true},
+                        {"steps", json::array({step_of(2, 2000, 100)})}};
+        entry_host& to =
+            *all.hosts[static_cast<std::size_t>(i) % all.hosts.size()];
+        call(
+            {.address = to.options.address,
+             .port = to.options.front,
+             .method = "POST",
+             .path = std::string("/desk/") + id,
+             .host = host,
+             .body = body.dump(),
+             .headers = {{"Deadline-Ms", "1500"}},
+             .timeout = 1500},
+            [&, name = std::string(id), at = to.options.name](const answer& got)
+            {
+                ++answers[got.status];
+                record("answered " + name + " at " + at + " " +
+                       std::to_string(got.status));
+            });
+        run_for(100);
     }
-    leave(twice.empty() ? 0 : 1);
+    run_for(2000);
+    std::string text = "answers by status:";
+    for (const auto& [status, count] : answers)
+        text += " " + std::to_string(status) + ": " + std::to_string(count);
+    record(text);
+    std::puts(text.c_str());
+    if (answers[404] == 0 && answers[200] < jobs / 2)
+        leave(2);
+    leave(answers[404] > 0 ? 1 : 0);
 }
