No lease is extended beside a stop that is not confirmed

Cause: the owner repeated the stop every 200 ms and went on extending the lease of the endpoint, by lists as long as any run was there, and by starts. A lease is the endpoint's and not the run's, so whatever is extended or started there keeps the run alive that is to end. The time sums took every stop to be executed within 50 ms.

Fix: from the order to stop a run until the endpoint confirms it, or lists itself without the run, nothing extends the lease: lists don't, and a start repeats the present lease end, if its task fits before that. So a run is over 919 ms after its stop whatever the endpoint does and whoever else works there; copies come after 1,300 ms. A confirmed stop takes one round trip, and a lease has 600 ms left when an extension is due, so other runs pay only if the stop and three repeats stay unanswered. lease_withheld says when.

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -182,6 +182,12 @@
     /// until it is answered or fenced off.
     std::optional<std::int64_t> extend_lease(order_id order,
                                              support::instant now);
+    /// Returns the latest lease end that was requested of the present
+    /// incarnation, for \p order to repeat without extending the lease, or
+    /// none.
+    std::optional<std::int64_t> keep_lease(order_id order);
+    /// Returns how much is left of that lease, zero if nothing is known of it.
+    support::milliseconds remaining_lease(support::instant now) const;
     /// Records that \p order was answered, if it extends the lease.
     void extension_answered(order_id order, bool was_executed,
                             std::optional<std::int64_t> clock_ms,
@@ -206,6 +212,10 @@
                     support::instant repeat_at);
     /// Returns the runs whose stop got no answer in time.
     std::vector<task_key> stops_due(support::instant now) const;
+    /// Returns whether a run was told to stop and the endpoint has neither
+    /// confirmed that nor listed itself without the run: nothing but the lease
+    /// bounds how long it lasts.
+    bool awaits_stop() const;
     /// Records an accepted stop: if the run is not there, it will never start.
     void stop_answered(const task_key& task, order_id last_order);
     /// Sets the needs of a run of an earlier owner.
@@ -264,6 +274,8 @@
 
     /// Extends the lease's bound for an order that was executed by \p now.
     void raise_bound(support::milliseconds granted, support::instant now);
+    /// Returns the endpoint's clock, if it is known.
+    std::optional<std::int64_t> clock_at(support::instant now) const;
     /// Forgets the extensions that a list under \p token rules out.
     void fence_off_extensions(fencing_token token, support::instant now);
 
@@ -283,6 +295,9 @@
     std::optional<support::instant> answered_bound;
     std::optional<support::instant> extended_at;
     std::map<order_id, open_extension> open_extensions;
+    /// The latest lease end that was requested, on the present incarnation's
+    /// clock.
+    std::optional<std::int64_t> latest_lease_end_ms;
     /// The highest token under which this endpoint was listed.
     fencing_token listed_token = 0;
     std::int64_t last_end = 0;
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -51,6 +51,19 @@
 
 std::string_view name_of(place_outcome outcome);
 
+/// Why the lease of an endpoint is not extended, so that all its runs end.
+enum class withheld_lease
+{
+    /// No job here accounts for a run: another owner may have its job, and
+    /// counts on the end of the run with its owner's lease.
+    run_unclaimed,
+    /// A stop is not confirmed. A copy of the job may start elsewhere, and
+    /// counts on the end of the run.
+    stop_unconfirmed,
+};
+
+std::string_view name_of(withheld_lease reason);
+
 struct shard_hooks
 {
     /// Returns an order number that is unique in this process.
@@ -400,6 +413,10 @@
                     const task_key& task, const endpoint_record& where,
                     support::instant now);
     bool has_active_run(const task_key& task) const;
+    /// Returns whether \p where has a lease that must not be extended and may
+    /// lapse before a task that takes \p run_ms has ended.
+    bool lapses_early(const endpoint_record& where, double run_ms,
+                      support::instant now) const;
     void start(owned_job& job, const task_key& task, endpoint_record& where,
                support::instant now);
     /// Returns how long a job like \p job would wait for capacity behind those
@@ -466,6 +483,11 @@
     /// without answer, so that these cannot be executed any more.
     void fence_off_starts(endpoint_record& record);
     void request_list(endpoint_record& record, support::instant now);
+    /// Returns why \p record's lease must not be extended, if so.
+    std::optional<withheld_lease>
+    reason_to_withhold(const endpoint_record& record) const;
+    void log_withheld_lease(const endpoint_record& record,
+                            withheld_lease reason, support::instant now);
     /// Returns for how long \p record's lease need not be extended yet.
     support::milliseconds time_to_extension(const endpoint_record& record,
                                             support::instant now) const;
@@ -503,6 +525,7 @@
     /// Of the last prediction, as several jobs are often shed at a time.
     std::unique_ptr<pool_plan> last_plan;
     support::line_limit slow_stops;
+    support::line_limit withheld_lines;
     pool_rooms measured_rooms;
     support::instant rooms_measured_at;
     bool needs_placing = false;
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -81,6 +81,7 @@
     this->is_awaiting = true;
     this->clock.reset();
     this->extended_at.reset();
+    this->latest_lease_end_ms.reset();
 }
 
 endpoint_address leased_endpoint::address() const
@@ -138,16 +139,45 @@
 std::optional<std::int64_t> leased_endpoint::extend_lease(order_id order,
                                                           support::instant now)
 {
-    if (!this->clock)
+    const auto clock_now = this->clock_at(now);
+    if (!clock_now)
         return std::nullopt;
-    const std::int64_t clock_now =
-        this->clock->clock_ms + support::whole_ms(now - this->clock->taken);
-    const std::int64_t end = clock_now + this->rules.requested.count();
+    const std::int64_t end = *clock_now + this->rules.requested.count();
     this->open_extensions[order] = {.token = this->token(),
                                     .lease_end_ms = end};
+    this->latest_lease_end_ms =
+        std::max(this->latest_lease_end_ms.value_or(end), end);
     return end;
 }
 
+std::optional<std::int64_t> leased_endpoint::keep_lease(order_id order)
+{
+    if (!this->latest_lease_end_ms)
+        return std::nullopt;
+    // Executed late, it may be granted from then on.
+    this->open_extensions[order] = {.token = this->token(),
+                                    .lease_end_ms = *this->latest_lease_end_ms};
+    return this->latest_lease_end_ms;
+}
+
+support::milliseconds
+leased_endpoint::remaining_lease(support::instant now) const
+{
+    const auto clock_now = this->clock_at(now);
+    if (!clock_now || !this->latest_lease_end_ms)
+        return support::milliseconds(0);
+    return support::milliseconds(
+        std::max<std::int64_t>(0, *this->latest_lease_end_ms - *clock_now));
+}
+
+std::optional<std::int64_t>
+leased_endpoint::clock_at(support::instant now) const
+{
+    if (!this->clock)
+        return std::nullopt;
+    return this->clock->clock_ms + support::whole_ms(now - this->clock->taken);
+}
+
 void leased_endpoint::extension_answered(order_id order, bool was_executed,
                                          std::optional<std::int64_t> clock_ms,
                                          support::instant now)
@@ -255,6 +285,17 @@
     return due;
 }
 
+bool leased_endpoint::awaits_stop() const
+{
+    return std::any_of(this->active_runs.begin(), this->active_runs.end(),
+                       [](const auto& entry)
+                       {
+                           const endpoint_run& run = entry.second;
+                           return run.state == run_state::stopping &&
+                                  !run.stopped_after && !run.gone_by;
+                       });
+}
+
 void leased_endpoint::stop_answered(const task_key& task, order_id last_order)
 {
     const auto found = this->active_runs.find(task);
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -28,6 +28,8 @@
 /// Shortest run time of a task relative to its estimate: two standard
 /// deviations of the callers' estimates.
 constexpr double min_run_time_ratio = 0.5;
+/// The longest run time for which a lease that is not extended must last.
+constexpr double longest_run_time_ratio = 1.5;
 
 /// Returns whether \p record may run tasks of \p group, apart from its free
 /// capacity.
@@ -271,7 +273,8 @@
         const bool is_withheld =
             this->hooks.may_start_at &&
             !this->hooks.may_start_at(record->lease.entry());
-        if (is_full || is_withheld)
+        if (is_full || is_withheld ||
+            this->lapses_early(*record, expected, now))
             continue;
         // An endpoint where the task did not complete is chosen last.
         if (id == state.endpoint)
@@ -299,11 +302,21 @@
     return waits ? nullptr : best;
 }
 
+bool shard_owner::lapses_early(const endpoint_record& where, double run_ms,
+                               instant now) const
+{
+    return this->reason_to_withhold(where) &&
+           where.lease.remaining_lease(now) <
+               support::duration_from_ms(run_ms * longest_run_time_ratio);
+}
+
 void shard_owner::start(owned_job& job, const task_key& task,
                         endpoint_record& where, instant now)
 {
     const order_id order = this->hooks.next_order();
-    const auto lease_end = where.lease.extend_lease(order, now);
+    const auto lease_end = this->reason_to_withhold(where)
+                               ? where.lease.keep_lease(order)
+                               : where.lease.extend_lease(order, now);
     if (!lease_end)
         return;
     const schema::task_group& group =
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -8,6 +8,7 @@
 #include "round_trip.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace chicorydrum::shard
@@ -352,16 +353,14 @@
     // The lease of an unresponsive endpoint is not extended, so its runs lapse.
     if (record.is_responding && record.lease.is_known() && has_runs)
     {
-        // A run that no job here accounts for ends with its owner's lease:
-        // another owner may have its job and count on that.
-        const bool has_unclaimed = std::any_of(
-            record.lease.runs().begin(), record.lease.runs().end(),
-            [](const auto& entry) { return !entry.second.need.has_value(); });
+        const support::milliseconds due = this->time_to_extension(record, now);
+        const auto withheld = this->reason_to_withhold(record);
+        if (withheld && due.count() == 0)
+            this->log_withheld_lease(record, *withheld, now);
         // An extension is answered at once: one without answer may be executed
         // late, and delays the lapse on paper.
         const support::milliseconds left =
-            has_unclaimed ? this->options.extension_interval
-                          : this->time_to_extension(record, now);
+            withheld ? this->options.extension_interval : due;
         if (left.count() == 0 && record.overdue_lists == 0)
             request.lease_end_ms =
                 record.lease.extend_lease(request.order, now);
@@ -384,6 +383,43 @@
     this->hooks.list(request);
 }
 
+std::optional<withheld_lease>
+shard_owner::reason_to_withhold(const endpoint_record& record) const
+{
+    const auto& runs = record.lease.runs();
+    const bool has_unclaimed = std::any_of(
+        runs.begin(), runs.end(),
+        [](const auto& entry) { return !entry.second.need.has_value(); });
+    if (has_unclaimed)
+        return withheld_lease::run_unclaimed;
+    if (record.lease.awaits_stop())
+        return withheld_lease::stop_unconfirmed;
+    return std::nullopt;
+}
+
+void shard_owner::log_withheld_lease(const endpoint_record& record,
+                                     withheld_lease reason, instant now)
+{
+    const auto runs = static_cast<std::int64_t>(record.lease.runs().size());
+    const auto line = this->withheld_lines.add(runs, now);
+    if (!line)
+        return;
+    this->hooks.log(
+        log_line("lease_withheld", support::log_level::warning)
+            .add("endpoint", record.lease.entry().id)
+            .add("reason", name_of(reason))
+            .add("runs", runs)
+            .add("left_ms", record.lease.remaining_lease(now).count())
+            .add("count", line->count));
+}
+
+std::string_view name_of(withheld_lease reason)
+{
+    static constexpr std::array<std::string_view, 2> names = {
+        "run_unclaimed", "stop_unconfirmed"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
 support::milliseconds
 shard_owner::time_to_extension(const endpoint_record& record, instant now) const
 {
--- /dev/null
+++ b/test/shards/copies_test.cpp
@@ -0,0 +1,167 @@
+/// \file
+/// Copies of jobs that start in another domain, while an endpoint executes the
+/// orders late that end the runs of the earlier call.
+#include "scenario_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace chicorydrum::shards
+{
+
+namespace
+{
+
+using shard::answer_kind;
+using support::milliseconds;
+
+/// From a caller's lost call to the copy of its job.
+constexpr milliseconds resend_delay{1300};
+
+/// Returns rules by which all orders of \p kinds are executed after \p delay.
+late_order_rules late(std::set<order_kind> kinds, milliseconds delay)
+{
+    return {.percent = 100,
+            .kinds = std::move(kinds),
+            .least = delay,
+            .most = delay};
+}
+
+void set_late_orders(shard_fleet& fleet, const std::string& domain,
+                     const late_order_rules& rules)
+{
+    for (const std::string& id : fleet.endpoint_names())
+        if (id.starts_with(domain + "-"))
+            fleet.endpoint(id).set_late_orders(rules);
+}
+
+/// What goes on beside a run whose stop is executed late.
+enum class beside
+{
+    nothing,
+    /// A long run of another job at the same endpoint.
+    long_run,
+    /// Short jobs that start there every 100 ms.
+    short_runs,
+};
+
+/// One domain with one endpoint, and another one for the copies.
+fleet_options two_domains()
+{
+    return {.domains = 2, .hosts_per_domain = 2, .endpoints_per_domain = 1};
+}
+
+void add_load(shard_fleet& fleet, beside load)
+{
+    if (load == beside::long_run)
+        fleet.submit("D1-h2", {.tasks = 1,
+                               .millicores = 4000,
+                               .work = milliseconds(9000),
+                               .timeout = milliseconds(12000)});
+    for (int i = 0; load == beside::short_runs && i < 60; ++i)
+        fleet.at(support::duration_cast<milliseconds>(
+                     fleet.now().time_since_epoch()) +
+                     milliseconds(100 * i),
+                 [&fleet]
+                 {
+                     fleet.submit("D1-h2", {.tasks = 1,
+                                            .millicores = 4000,
+                                            .work = milliseconds(60)});
+                 });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(copies)
+
+// A caller's time ends before its task does, the endpoint executes the stop
+// seconds later, and the copy starts in another domain. The first run must have
+// ended by then, also beside other runs and starts at its endpoint.
+BOOST_AUTO_TEST_CASE(stop_executed_after_the_copy_started)
+{
+    for (const beside load :
+         {beside::nothing, beside::long_run, beside::short_runs})
+        for (int offset = 0; offset < 300; offset += 60)
+            BOOST_TEST_CONTEXT("load " << static_cast<int>(load) << " offset "
+                                       << offset)
+            {
+                shard_fleet fleet(two_domains());
+                fleet.run_for(warm_up);
+                fleet.send_copies_to("D2-h1");
+                set_late_orders(fleet, "D1",
+                                late({order_kind::stop}, milliseconds(3000)));
+                add_load(fleet, load);
+                const std::string job = fleet.submit(
+                    "D1-h1", {.tasks = 1,
+                              .work = milliseconds(4500),
+                              .estimate = milliseconds(4000),
+                              .timeout = milliseconds(2000 + offset)});
+                fleet.run_for(milliseconds(5000));
+                BOOST_TEST(fleet.starts_of(job) == 2);
+                fleet.run_for(milliseconds(6000));
+                check_no_violations(fleet);
+            }
+}
+
+// The same, and the caller's entry host is killed: the owner learns of the end
+// later than the caller.
+BOOST_AUTO_TEST_CASE(stop_executed_late_after_the_entry_host_was_killed)
+{
+    for (const beside load :
+         {beside::nothing, beside::long_run, beside::short_runs})
+        for (int offset = 0; offset < 300; offset += 60)
+            BOOST_TEST_CONTEXT("load " << static_cast<int>(load) << " offset "
+                                       << offset)
+            {
+                shard_fleet fleet(two_domains());
+                fleet.run_for(warm_up);
+                fleet.send_copies_to("D2-h1");
+                set_late_orders(fleet, "D1",
+                                late({order_kind::stop}, milliseconds(3000)));
+                const std::string owner = fleet.owner_of("D1");
+                const std::string entry = other_host(fleet, owner);
+                const std::string job =
+                    fleet.submit(entry, {.tasks = 1,
+                                         .work = milliseconds(6000),
+                                         .timeout = milliseconds(9000)});
+                add_load(fleet, load);
+                fleet.run_for(milliseconds(1000 + offset));
+                fleet.kill(entry);
+                fleet.run_for(milliseconds(1600));
+                BOOST_TEST(fleet.starts_of(job) == 2);
+                fleet.run_for(milliseconds(6000));
+                check_no_violations(fleet);
+            }
+}
+
+// A stop gets no answer once, and the repeated one does. The other runs at the
+// endpoint must not end with the lease.
+BOOST_AUTO_TEST_CASE(other_runs_outlast_a_stop_that_is_repeated)
+{
+    for (int offset = 0; offset < 300; offset += 30)
+    {
+        shard_fleet fleet(two_domains());
+        fleet.run_for(warm_up);
+        const std::string other =
+            fleet.submit("D1-h1", {.tasks = 1,
+                                   .work = milliseconds(3000),
+                                   .timeout = milliseconds(9000)});
+        const std::string job =
+            fleet.submit("D1-h1", {.tasks = 1, .work = milliseconds(5000)});
+        fleet.run_for(milliseconds(400 + offset));
+        set_late_orders(fleet, "D1",
+                        late({order_kind::stop}, milliseconds(3000)));
+        fleet.disconnect_caller(job);
+        fleet.run_for(milliseconds(150));
+        set_late_orders(fleet, "D1", {});
+        fleet.run_for(milliseconds(6000));
+        BOOST_TEST((fleet.caller(other).answer == answer_kind::completed));
+        BOOST_TEST(fleet.starts_of(other) == 1);
+        check_no_violations(fleet);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace chicorydrum::shards
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -72,11 +72,12 @@
     return false;
 }
 
-bool virtual_endpoint::defer(std::function<void()> order)
+bool virtual_endpoint::defer(order_kind kind, std::function<void()> order)
 {
     const late_order_rules& rules = this->late_orders;
-    if (std::uniform_int_distribution<int>(0, 99)(this->random) >=
-        rules.percent)
+    if (!rules.kinds.contains(kind) ||
+        std::uniform_int_distribution<int>(0, 99)(this->random) >=
+            rules.percent)
         return false;
     const milliseconds delay(std::uniform_int_distribution<std::int64_t>(
         rules.least.count(), rules.most.count())(this->random));
@@ -122,7 +123,8 @@
         late.lease_end_ms = lease_end();
         this->execute_start(late, {});
     };
-    if (this->late_orders.percent > 0 && this->defer(execute_late))
+    if (this->late_orders.percent > 0 &&
+        this->defer(order_kind::start, execute_late))
         return;
     if (this->fault == endpoint_fault::loses_answers)
     {
@@ -264,7 +266,8 @@
     {
         this->execute_stop(order, [](const order_answered&) {});
     };
-    if (this->late_orders.percent > 0 && this->defer(execute_late))
+    if (this->late_orders.percent > 0 &&
+        this->defer(order_kind::stop, execute_late))
         return;
     this->execute_stop(order, std::move(reply));
 }
@@ -318,7 +321,8 @@
             late.lease_end_ms = lease_end();
         this->execute_list(late, [](const shard::runs_listed&) {});
     };
-    if (this->late_orders.percent > 0 && this->defer(execute_late))
+    if (this->late_orders.percent > 0 &&
+        this->defer(order_kind::list, execute_late))
         return;
     this->execute_list(request, std::move(reply));
 }
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -29,12 +29,21 @@
     support::milliseconds stop_time{50};
 };
 
+enum class order_kind
+{
+    start,
+    stop,
+    list,
+};
+
 /// Orders that get no answer and are executed later, as the platform allows
 /// for every call.
 struct late_order_rules
 {
-    /// Share of the orders (starts, stops and lists) that are late.
+    /// Share of the orders of these kinds that are late.
     int percent = 0;
+    std::set<order_kind> kinds = {order_kind::start, order_kind::stop,
+                                  order_kind::list};
     support::milliseconds least{2000};
     support::milliseconds most{12000};
     /// An order that was sent to an earlier incarnation is executed by the
@@ -177,8 +186,9 @@
     };
 
     std::int64_t clock_ms() const;
-    /// Returns whether the next order is late, and executes \p order then.
-    bool defer(std::function<void()> order);
+    /// Returns whether the next order, of \p kind, is late, and executes
+    /// \p order then.
+    bool defer(order_kind kind, std::function<void()> order);
     /// Returns what computes the lease end of an order that is received now
     /// and executed late.
     std::function<std::int64_t()>
