The end of an earlier run leaves the task's adopted run in place

Some seconds later the job ends, and the caller's copy runs in another domain beside the second run, for 861 ms.

Cause: the new owner's first list has both, the second run and the first one's end. `listed` adopts what runs and handles the ends then; run_ended compared the endpoint only, took the old end for that of the adopted run and set the task to waiting. No task was placed any more that would have had the run stopped, while the run itself counted as claimed, so that its lease was extended.

Fix: a task stays placed while a run of it is active at the endpoint that lists the end. The lease forgets a run with its own end, so that an end which leaves one there is another run's. It still counts as a failure of the task. run_ended lines say active=true then.

Looked through for the same and left as it is: unclaimed_completions keeps done ends only; ends are counted once per owner by their number; a refused start counts only for the run that it was sent for; withdrawals, refusals and results are compared by call, or are right for all calls of an id (completed, failed, cancelled).

--- a/shard/lib/shard_owner.cpp
+++ b/shard/lib/shard_owner.cpp
@@ -483,7 +483,10 @@
             this->finish(job.id(), schema::job_result::completed, "", now);
         return;
     }
-    if (task->endpoint == where.lease.entry().id &&
+    // An end that is listed again, or first to a new owner, may be that of an
+    // earlier run than the one that is active there.
+    const bool is_active = where.lease.runs().contains(ended.task);
+    if (task->endpoint == where.lease.entry().id && !is_active &&
         task->state == task_state::placed)
         job.set_state(*task, task_state::waiting);
     this->hooks.log(log_line("run_ended")
@@ -492,6 +495,7 @@
                         .add("endpoint", where.lease.entry().id)
                         .add("how", name_of(ended.how))
                         .add("evidence", name_of(ended.evidence))
+                        .add("active", is_active)
                         .add("state", ended.last_state
                                           ? name_of(*ended.last_state)
                                           : std::string_view("unknown"))
--- a/test/shards/copies_test.cpp
+++ b/test/shards/copies_test.cpp
@@ -162,6 +162,48 @@
     }
 }
 
+// A task's first run fails, its end is not acknowledged in time, and the owner
+// is lost after the start of the second run: the next owner's first list has
+// both. The job ends before its task does, and the copy starts in another
+// domain. The second run must have ended by then.
+BOOST_AUTO_TEST_CASE(run_adopted_with_the_end_of_an_earlier_one)
+{
+    for (const bool is_planned : {false, true})
+        for (int offset = 0; offset < 200; offset += 50)
+            BOOST_TEST_CONTEXT("planned " << is_planned << " offset " << offset)
+            {
+                shard_fleet fleet(two_domains());
+                fleet.run_for(warm_up);
+                fleet.send_copies_to("D2-h1");
+                const std::string owner = fleet.owner_of("D1");
+                virtual_endpoint& endpoint = fleet.endpoint("D1-e1");
+                endpoint.set_fault(endpoint_fault::fails_all);
+                const std::string job =
+                    fleet.submit(other_host(fleet, owner),
+                                 {.tasks = 1,
+                                  .work = milliseconds(1000),
+                                  .timeout = milliseconds(2200 + offset)});
+                fleet.run_for(milliseconds(980));
+                // The task's later runs take longer than the job's time.
+                endpoint.work_of = [](const shard::task_key&)
+                {
+                    return milliseconds(5000);
+                };
+                endpoint.set_late_orders(
+                    late({order_kind::list}, milliseconds(2500)));
+                fleet.run_for(milliseconds(100 + offset));
+                endpoint.set_fault(endpoint_fault::none);
+                endpoint.set_late_orders({});
+                if (is_planned)
+                    fleet.stop_gracefully(owner);
+                else
+                    fleet.kill(owner);
+                fleet.run_for(milliseconds(9000));
+                BOOST_TEST(fleet.starts_of(job) >= 2);
+                check_no_violations(fleet);
+            }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/test/shards/late_orders_test.cpp
+++ b/test/shards/late_orders_test.cpp
@@ -573,6 +573,53 @@
     }
 }
 
+// A new owner's first list of an endpoint has a task's second run, which is
+// adopted, and the end of its first one. That end must not be taken for the
+// adopted run's: when the job ends, the run is stopped.
+BOOST_AUTO_TEST_CASE(end_of_an_earlier_run_listed_with_the_adopted_one)
+{
+    enum class job_end
+    {
+        deadline,
+        withdrawal,
+        cancellation,
+        /// The end comes in a later list, as the endpoint lists few at a time.
+        after_later_list,
+    };
+    for (const job_end how : {job_end::deadline, job_end::withdrawal,
+                              job_end::cancellation, job_end::after_later_list})
+        BOOST_TEST_CONTEXT("end " << static_cast<int>(how))
+        {
+            scripted_owner script;
+            script.set_endpoints({entry_of("D1-e1")});
+            script.submit("job1", 1, milliseconds(1000));
+            const shard::task_key task{.job = "job1", .group = 0, .index = 0};
+            const std::vector<shard::listed_run> running = {
+                {.task = task, .run = 2, .percent = 10}};
+            const std::vector<shard::listed_end> ended = {
+                {.number = 1,
+                 .task = task,
+                 .run = 1,
+                 .how = shard::run_end::failed}};
+            const bool is_later = how == job_end::after_later_list;
+            script.answer_list(
+                script.last_list("D1-e1"), 1, running,
+                is_later ? std::vector<shard::listed_end>{} : ended, is_later);
+            script.wait(milliseconds(50));
+            script.answer_list(script.last_list("D1-e1"), 1, running, ended);
+            BOOST_TEST(script.starts.empty());
+            BOOST_TEST(script.stops.empty());
+            if (how == job_end::withdrawal)
+                script.withdraw("job1");
+            else if (how == job_end::cancellation)
+                script.owner.cancel("job1", script.now);
+            else
+                script.wait(milliseconds(1000));
+            BOOST_REQUIRE(!script.stops.empty());
+            BOOST_TEST(script.stops.front().run == 2);
+        }
+}
+
 // The copy of a job whose start may still be executed never starts. It must not
 // be answered as not run.
 BOOST_AUTO_TEST_CASE(copy_of_a_job_that_may_still_start)
