Routes and requests are compared in one form of host and path

Cause: two readers of one text. The server turned the host of a request into lower case; the configuration kept the route's as it is written, and both were compared exactly. The same holds for paths: libwebsockets delivers them decoded, with repeated slashes as one and dots resolved, prefixes were kept as written.

Blanks around header values, of which Deadline-Ms was read as none with a leading one, are dropped where they are read.

Looked through and left: labels, ids and names of services are compared as they are written on both sides.

--- a/transport/include/chicorydrum/transport/http.hpp
+++ b/transport/include/chicorydrum/transport/http.hpp
@@ -32,11 +32,12 @@
 struct http_request
 {
     http_method method = http_method::get;
+    /// As normalized_path() returns it.
     std::string path;
     std::string body = {};
     /// The query string, without the question mark.
     std::string query = {};
-    /// The Host header in lower case, without a port.
+    /// The Host header, as normalized_host() returns it.
     std::string host = {};
     /// The headers of http_server_options::captured_headers that are present.
     std::vector<http_header> headers = {};
@@ -45,7 +46,16 @@
     support::milliseconds waited{0};
 };
 
-/// Returns the value of the header \p name, or an empty string.
+/// Returns the form in which names of hosts are compared: in lower case,
+/// without a port, without the dot of the root and without blanks around it.
+std::string normalized_host(std::string_view host);
+
+/// Returns the form in which the server delivers \p path: escapes and plus
+/// signs are decoded, repeated slashes are one, and "." and ".." are resolved.
+std::string normalized_path(std::string_view path);
+
+/// Returns the value of the header \p name without blanks around it, or an
+/// empty string.
 std::string_view find_header(const std::vector<http_header>& headers,
                              std::string_view name);
 
--- a/transport/lib/http_server.cpp
+++ b/transport/lib/http_server.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <stdexcept>
 #include <unordered_map>
 
@@ -81,15 +80,7 @@
     std::array<char, 256> text{};
     const int copied = lws_hdr_copy(
         connection, text.data(), static_cast<int>(text.size()), WSI_TOKEN_HOST);
-    std::string host = copied > 0 ? text.data() : "";
-    // Names of hosts have no case, and a port says nothing of the route.
-    const std::size_t port = host.rfind(':');
-    if (port != std::string::npos && host.find(']', port) == std::string::npos)
-        host.erase(port);
-    std::transform(host.begin(), host.end(), host.begin(),
-                   [](unsigned char c)
-                   { return static_cast<char>(std::tolower(c)); });
-    return host;
+    return copied > 0 ? normalized_host(text.data()) : std::string();
 }
 
 void copy_headers(lws* connection, const std::vector<std::string>& names,
--- a/transport/unittests/server_requests_test.cpp
+++ b/transport/unittests/server_requests_test.cpp
@@ -127,6 +127,38 @@
     }
 }
 
+// Guards against a route that is not found because it names its host in other
+// letters than the request, or the path with escapes.
+BOOST_FIXTURE_TEST_CASE(host_and_path_are_delivered_as_normalized,
+                        recording_server)
+{
+    for (const std::string host :
+         {"Desk.example", "desk.example", "DESK.EXAMPLE.", "desk.example.:80",
+          "  Desk.example \t", "[::1]:8161", "[FE80::1]"})
+        for (const std::string path :
+             {"/desk/1", "/Desk/1", "/caf%C3%A9/1", "/caf%c3%a9/1", "/a%20b/1",
+              "/a//b/1", "/a/./b/1", "/a/../b/1", "/a/%2e%2E/b/1", "/a%2Fb/1",
+              "/a+b/1", "/desk/"})
+            BOOST_TEST_CONTEXT(host << " " << path)
+            {
+                this->requests.clear();
+                const int client = send_request(
+                    "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n");
+                this->run_for(support::milliseconds(10));
+                BOOST_REQUIRE(this->requests.size() == 1U);
+                BOOST_TEST(this->requests.front().host ==
+                           normalized_host(host));
+                BOOST_TEST(this->requests.front().path ==
+                           normalized_path(path));
+                ::close(client);
+            }
+    const std::vector<http_header> headers = {
+        {.name = "deadline-ms", .value = " \t1500 "}};
+    BOOST_TEST(find_header(headers, "deadline-ms") == "1500");
+    BOOST_TEST(normalized_host("Desk.Example.:8161") == "desk.example");
+    BOOST_TEST(normalized_path("/caf%C3%A9//a/../1") == "/caf\xC3\xA9/1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::transport
