A lease request allows for a slow clock, and needs a recent sample of it

Cause: a lease end was computed from the endpoint's last answer and all the time since. A clock that is 2% slow falls back 1.2 s in a minute, so that the start was valid for 2.1 s in place of the 0.9 s that the time sums rest on.

Fix: lease ends allow for the slowest clock, and an endpoint whose clock was read more than 10 s ago is listed before it gets a start, a round trip for the first job after a pause.

Trials: refreshing the clocks of idle endpoints every 8 s, and listing all idle endpoints when one is chosen. Passing over endpoints with old clocks chose a doubted one in their place (leaving/lapsed_entries_are_used_as_the_last_resort).

--- a/shard/include/chicorydrum/shard/leased_endpoint.hpp
+++ b/shard/include/chicorydrum/shard/leased_endpoint.hpp
@@ -97,6 +97,10 @@
     support::milliseconds requested{900};
     /// The longest time that an endpoint takes to stop a run, on its own clock.
     support::milliseconds longest_stop{50};
+    /// How old the last sample of an endpoint's clock may be when a lease is
+    /// requested. Requests allow for the slowest clock, so that those by an
+    /// older sample would be too short on an accurate one.
+    support::milliseconds clock_age{10000};
 };
 
 /// Returns the time after which a lease that nobody extends has certainly
@@ -178,8 +182,8 @@
     int runs_of_group(const std::string& job, int group) const;
 
     /// Returns the lease end for \p order to request, on the endpoint's clock,
-    /// or none while that clock is not known. The order may extend the lease
-    /// until it is answered or fenced off.
+    /// or none while that clock is not known, or was read too long ago. The
+    /// order may extend the lease until it is answered or fenced off.
     std::optional<std::int64_t> extend_lease(order_id order,
                                              support::instant now);
     /// Returns the latest lease end that was requested of the present
@@ -232,6 +236,9 @@
     /// certainly been executed.
     std::vector<ended_run> drop_stopped_runs(support::instant now);
 
+    /// Returns whether the endpoint's clock was read too long ago to request a
+    /// lease.
+    bool clock_is_old(support::instant now) const;
     /// Records the endpoint's clock as it was when it sent an answer.
     void record_clock(std::int64_t clock_ms, support::instant now);
 
@@ -274,8 +281,10 @@
 
     /// Extends the lease's bound for an order that was executed by \p now.
     void raise_bound(support::milliseconds granted, support::instant now);
-    /// Returns the endpoint's clock, if it is known.
+    /// Returns the endpoint's clock, if it is known, as of an accurate one and
+    /// of one that is as slow as the platform allows.
     std::optional<std::int64_t> clock_at(support::instant now) const;
+    std::optional<std::int64_t> earliest_clock_at(support::instant now) const;
     /// Forgets the extensions that a list under \p token rules out.
     void fence_off_extensions(fencing_token token, support::instant now);
 
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -491,6 +491,9 @@
     /// Returns for how long \p record's lease need not be extended yet.
     support::milliseconds time_to_extension(const endpoint_record& record,
                                             support::instant now) const;
+    /// Requests a list from the endpoints that were chosen for a task and whose
+    /// clocks were read too long ago.
+    void read_old_clocks(support::instant now);
     /// Requests a list from every endpoint at once.
     void request_all_lists(support::instant now);
     void stop_orphans(endpoint_record& record, support::instant now);
@@ -529,6 +532,8 @@
     pool_rooms measured_rooms;
     support::instant rooms_measured_at;
     bool needs_placing = false;
+    /// A pass of place() has chosen idle endpoints whose clocks are old.
+    bool has_old_clocks = false;
     /// As all records say.
     bool evacuated = false;
     bool adoption_has_ended = false;
--- a/shard/lib/leased_endpoint.cpp
+++ b/shard/lib/leased_endpoint.cpp
@@ -139,8 +139,8 @@
 std::optional<std::int64_t> leased_endpoint::extend_lease(order_id order,
                                                           support::instant now)
 {
-    const auto clock_now = this->clock_at(now);
-    if (!clock_now)
+    const auto clock_now = this->earliest_clock_at(now);
+    if (!clock_now || this->clock_is_old(now))
         return std::nullopt;
     const std::int64_t end = *clock_now + this->rules.requested.count();
     this->open_extensions[order] = {.token = this->token(),
@@ -178,6 +178,22 @@
     return this->clock->clock_ms + support::whole_ms(now - this->clock->taken);
 }
 
+std::optional<std::int64_t>
+leased_endpoint::earliest_clock_at(support::instant now) const
+{
+    if (!this->clock)
+        return std::nullopt;
+    const auto passed =
+        static_cast<double>(support::whole_ms(now - this->clock->taken));
+    return this->clock->clock_ms +
+           static_cast<std::int64_t>(passed * (1.0 - clock_slowness));
+}
+
+bool leased_endpoint::clock_is_old(support::instant now) const
+{
+    return this->clock && now - this->clock->taken > this->rules.clock_age;
+}
+
 void leased_endpoint::extension_answered(order_id order, bool was_executed,
                                          std::optional<std::int64_t> clock_ms,
                                          support::instant now)
--- a/shard/lib/placement.cpp
+++ b/shard/lib/placement.cpp
@@ -111,6 +111,8 @@
     for (owned_job* const job : this->waiting_queue(now))
         this->place_job(*job, now);
     this->bookings = std::move(outer);
+    if (std::exchange(this->has_old_clocks, false))
+        this->read_old_clocks(now);
 }
 
 bool shard_owner::has_listed_all_since(instant since, instant now) const
@@ -292,6 +294,12 @@
     }
     if (best == nullptr)
         return nullptr;
+    if (best->lease.clock_is_old(now))
+    {
+        best->needs_list = true;
+        this->has_old_clocks = true;
+        return nullptr;
+    }
     const bool waits =
         best->lease.entry().id == state.endpoint
             // Its last run did not complete there: it is left for others while
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -431,6 +431,13 @@
                         *last + this->options.extension_interval - now));
 }
 
+void shard_owner::read_old_clocks(instant now)
+{
+    for (const auto& [id, record] : this->endpoints)
+        if (record->needs_list && record->lease.clock_is_old(now))
+            this->tick_endpoint(*record, now);
+}
+
 void shard_owner::request_all_lists(instant now)
 {
     for (const auto& [id, record] : this->endpoints)
--- a/test/shards/copies_test.cpp
+++ b/test/shards/copies_test.cpp
@@ -204,6 +204,34 @@
             }
 }
 
+// An endpoint whose clock is slow was idle for a minute. It executes a start
+// two seconds late, when its job has ended and the copy runs in another domain.
+// The start must be refused as too late.
+BOOST_AUTO_TEST_CASE(start_executed_late_by_an_idle_endpoint)
+{
+    for (int offset = 0; offset < 400; offset += 100)
+        BOOST_TEST_CONTEXT("offset " << offset)
+        {
+            shard_fleet fleet(two_domains());
+            fleet.run_for(warm_up + milliseconds(57000));
+            set_late_orders(
+                fleet, "D1",
+                late({order_kind::start, order_kind::stop, order_kind::list},
+                     milliseconds(1600 + offset)));
+            const milliseconds timeout(200);
+            const std::string job = fleet.submit(
+                "D1-h1",
+                {.tasks = 1, .work = milliseconds(1000), .timeout = timeout});
+            fleet.run_for(timeout + resend_delay);
+            fleet.repeat(job, "D2-h1");
+            fleet.run_for(milliseconds(500));
+            BOOST_TEST(fleet.endpoint("D2-e1").starts() == 1);
+            set_late_orders(fleet, "D1", {});
+            fleet.run_for(milliseconds(9000));
+            check_no_violations(fleet);
+        }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
