No lease is extended beside the runs of a silent entry host

Fix: an owner extends no lease beside the runs of a host that it has not heard for 325 ms. Withholding costs nothing if the host is heard again, as a lease has 600 ms left when an extension is due; starts at such endpoints repeat the lease end. The sum is 325, a tick of 25 and 919: 1,269 ms.

Not covered: a last message that was held up in its link for more than 30 ms before the loss, as silence counts from its arrival here.

--- a/shard/include/chicorydrum/shard/host_view.hpp
+++ b/shard/include/chicorydrum/shard/host_view.hpp
@@ -100,6 +100,10 @@
     /// shorter, as the owner may fall silent next and leave the runs to its
     /// successor, and a host that is merely late loses no more than its jobs.
     support::milliseconds caller_silence_timeout{500};
+    /// An owner extends no lease beside the runs of a host that it has not
+    /// heard for this long, two heartbeats. Such a lease lapses 919 ms later,
+    /// before the copies of lost callers come after 1,300 ms.
+    support::milliseconds extension_silence{325};
     /// After this silence every owner has ended the jobs of a host. Owners
     /// differ by their ticks and by what they know of the ages of messages.
     support::milliseconds all_jobs_ended_timeout{700};
--- a/shard/include/chicorydrum/shard/shard_owner.hpp
+++ b/shard/include/chicorydrum/shard/shard_owner.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -60,6 +61,10 @@
     /// A stop is not confirmed. A copy of the job may start elsewhere, and
     /// counts on the end of the run.
     stop_unconfirmed,
+    /// The entry host of a run's job is silent, and its callers may have been
+    /// lost with it. Their copies come sooner after the loss than a lease
+    /// lapses that is extended until the host counts as lost.
+    host_silent,
 };
 
 std::string_view name_of(withheld_lease reason);
@@ -202,6 +207,12 @@
     /// job was cancelled here.
     void note_elsewhere(const std::string& host,
                         const schema::job_elsewhere& job, support::instant now);
+    /// Sets the hosts that may be lost: no lease is extended beside the runs of
+    /// their jobs.
+    void set_silent_hosts(std::set<std::string> hosts)
+    {
+        this->silent_hosts = std::move(hosts);
+    }
     /// Ends the jobs of an entry host that has failed, as its callers'
     /// connections are lost with it. If it is only late, it is told.
     void end_jobs_of(const std::string& host, support::instant now);
@@ -521,6 +532,7 @@
     std::shared_ptr<learned_speeds> speeds;
     /// Of the calls to all endpoints of the shard.
     std::unique_ptr<round_trip> answers;
+    std::set<std::string> silent_hosts;
     std::map<std::string, recent_use> uses;
     /// Of the pass of place() that is under way; null between passes.
     std::unique_ptr<place_bookings> bookings;
--- a/shard/lib/entry_host_ownership.cpp
+++ b/shard/lib/entry_host_ownership.cpp
@@ -170,9 +170,16 @@
     this->links_have_changed = false;
     this->view.tick(now);
     for (const auto& [number, shard] : this->shards)
+    {
+        std::set<std::string> silent;
         for (const std::string& host : shard->caller_hosts())
             if (!this->view.keeps_jobs_of(host))
                 shard->end_jobs_of(host, now);
+            else if (this->view.silence_of(host) >=
+                     this->options.view.extension_silence)
+                silent.insert(host);
+        shard->set_silent_hosts(std::move(silent));
+    }
     // A copy, as the claims and releases below change the view.
     const shard_owners best = this->view.owners();
     std::vector<std::pair<int, std::string>> lost;
--- a/shard/lib/shard_endpoints.cpp
+++ b/shard/lib/shard_endpoints.cpp
@@ -394,6 +394,16 @@
         return withheld_lease::run_unclaimed;
     if (record.lease.awaits_stop())
         return withheld_lease::stop_unconfirmed;
+    if (this->silent_hosts.empty())
+        return std::nullopt;
+    const auto is_of_silent_host = [this](const auto& entry)
+    {
+        const auto job = this->jobs.find(entry.first.job);
+        return job != this->jobs.end() &&
+               this->silent_hosts.contains(job->second->caller.host);
+    };
+    if (std::any_of(runs.begin(), runs.end(), is_of_silent_host))
+        return withheld_lease::host_silent;
     return std::nullopt;
 }
 
@@ -415,8 +425,8 @@
 
 std::string_view name_of(withheld_lease reason)
 {
-    static constexpr std::array<std::string_view, 2> names = {
-        "run_unclaimed", "stop_unconfirmed"};
+    static constexpr std::array<std::string_view, 3> names = {
+        "run_unclaimed", "stop_unconfirmed", "host_silent"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/test/shards/copies_test.cpp
+++ b/test/shards/copies_test.cpp
@@ -135,6 +135,32 @@
             }
 }
 
+// The same, and the entry host falls silent: its owner takes it for lost when
+// the copy is due within the time of a lease.
+BOOST_AUTO_TEST_CASE(stop_executed_late_after_the_entry_host_fell_silent)
+{
+    for (int offset = 0; offset < 300; offset += 30)
+        BOOST_TEST_CONTEXT("offset " << offset)
+        {
+            shard_fleet fleet(two_domains());
+            fleet.run_for(warm_up);
+            fleet.send_copies_to("D2-h1");
+            set_late_orders(fleet, "D1",
+                            late({order_kind::stop}, milliseconds(3000)));
+            const std::string entry = other_host(fleet, fleet.owner_of("D1"));
+            const std::string job =
+                fleet.submit(entry, {.tasks = 1,
+                                     .work = milliseconds(6000),
+                                     .timeout = milliseconds(9000)});
+            fleet.run_for(milliseconds(1000 + offset));
+            fleet.lose_power(entry);
+            fleet.run_for(milliseconds(1600));
+            BOOST_TEST(fleet.starts_of(job) == 2);
+            fleet.run_for(milliseconds(6000));
+            check_no_violations(fleet);
+        }
+}
+
 // A stop gets no answer once, and the repeated one does. The other runs at the
 // endpoint must not end with the lease.
 BOOST_AUTO_TEST_CASE(other_runs_outlast_a_stop_that_is_repeated)
