A request behind an unanswered POST stops no host

Cause: libwebsockets takes the bytes behind a body for the end of that body, and calls LWS_CALLBACK_HTTP_BODY_COMPLETION again in every turn; deliver() returned 0 each time, and went on doing so after the answer.

Fix: when that comes a second time, nothing more is read from the connection until the first request is answered; the answer says Connection: close, and the connection is closed behind it, with what has arrived discarded first, so that no reset overtakes the answer. The first job gets its answer always; the second request was not begun, and its caller sees its channel close. As the library reports no closing meanwhile, the connection is checked every 50 ms, so that the job of a caller that leaves is withdrawn.

While a connection is held the library polls without waiting: it asks to write, and doesn't as long as nothing is read. The loop pauses 1 ms a turn then.

--- a/transport/include/chicorydrum/transport/event_loop.hpp
+++ b/transport/include/chicorydrum/transport/event_loop.hpp
@@ -72,6 +72,17 @@
         this->retired.push_back(std::move(state));
     }
 
+    /// Makes the loop pause after each batch of events, until end_pacing() was
+    /// called as often: the library polls without waiting meanwhile.
+    void begin_pacing()
+    {
+        ++this->paced;
+    }
+    void end_pacing()
+    {
+        --this->paced;
+    }
+
     lws_context* context() const
     {
         return this->native;
@@ -79,6 +90,7 @@
 
 private:
     lws_context* native;
+    int paced = 0;
     /// Destroyed after the context.
     std::vector<std::shared_ptr<void>> retired;
 };
--- a/transport/lib/connection_state.cpp
+++ b/transport/lib/connection_state.cpp
@@ -1,5 +1,6 @@
 #include "connection_state.hpp"
 
+#include <array>
 #include <cerrno>
 
 #include <libwebsockets.h>
@@ -21,6 +22,16 @@
     return is_open ? remote_state::idle : remote_state::closed;
 }
 
+void discard_received(lws* connection)
+{
+    constexpr int max_reads = 16;
+    std::array<char, 4096> part{};
+    for (int i = 0; i < max_reads; ++i)
+        if (::recv(lws_get_socket_fd(connection), part.data(), part.size(),
+                   MSG_DONTWAIT) <= 0)
+            return;
+}
+
 support::milliseconds time_since_last_bytes(lws* connection)
 {
     tcp_info info{};
--- a/transport/lib/connection_state.hpp
+++ b/transport/lib/connection_state.hpp
@@ -22,6 +22,10 @@
 
 remote_state remote_state_of(lws* connection);
 
+/// Discards what has been received and not read yet, up to a limit: closing a
+/// connection with unread bytes may cost the other side the last answer.
+void discard_received(lws* connection);
+
 /// Returns how long ago \p connection received its last bytes; 0 if the kernel
 /// does not tell.
 support::milliseconds time_since_last_bytes(lws* connection);
--- a/transport/lib/event_loop.cpp
+++ b/transport/lib/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <stdexcept>
 #include <string_view>
+#include <thread>
 
 #include <libwebsockets.h>
 
@@ -105,10 +106,18 @@
     lws_context_destroy(this->native);
 }
 
+/// Latency that a paced loop adds at most; polling takes a few hundredths of a
+/// core then.
+constexpr support::milliseconds pacing_interval{1};
+
 void event_loop::run_until(const std::function<bool()>& is_done)
 {
     while (!is_done())
+    {
         lws_service(this->native, 0);
+        if (this->paced > 0)
+            std::this_thread::sleep_for(pacing_interval);
+    }
 }
 
 support::instant event_loop::now()
--- a/transport/lib/http_server.cpp
+++ b/transport/lib/http_server.cpp
@@ -32,8 +32,18 @@
     bool is_too_large = false;
     /// Set while the request is still arriving.
     std::unique_ptr<timer> receive_timer;
+    /// Set if another request has arrived behind this one: nothing is read from
+    /// the connection until this one is answered, so that its closing is not
+    /// reported. The connection is closed after the answer.
+    std::unique_ptr<timer> close_check;
+    /// Ends the pacing of the loop with the exchange.
+    std::shared_ptr<void> pacing;
 };
 
+/// Interval in which a connection that is not read is checked for its closing;
+/// a caller that has left sends its request again after a second.
+constexpr support::milliseconds close_check_interval{50};
+
 /// The user data that libwebsockets stores for each connection.
 struct connection_data
 {
@@ -124,6 +134,10 @@
     int receive_body(connection_data& data, const char* bytes,
                      std::size_t length);
     int deliver(connection_data& data);
+    /// Leaves a request that has arrived behind \p open unread, and has the
+    /// connection closed after the answer.
+    void hold_next_request(exchange_id id, exchange& open);
+    void check_closing(exchange_id id);
     int write(lws* connection, connection_data& data);
     int write_not_http(lws* connection);
     int write_headers(lws* connection, const exchange& open);
@@ -193,10 +207,16 @@
 int http_server::state::deliver(connection_data& data)
 {
     const auto found = this->exchanges.find(data.current);
-    if (found == this->exchanges.end() || found->second.responding ||
-        found->second.delivered)
+    if (found == this->exchanges.end())
         return 0;
     exchange& open = found->second;
+    if (open.delivered || open.responding)
+    {
+        // The library takes what follows a body for its end, again and again.
+        if (!open.responding)
+            this->hold_next_request(data.current, open);
+        return 0;
+    }
     if (open.is_too_large)
     {
         this->reject(data.current, rejection::too_large);
@@ -214,6 +234,34 @@
     return 0;
 }
 
+void http_server::state::hold_next_request(exchange_id id, exchange& open)
+{
+    if (open.close_check)
+        return;
+    lws_rx_flow_control(open.connection, 0);
+    // The library asks to write, and does not while nothing is read.
+    event_loop& loop = this->options.loop;
+    loop.begin_pacing();
+    open.pacing =
+        std::shared_ptr<void>(nullptr, [&loop](void*) { loop.end_pacing(); });
+    open.close_check = std::make_unique<timer>(
+        this->options.loop.make_timer([this, id] { this->check_closing(id); }));
+    open.close_check->start(close_check_interval);
+}
+
+void http_server::state::check_closing(exchange_id id)
+{
+    const auto found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    const exchange& open = found->second;
+    if (remote_state_of(open.connection) == remote_state::closed)
+        lws_set_timeout(open.connection, PENDING_TIMEOUT_CLOSE_SEND,
+                        LWS_TO_KILL_ASYNC);
+    else
+        open.close_check->start(close_check_interval);
+}
+
 void http_server::state::reject(exchange_id id, rejection reason)
 {
     http_response response = this->options.on_rejected(reason);
@@ -231,8 +279,10 @@
     open.receive_timer.reset();
     open.responding = true;
     open.response = std::move(response);
-    if (this->closes_after_responses)
+    if (this->closes_after_responses || open.close_check)
         open.response.close = true;
+    if (open.close_check)
+        lws_rx_flow_control(open.connection, 1);
     lws_callback_on_writable(open.connection);
 }
 
@@ -308,7 +358,10 @@
     this->exchanges.erase(found);
     data.current = 0;
     if (close)
+    {
+        discard_received(connection);
         return -1;
+    }
     return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
 }
 
--- a/transport/unittests/server_requests_test.cpp
+++ b/transport/unittests/server_requests_test.cpp
@@ -5,6 +5,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <ctime>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -161,4 +164,137 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(requests_behind_others)
+
+namespace
+{
+
+constexpr support::milliseconds work_time{200};
+
+/// A server that answers each request after a while, in the order in which they
+/// came.
+struct slow_server
+{
+    slow_server()
+        : server({.loop = this->loop,
+                  .address = "127.0.0.1",
+                  .port = port,
+                  .on_request =
+                      [this](exchange_id id, http_request request)
+                  {
+                      this->paths.push_back(request.path);
+                      this->work.push_back(this->loop.make_timer(
+                          [this, id] { this->answer(id); }));
+                      this->work.back().start(work_time);
+                  },
+                  .on_abandoned = [this](exchange_id) { ++this->abandoned; },
+                  .on_rejected =
+                      [](rejection)
+                  {
+                      return http_response{};
+                  }})
+    {
+    }
+
+    void answer(exchange_id id)
+    {
+        this->server.respond(id, {.body = "answered"});
+    }
+
+    /// Returns the processor time that passed.
+    double run_for(support::milliseconds span)
+    {
+        const std::clock_t before = std::clock();
+        bool is_over = false;
+        timer end = this->loop.make_timer([&is_over] { is_over = true; });
+        end.start(span);
+        this->loop.run_until([&is_over] { return is_over; });
+        return static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    }
+
+    event_loop loop{{.max_connections = 50}};
+    http_server server;
+    std::vector<timer> work;
+    std::vector<std::string> paths;
+    int abandoned = 0;
+};
+
+std::string request_text(const std::string& method, const std::string& path)
+{
+    const std::string body = method == "POST" ? "{}" : "";
+    return method + " " + path + " HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Returns how often \p text is in what \p client has received.
+int count_received(int client, const std::string& text)
+{
+    std::string received;
+    std::array<char, 4096> part{};
+    ssize_t length = 0;
+    while ((length = ::recv(client, part.data(), part.size(), MSG_DONTWAIT)) >
+           0)
+        received.append(part.data(), static_cast<std::size_t>(length));
+    int found = 0;
+    for (std::size_t at = received.find(text); at != std::string::npos;
+         at = received.find(text, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+// Guards against a server that one connection stops for all callers: the first
+// request is answered, and the connection is closed then or serves the rest.
+BOOST_FIXTURE_TEST_CASE(requests_behind_a_post, slow_server)
+{
+    const std::vector<std::vector<std::string>> sequences = {
+        {"POST"}, {"POST", "POST"}, {"GET"}, {"DELETE"}, {"GET", "POST"}};
+    for (const std::vector<std::string>& behind : sequences)
+        for (const int later_ms : {0, 100})
+            BOOST_TEST_CONTEXT(behind.front() << " and " << behind.size() - 1
+                                              << " more after " << later_ms)
+            {
+                this->paths.clear();
+                const std::string text = request_text("POST", "/0");
+                std::string rest;
+                for (const std::string& method : behind)
+                    rest += request_text(method, "/later");
+                const int client =
+                    send_request(later_ms == 0 ? text + rest : text);
+                double used = this->run_for(support::milliseconds(100));
+                if (later_ms > 0)
+                    ::send(client, rest.data(), rest.size(), MSG_NOSIGNAL);
+                used += this->run_for(work_time * 4);
+                const int answers = count_received(client, "answered");
+                BOOST_TEST(answers >= 1);
+                BOOST_TEST(answers == static_cast<int>(this->paths.size()));
+                BOOST_TEST(used < 0.2);
+                BOOST_TEST(this->abandoned == 0);
+                // Another caller is served.
+                const int other = send_request(request_text("POST", "/other"));
+                this->run_for(work_time + support::milliseconds(100));
+                BOOST_TEST(count_received(other, "answered") == 1);
+                ::close(client);
+                ::close(other);
+                this->run_for(support::milliseconds(20));
+            }
+}
+
+// Guards against the job of a caller that has left running on, since nothing is
+// read from its connection.
+BOOST_FIXTURE_TEST_CASE(caller_that_leaves_with_requests_behind, slow_server)
+{
+    const int client =
+        send_request(request_text("POST", "/0") + request_text("POST", "/1"));
+    this->run_for(support::milliseconds(50));
+    ::close(client);
+    this->run_for(support::milliseconds(120));
+    BOOST_TEST(this->abandoned == 1);
+    this->run_for(work_time);
+    BOOST_TEST(this->paths.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace chicorydrum::transport
