Soak: endpoints that execute all orders of a span late

The mix `late`: endpoints answer no order, or none of some kinds, for a span, and execute all of them seconds later, in their order or mixed; beside killed, stopped and suspended hosts, jobs whose time ends before their tasks do, copies in the other domain, first runs that fail, and endpoints with slow clocks that were idle for a minute. Callers have one call at a time.

Scenarios: each row of the time sums with one kind of order late (copies/losses_beside_late_orders_of_each_kind).

--- a/test/shards/copies_test.cpp
+++ b/test/shards/copies_test.cpp
@@ -258,6 +258,66 @@
         }
 }
 
+// Each row of the time sums of a copy (06-platform.md) with the orders of one
+// kind executed late from the loss on: a lost entry host, an owner that is lost
+// with its own callers, and both in turn. The first run must have ended when
+// the copy starts in another domain.
+BOOST_AUTO_TEST_CASE(losses_beside_late_orders_of_each_kind)
+{
+    enum class loss
+    {
+        entry_host_killed,
+        entry_host_silent,
+        owner_killed,
+        owner_silent,
+        both_silent_in_turn,
+    };
+    const std::vector<std::set<order_kind>> kinds = {
+        {order_kind::start},
+        {order_kind::stop},
+        {order_kind::list},
+        {order_kind::start, order_kind::stop, order_kind::list}};
+    for (const loss what :
+         {loss::entry_host_killed, loss::entry_host_silent, loss::owner_killed,
+          loss::owner_silent, loss::both_silent_in_turn})
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+            for (int offset = 0; offset < 300; offset += 75)
+                BOOST_TEST_CONTEXT("loss " << static_cast<int>(what)
+                                           << " orders " << kind << " offset "
+                                           << offset)
+                {
+                    shard_fleet fleet({.domains = 2,
+                                       .hosts_per_domain = 3,
+                                       .endpoints_per_domain = 1});
+                    fleet.run_for(warm_up);
+                    fleet.send_copies_to("D2-h1");
+                    const std::string owner = fleet.owner_of("D1");
+                    const bool is_own = what == loss::owner_killed ||
+                                        what == loss::owner_silent;
+                    const std::string entry =
+                        is_own ? owner : other_host(fleet, owner);
+                    const std::string job =
+                        fleet.submit(entry, {.tasks = 1,
+                                             .work = milliseconds(6000),
+                                             .timeout = milliseconds(9000)});
+                    fleet.run_for(milliseconds(1000 + offset));
+                    set_late_orders(fleet, "D1",
+                                    late(kinds[kind], milliseconds(2500)));
+                    if (what == loss::entry_host_killed ||
+                        what == loss::owner_killed)
+                        fleet.kill(entry);
+                    else
+                        fleet.lose_power(entry);
+                    fleet.run_for(milliseconds(offset * 2));
+                    if (what == loss::both_silent_in_turn)
+                        fleet.lose_power(owner);
+                    fleet.run_for(milliseconds(2500));
+                    BOOST_TEST(fleet.starts_of(job) == 2);
+                    fleet.run_for(milliseconds(6000));
+                    check_no_violations(fleet);
+                }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace chicorydrum::shards
--- a/test/shards/soak.cpp
+++ b/test/shards/soak.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Seeded random sessions of entry hosts in virtual time, with mixed faults.
+#include "late_session.hpp"
 #include "losses_session.hpp"
 #include "shard_fleet.hpp"
 #include "successor_session.hpp"
@@ -38,9 +39,11 @@
                  once, while the store is silent, refuses some of them, lags
                  or forgets, and endpoints leave; "evacuations", as "single"
                  beside domains that are evacuated and taken back, also in
-                 quick turns; or "losses", entry hosts and
+                 quick turns; "losses", entry hosts and
                  owners lost in turn, slow and unreachable endpoints, cut links
-                 and new starts in one domain within seconds
+                 and new starts in one domain within seconds; or "late",
+                 endpoints that answer no order for a span and execute all of
+                 them later, beside lost hosts and copies in other domains
                  [default: single].
   --verbose      Print the log of each failing seed.
 )";
@@ -942,7 +945,8 @@
     const auto named = std::find(mix_names.begin(), mix_names.end(), wanted);
     const bool are_losses = wanted == "losses";
     const bool are_successors = wanted == "successors";
-    if (named == mix_names.end() && !are_losses && !are_successors)
+    const bool are_late = wanted == "late";
+    if (named == mix_names.end() && !are_losses && !are_successors && !are_late)
     {
         std::cerr << usage;
         return 2;
@@ -955,6 +959,9 @@
         if (are_losses)
             has_failed =
                 fails(losses_session(seed, is_verbose), seed, is_verbose);
+        else if (are_late)
+            has_failed =
+                fails(late_session(seed, is_verbose), seed, is_verbose);
         else if (are_successors)
             has_failed =
                 fails(successor_session(seed, is_verbose), seed, is_verbose);
--- a/test/shards/virtual_endpoint.cpp
+++ b/test/shards/virtual_endpoint.cpp
@@ -188,27 +188,30 @@
     one.length = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(this->work_of(order.task).count()) *
         this->options.slowness));
+    one.fails = this->fault == endpoint_fault::fails_early;
+    if (one.fails)
+        one.length = std::min(one.length, early_failure);
     if (!this->has_capacity_for(one.need))
         this->report_violation("runs exceed the capacity of " +
                                this->options.entry.id);
     ++this->start_count;
     this->running[order.task] = one;
     this->on_started(order.task);
-    this->queue.after(one.length,
-                      [this, task = order.task, number = one.number,
-                       expected_incarnation = this->incarnation]
-                      {
-                          const auto found = this->running.find(task);
-                          if (this->incarnation != expected_incarnation ||
-                              found == this->running.end() ||
-                              found->second.number != number ||
-                              found->second.hangs)
-                              return;
-                          this->end_run(task, number,
-                                        this->fault == endpoint_fault::fails_all
-                                            ? run_end::failed
-                                            : run_end::done);
-                      });
+    this->queue.after(
+        one.length,
+        [this, task = order.task, number = one.number,
+         expected_incarnation = this->incarnation]
+        {
+            const auto found = this->running.find(task);
+            if (this->incarnation != expected_incarnation ||
+                found == this->running.end() ||
+                found->second.number != number || found->second.hangs)
+                return;
+            const bool fails =
+                found->second.fails || this->fault == endpoint_fault::fails_all;
+            this->end_run(task, number,
+                          fails ? run_end::failed : run_end::done);
+        });
 }
 
 bool virtual_endpoint::has_capacity_for(const schema::resources& need) const
--- a/test/shards/virtual_endpoint.hpp
+++ b/test/shards/virtual_endpoint.hpp
@@ -81,6 +81,8 @@
     bool closes_connections = false;
 };
 
+constexpr support::milliseconds early_failure{300};
+
 /// The fault injected into an endpoint.
 enum class endpoint_fault
 {
@@ -97,6 +99,8 @@
     hangs,
     /// Every task fails.
     fails_all,
+    /// Tasks that start fail after early_failure.
+    fails_early,
     /// Another process uses its address, and its runs are lost.
     replaced,
 };
@@ -178,6 +182,7 @@
         support::milliseconds length{0};
         bool stopping = false;
         bool hangs = false;
+        bool fails = false;
     };
     struct pending_list
     {
